--- /dev/null
+++ b/internal/refusal/refusal_test.go
@@ -0,0 +1,31 @@
+package refusal_test
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"heatherrelay/internal/refusal"
+)
+
+func TestFromKeepsARefusalInsideAnotherError(t *testing.T) {
+	inner := refusal.NotRun(refusal.CodeRateLimited, "team %s", "billing")
+	got := refusal.From(fmt.Errorf("admission: %w", inner))
+	if got != inner {
+		t.Fatalf("From() = %v, want the refusal itself", got)
+	}
+	if got.Status() != http.StatusTooManyRequests {
+		t.Errorf("Status() = %d", got.Status())
+	}
+}
+
+func TestFromNeverClaimsThatAnUnknownErrorDidNotRun(t *testing.T) {
+	got := refusal.From(errors.New("dial failed"))
+	if got.NotRun {
+		t.Error("NotRun = true for an error of unknown origin")
+	}
+	if got.Error() != "internal: internal error" {
+		t.Errorf("Error() = %q, shows the cause", got.Error())
+	}
+}
