Hold the state of releases in shared sorted chunks

Cause: the slices need lookups by adapter, team, key, route and target, and paging, without a lock and without copying 59,000 adapters per note. Change: State keeps each kind in a sorted list of chunks; an edit copies the list and the chunks it touches. Builder replays many notes and copies once. Ruled out: hash shards (no order for paging), a copied map per note. Proof: with chunks changed in place, or the list of chunks shared, the property test TestApplyMatchesPlainMap fails (an earlier state changes).

--- a/pkg/release/state.go
+++ b/pkg/release/state.go
@@ -1,8 +1,101 @@
 package release
 
+import (
+	"slices"
+)
+
 // State is what follows from all notes up to a number. It is immutable; lookups
-// take no lock.
+// take no lock and allocate nothing. A state that follows from another shares
+// with it all that the note did not touch. Lookups return values whose slices
+// must not be changed. The zero value is the empty state.
 type State struct {
 	// Number is the last note applied; zero is the empty state.
-	Number uint64
+	Number   uint64
+	adapters ordered[Adapter]
+	teams    ordered[Team]
+	keys     ordered[Key]
+	routes   ordered[Route]
+	targets  ordered[Target]
+	index    *routeIndex
+}
+
+// Apply returns the state after the next note. It fails with ErrOrder when
+// number is not s.Number+1, and for no other reason: a note that withdraws what
+// is not there changes nothing in that point.
+func (s *State) Apply(number uint64, note Note) (*State, error) {
+	b := s.Builder()
+	if err := b.Apply(number, note); err != nil {
+		return nil, err
+	}
+	return b.State(), nil
+}
+
+// Adapter returns the adapter version under id, "name@version".
+func (s *State) Adapter(id string) (Adapter, bool) { return s.adapters.get(id) }
+
+// AdapterCount returns the number of adapter versions.
+func (s *State) AdapterCount() int { return s.adapters.count }
+
+// Team returns the team of that name.
+func (s *State) Team(name string) (Team, bool) { return s.teams.get(name) }
+
+// Teams returns all teams sorted by name.
+func (s *State) Teams() []Team { return s.teams.all() }
+
+// Key returns the key of that id. A key whose team is not there opens nothing.
+func (s *State) Key(id string) (Key, bool) { return s.keys.get(id) }
+
+// Target returns how the target of that id treats orders; a target that no note
+// names does not check fencing.
+func (s *State) Target(id string) Target {
+	target, ok := s.targets.get(id)
+	if !ok {
+		return Target{ID: id}
+	}
+	return target
+}
+
+// ModelRoute returns the route of requests for an adapter, given without
+// version. A route that lists the adapter goes before one for all adapters, then
+// the first by name; with none the route is interactive and closed.
+func (s *State) ModelRoute(adapterName string) Route {
+	if s.index == nil {
+		return defaultModelRoute
+	}
+	return s.index.model(adapterName)
+}
+
+// ServiceRoute returns the route of a call to a plain service: among the
+// routes for its method, the one with the longest path prefix, then one that
+// names the method, then the first by name. A prefix matches whole path
+// segments only.
+func (s *State) ServiceRoute(service, method, path string) (Route, bool) {
+	if s.index == nil {
+		return Route{}, false
+	}
+	return s.index.service(service, method, path)
+}
+
+// Routes returns all routes sorted by name.
+func (s *State) Routes() []Route { return s.routes.all() }
+
+// MayUse reports whether a team may use an adapter.
+func (s *State) MayUse(team string, a Adapter) bool {
+	return len(a.Teams) == 0 || slices.Contains(a.Teams, team)
+}
+
+// AdaptersAfter returns up to limit adapter versions that team may use, sorted
+// by id, from the first one after cursor on. An empty cursor starts at the
+// beginning, and a page that is not full is the last.
+func (s *State) AdaptersAfter(cursor string, limit int, team string) []Adapter {
+	var page []Adapter
+	for _, a := range s.adapters.after(cursor) {
+		if len(page) >= limit {
+			break
+		}
+		if s.MayUse(team, a) {
+			page = append(page, a)
+		}
+	}
+	return page
 }
