Read settings from TOML and name all problems at once

Cause: an instance must not start on settings that it half understands, and an operator wants every mistake in one pass. Commands 'config check FILE' (exit code 2) and 'config show-defaults'.

--- /dev/null
+++ b/cmd/heatherrelay/config.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"heatherrelay/internal/settings"
+)
+
+// configCommand holds the commands about an instance's settings.
+func configCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "config",
+		Short: "Check an instance's settings",
+	}
+	c.AddCommand(configCheckCommand(), configShowDefaultsCommand())
+	return c
+}
+
+// configCheckCommand names everything wrong with a settings file.
+func configCheckCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Check a settings file and name all its problems; exit code 2 if there are any",
+		Example: "  heatherrelay config check silom-1.toml",
+		Args:    exactlyOneFile,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := settings.Load(args[0]); err != nil {
+				return invalid(err)
+			}
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: settings are good\n", args[0])
+			return err
+		},
+	}
+}
+
+// configShowDefaultsCommand prints every setting with its default.
+func configShowDefaultsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "show-defaults",
+		Short:   "Print all settings with their defaults, as TOML with comments",
+		Example: "  heatherrelay config show-defaults > silom-1.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			text, err := settings.Marshal(settings.Defaults())
+			if err != nil {
+				return err
+			}
+			_, err = cmd.OutOrStdout().Write(text)
+			return err
+		},
+	}
+}
+
+func exactlyOneFile(cmd *cobra.Command, args []string) error {
+	if err := cobra.ExactArgs(1)(cmd, args); err != nil {
+		return invalid(err)
+	}
+	return nil
+}
--- a/cmd/heatherrelay/root.go
+++ b/cmd/heatherrelay/root.go
@@ -41,6 +41,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return invalid(err) })
 	root.AddCommand(
 		versionCommand(),
+		configCommand(),
 	)
 	return root
 }
