--- /dev/null
+++ b/internal/adapter/router_test.go
@@ -0,0 +1,179 @@
+package adapter_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"heatherrelay/internal/adapter"
+)
+
+func engine(i int) adapter.TargetInfo {
+	return adapter.TargetInfo{
+		ID: fmt.Sprintf("e%03d", i), Zone: "silom", BaseModel: "m", Slots: 16, Capacity: 16, Usable: true,
+	}
+}
+
+// viewModel is the simple model of a view: plain maps, without an index.
+type viewModel struct {
+	view      *adapter.View
+	infos     map[string]adapter.TargetInfo
+	residents map[string][]adapter.ID
+}
+
+func (m *viewModel) target(t *rapid.T) string {
+	return engine(rapid.IntRange(0, 4).Draw(t, "target")).ID
+}
+
+func (m *viewModel) adapter(t *rapid.T) adapter.ID {
+	return numbered(rapid.IntRange(0, 4).Draw(t, "adapter"))
+}
+
+func (m *viewModel) set(t *rapid.T) {
+	info := engine(rapid.IntRange(0, 4).Draw(t, "target"))
+	info.BaseModel = rapid.SampledFrom([]string{"m", "n"}).Draw(t, "model")
+	info.Usable = rapid.Bool().Draw(t, "usable")
+	m.view.Set(info)
+	m.infos[info.ID] = info
+}
+
+func (m *viewModel) setResident(t *rapid.T) {
+	id := m.target(t)
+	var ids []adapter.ID
+	for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 4), 0, 4, rapid.ID).Draw(t, "adapters") {
+		ids = append(ids, numbered(i))
+	}
+	m.view.SetResident(id, ids)
+	if _, ok := m.infos[id]; ok {
+		m.residents[id] = ids
+	}
+}
+
+func (m *viewModel) addResident(t *rapid.T) {
+	id, a := m.target(t), m.adapter(t)
+	m.view.AddResident(id, a)
+	if _, ok := m.infos[id]; ok && !slices.Contains(m.residents[id], a) {
+		m.residents[id] = append(slices.Clone(m.residents[id]), a)
+	}
+}
+
+func (m *viewModel) removeResident(t *rapid.T) {
+	id, a := m.target(t), m.adapter(t)
+	m.view.RemoveResident(id, a)
+	m.residents[id] = slices.DeleteFunc(slices.Clone(m.residents[id]), func(r adapter.ID) bool { return r == a })
+}
+
+func (m *viewModel) remove(t *rapid.T) {
+	id := m.target(t)
+	m.view.RemoveTarget(id)
+	delete(m.infos, id)
+	delete(m.residents, id)
+}
+
+func (m *viewModel) setLoad(t *rapid.T) {
+	m.view.SetLoad(m.target(t), adapter.TargetLoad{
+		QueuedTokens: rapid.IntRange(0, 50_000).Draw(t, "queued"),
+		Running:      rapid.IntRange(0, 16).Draw(t, "running"),
+	})
+}
+
+func (m *viewModel) choose(t *rapid.T) {
+	want := &adapter.Want{Adapter: m.adapter(t), BaseModel: "m", Tokens: 100}
+	if rapid.Bool().Draw(t, "exclude") {
+		want.Exclude = m.target(t)
+	}
+	usable := 0
+	for id, info := range m.infos {
+		if info.Usable && info.BaseModel == "m" && id != want.Exclude {
+			usable++
+		}
+	}
+	got, ok := (&adapter.Router{}).Choose(want, m.view, start)
+	if ok != (usable > 0) {
+		t.Fatalf("Choose() = %v with %d usable targets", ok, usable)
+	}
+	if info := m.infos[got]; ok && (!info.Usable || info.BaseModel != "m" || got == want.Exclude) {
+		t.Fatalf("Choose() = %q: %+v", got, info)
+	}
+}
+
+func (m *viewModel) check(t *rapid.T) {
+	for i := range 5 {
+		copies := 0
+		for id, residents := range m.residents {
+			holds := slices.Contains(residents, numbered(i))
+			if m.view.Holds(id, numbered(i)) != holds {
+				t.Fatalf("Holds(%s, %v) = %v", id, numbered(i), !holds)
+			}
+			if holds {
+				copies++
+			}
+		}
+		if got := m.view.Copies(numbered(i)); got != copies {
+			t.Fatalf("Copies(%v) = %d, want %d", numbered(i), got, copies)
+		}
+	}
+}
+
+func TestViewAgreesWithAPlainModelAndRouterStaysWithinIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &viewModel{
+			view: &adapter.View{}, infos: map[string]adapter.TargetInfo{}, residents: map[string][]adapter.ID{},
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"set": m.set, "set_resident": m.setResident, "add_resident": m.addResident,
+			"remove_resident": m.removeResident, "remove": m.remove, "set_load": m.setLoad,
+			"choose": m.choose, "": m.check,
+		})
+	})
+}
+
+func TestRouterPrefersAResidentCopy(t *testing.T) {
+	view := &adapter.View{}
+	for i := range 4 {
+		view.Set(engine(i))
+	}
+	router := &adapter.Router{}
+	for i := range 100 {
+		id := numbered(i)
+		holder := engine(i % 4).ID
+		view.AddResident(holder, id)
+		if got, _ := router.Choose(&adapter.Want{Adapter: id, BaseModel: "m"}, view, start); got != holder {
+			t.Errorf("Choose(%v) = %s, resident on %s", id, got, holder)
+		}
+	}
+}
+
+func TestRouterMovesOnlyTheAdaptersOfALostTarget(t *testing.T) {
+	view := &adapter.View{}
+	for i := range 12 {
+		view.Set(engine(i))
+	}
+	router := &adapter.Router{}
+	before := map[int]string{}
+	for i := range 1000 {
+		before[i], _ = router.Choose(&adapter.Want{Adapter: numbered(i), BaseModel: "m"}, view, start)
+	}
+	lost := engine(5).ID
+	view.RemoveTarget(lost)
+	for i := range 1000 {
+		after, _ := router.Choose(&adapter.Want{Adapter: numbered(i), BaseModel: "m"}, view, start)
+		if before[i] != lost && after != before[i] {
+			t.Errorf("adapter %d moved from %s to %s", i, before[i], after)
+		}
+	}
+}
+
+func ExampleRouter() {
+	view := &adapter.View{}
+	view.Set(engine(1))
+	view.Set(engine(2))
+	view.SetResident("e002", []adapter.ID{numbered(7)})
+	router := &adapter.Router{}
+	target, ok := router.Choose(&adapter.Want{Adapter: numbered(7), BaseModel: "m"}, view, time.Time{})
+	fmt.Println(target, ok)
+	// Output: e002 true
+}
