Stand in for the platform, the engines and the plain services

Cause: the path needs its surroundings as processes and in-process types. Change: internal/standin holds Platform, Engine and Service with their faults, counts and the record of all they received; cmd/standin runs each. Ruled out: a record of raw connection bytes, since the search call itself would be found in it; requests are recorded as read, those below /admin/ are not. Conclusion: the engine also refuses completions with an old X-Fencing-Number if it checks fencing; those without the header are not checked.

--- /dev/null
+++ b/cmd/standin/engine.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"heatherrelay/internal/standin"
+)
+
+// engineCommand runs a model engine.
+func engineCommand() *cobra.Command {
+	var address string
+	e := &standin.Engine{}
+	cmd := &cobra.Command{
+		Use:     "engine",
+		Short:   "Run a model engine",
+		Example: "  standin engine --id silom-1 --base-model power --slots 8 --checks-fencing",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serve(cmd, address, e.Start)
+		},
+	}
+	flags := cmd.Flags()
+	listenFlag(cmd, &address)
+	flags.StringVar(&e.ID, "id", "engine", "id of the target")
+	flags.StringVar(&e.BaseModel, "base-model", "base", "base model")
+	flags.IntVar(&e.Slots, "slots", standin.DefaultSlots, "adapters that can be resident")
+	flags.IntVar(&e.MaxBatch, "max-batch", standin.DefaultMaxBatch, "streams that run at once")
+	flags.DurationVar(&e.StepTime, "step-time", standin.DefaultStepTime, "time of a step with one stream")
+	flags.DurationVar(&e.KeptStreams, "kept-streams", standin.DefaultKeptStreams, "time a stream is kept after its last reader left")
+	flags.BoolVar(&e.ChecksFencing, "checks-fencing", false, "refuse calls with an old fencing number")
+	flags.DurationVar(&e.LoadLag, "load-lag", 0, "age that a load report may have")
+	flags.DurationVar(&e.EventLag, "event-lag", 0, "how late cache events are published")
+	flags.DurationVar(&e.Weights.Own.FetchTime, "load-time", standin.DefaultFetchTime, "time of a load without a weight store")
+	flags.StringVar(&e.Weights.URL, "weight-store", "", "URL of the weight store that all engines share")
+	return cmd
+}
--- /dev/null
+++ b/internal/standin/platform_calls.go
@@ -0,0 +1,189 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"heatherrelay/internal/platform"
+)
+
+// watchCountInterval is how often a waiting watch counts as a read.
+const watchCountInterval = time.Second
+
+// Written is the answer to a write.
+type Written struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	object, err := p.Memory.Store().Get(r.Context(), r.PathValue("key"))
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, object)
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	listing, err := p.Memory.Store().List(r.Context(), r.URL.Query().Get("prefix"))
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, listing)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	ifVersion, err := number(r, "if_version")
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	if err != nil {
+		writeStoreError(w, errBadRequest.Wrap(err))
+		return
+	}
+	key := r.PathValue("key")
+	version, err := p.Memory.Store().Put(r.Context(), key, value, ifVersion)
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, Written{Key: key, Version: version})
+}
+
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	ifVersion, err := number(r, "if_version")
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	key := r.PathValue("key")
+	if err := p.Memory.Store().Delete(r.Context(), key, ifVersion); err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, Written{Key: key})
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := number(r, "after")
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	wait, err := number(r, "wait_ms")
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	changes, err := p.waitForChanges(r.Context(), r.URL.Query().Get("prefix"), after, time.Duration(wait)*time.Millisecond)
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, changes)
+}
+
+// waitForChanges waits in intervals, each of which counts as a read.
+func (p *Platform) waitForChanges(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Changes, error) {
+	p.count(func(s *PlatformStats) { s.Watches++ })
+	for {
+		interval := min(wait, watchCountInterval)
+		changes, err := p.Memory.Store().Watch(ctx, prefix, after, interval)
+		if err != nil || len(changes.Events) > 0 || wait <= interval {
+			return changes, err
+		}
+		wait -= interval
+		p.mu.Lock()
+		out := p.faults.Outage
+		p.allow(false)
+		p.mu.Unlock()
+		if out {
+			return platform.Changes{}, platform.ErrUnavailable.New("outage")
+		}
+	}
+}
+
+func (p *Platform) count(change func(*PlatformStats)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.stats)
+}
+
+func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
+	entries, err := p.Memory.Store().Instances(r.Context())
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, append([]platform.InstanceEntry{}, entries...))
+}
+
+func (p *Platform) targets(w http.ResponseWriter, r *http.Request) {
+	entries, err := p.Memory.Store().Targets(r.Context())
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, append([]platform.TargetEntry{}, entries...))
+}
+
+func (p *Platform) setInstances(w http.ResponseWriter, r *http.Request) {
+	var entries []platform.InstanceEntry
+	if readJSON(w, r, &entries) {
+		p.SetInstances(entries)
+		writeJSON(w, http.StatusOK, entries)
+	}
+}
+
+func (p *Platform) setTargets(w http.ResponseWriter, r *http.Request) {
+	var entries []platform.TargetEntry
+	if readJSON(w, r, &entries) {
+		p.SetTargets(entries)
+		writeJSON(w, http.StatusOK, entries)
+	}
+}
+
+func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults PlatformFaults
+	if readJSON(w, r, &faults) {
+		p.SetFaults(faults)
+		writeJSON(w, http.StatusOK, faults)
+	}
+}
+
+func writeStoreError(w http.ResponseWriter, err error) {
+	status, code := http.StatusInternalServerError, "internal"
+	switch {
+	case platform.ErrNotFound.Has(err):
+		status, code = http.StatusNotFound, "not_found"
+	case platform.ErrConflict.Has(err):
+		status, code = http.StatusConflict, "conflict"
+	case platform.ErrTooLarge.Has(err):
+		status, code = http.StatusRequestEntityTooLarge, "too_large"
+	case platform.ErrCompacted.Has(err):
+		status, code = http.StatusGone, "compacted"
+	case platform.ErrUnavailable.Has(err), errors.Is(err, context.Canceled):
+		status, code = http.StatusServiceUnavailable, "unavailable"
+	case errBadRequest.Has(err):
+		status, code = http.StatusBadRequest, "invalid_request"
+	}
+	writeError(w, status, code, err)
+}
+
+// number reads a query parameter; one that is missing is zero.
+func number(r *http.Request, name string) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	return n, errBadRequest.Wrap(err)
+}
