Answer callers over HTTP

Cause: callers need the model APIs, the list of models and the plain services behind one door that checks keys, reserves tokens and says plainly what ran. Change: internal/entry on fiber, with function fields for state, keys, allowance, router and services. A stream's refusal before the first chunk is an ordinary answer with its status; after that it is an error event. Whole answers are assembled from the stream and fail when the end is missing. Bodies are encoded anew from an allow list, headers pass by an allow list, and a request that holds the caller's key elsewhere is refused. Paths that a service might read as another one (dot segments, encoded slashes) are refused, since routes are matched on the path. Ruled out: writing deadlines by the HTTP library's WriteTimeout, which would cut streams; the deadline is set per request. Conclusion: tests with fakes cover both APIs, refusals, shutdown and callers that go away; not yet run against a stand-in engine.

--- /dev/null
+++ b/internal/entry/model.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc/panics"
+
+	"heatherrelay/internal/adapter"
+	"heatherrelay/internal/refusal"
+	"heatherrelay/internal/target"
+	"heatherrelay/internal/team"
+	"heatherrelay/pkg/release"
+)
+
+// The engines' paths of the two model APIs.
+const (
+	completionsPath = "/v1/completions"
+	chatPath        = "/v1/chat/completions"
+)
+
+func (s *Server) completions(c fiber.Ctx, r *caller) error { return s.model(c, r, completionsPath) }
+
+func (s *Server) chatCompletions(c fiber.Ctx, r *caller) error { return s.model(c, r, chatPath) }
+
+// model serves one model request: key, body, adapter, allowance, answer.
+func (s *Server) model(c fiber.Ctx, r *caller, path string) error {
+	state, err := s.state()
+	if err != nil {
+		return err
+	}
+	call, err := parseModelCall(c.Body(), path == chatPath, s.Limits)
+	if err != nil {
+		return s.checkedFirst(c, r, state, err)
+	}
+	route := state.ModelRoute(call.adapter.Name)
+	if err := s.identify(c, r, state, route.Open); err != nil {
+		return err
+	}
+	if err := mayUse(state, r.team, call.adapter); err != nil {
+		return err
+	}
+	if err := r.checkLeak(call.body); err != nil {
+		return err
+	}
+	request := s.request(r, state, route, call, path)
+	reservation, err := s.reserve(r.team, float64(request.Tokens()), request.Deadline)
+	if err != nil {
+		return err
+	}
+	setWriteDeadline(c, request.Deadline.Add(writeLeeway))
+	run := execution{server: s, request: request, reservation: reservation}
+	if call.stream {
+		return s.stream(c, r, run)
+	}
+	return s.whole(c, r, run)
+}
+
+// checkedFirst refuses a bad body only to callers who have a key, so that
+// nobody else learns what is served here.
+func (s *Server) checkedFirst(c fiber.Ctx, r *caller, state *release.State, bad error) error {
+	if err := s.identify(c, r, state, false); err != nil {
+		return err
+	}
+	return bad
+}
+
+func mayUse(state *release.State, team string, id adapter.ID) error {
+	found, ok := state.Adapter(id.String())
+	if !ok {
+		return refusal.NotRun(refusal.CodeUnknownAdapter, "no adapter %s is in force", id).At("model")
+	}
+	if !state.MayUse(team, found) {
+		return refusal.NotRun(refusal.CodeForbidden, "this team may not use adapter %s", id).At("model")
+	}
+	return nil
+}
+
+func (s *Server) request(r *caller, state *release.State, route release.Route, call modelCall, path string) target.Request {
+	weight := 1.0
+	if t, ok := state.Team(r.team); ok && t.Weight > 0 {
+		weight = t.Weight
+	}
+	return target.Request{
+		ID:           r.requestID,
+		Team:         r.team,
+		TeamWeight:   weight,
+		Class:        route.Class,
+		Adapter:      call.adapter,
+		Path:         path,
+		Body:         call.body,
+		PromptTokens: call.prompt,
+		MaxTokens:    call.maxTokens,
+		PrefixHash:   call.prefixHash,
+		Deadline:     r.started.Add(s.timeout(route)),
+	}
+}
+
+func (s *Server) timeout(route release.Route) time.Duration {
+	if route.Timeout.Duration > 0 {
+		return route.Timeout.Duration
+	}
+	return s.Limits.RequestTimeout
+}
+
+// reserve takes tokens from the team's allowance. A request on an open route
+// without a key has no team and no allowance.
+func (s *Server) reserve(name string, tokens float64, deadline time.Time) (team.Reservation, error) {
+	if name == "" || tokens <= 0 {
+		return team.Reservation{Settle: func(float64) {}}, nil
+	}
+	ctx, cancel := context.WithDeadline(s.work, deadline)
+	defer cancel()
+	return s.Admit(ctx, name, tokens)
+}
+
+// execution is one admitted model request. Its run settles the reservation,
+// whatever the outcome.
+type execution struct {
+	server      *Server
+	request     target.Request
+	reservation team.Reservation
+}
+
+func (x *execution) run(emit target.Emit) error {
+	ctx, cancel := context.WithDeadline(x.server.work, x.request.Deadline)
+	defer cancel()
+	var usage target.Usage
+	var err error
+	if panicked := panics.Try(func() { usage, err = x.server.Execute(ctx, x.request, emit) }); panicked != nil {
+		err = refusal.MayHaveRun(refusal.CodeInternal, "internal error").Because(panicked.AsError())
+	}
+	x.reservation.Settle(usedTokens(x.request.Tokens(), usage, err))
+	return err
+}
+
+// usedTokens returns what a request costs its team: what it used if that is
+// known, nothing if it did not run, else all that was reserved.
+func usedTokens(reserved int, usage target.Usage, err error) float64 {
+	if used := usage.PromptTokens + usage.CompletionTokens; used > 0 {
+		return float64(used)
+	}
+	if err != nil && refusal.From(err).NotRun {
+		return 0
+	}
+	return float64(reserved)
+}
--- /dev/null
+++ b/internal/entry/server_test.go
@@ -0,0 +1,446 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"heatherrelay/internal/dispatch"
+	"heatherrelay/internal/entry"
+	"heatherrelay/internal/refusal"
+	"heatherrelay/internal/target"
+	"heatherrelay/internal/team"
+	"heatherrelay/pkg/release"
+)
+
+const secret = "planted-5f1e6c"
+
+// note is the release that the tests serve.
+var note = release.Note{
+	Adapters: []release.Adapter{
+		{Name: "mowing", Version: "1", BaseModel: "base"},
+		{Name: "mowing", Version: "2", BaseModel: "base"},
+		{Name: "billing", Version: "1", BaseModel: "base", Teams: []string{"sombat"}},
+	},
+	Teams: []release.Team{
+		{Name: "regie", TokensPerSecond: 100, BurstTokens: 1000, Weight: 2},
+		{Name: "sombat", TokensPerSecond: 100, BurstTokens: 1000},
+	},
+	Keys: []release.Key{{ID: "k1", Team: "regie"}},
+	Routes: []release.Route{
+		{Name: "rounds", Kind: release.ServiceRoute, Service: "rounds", Repeatable: true, Open: true},
+		{Name: "posting", Kind: release.ServiceRoute, Service: "posting", TokensPerCall: 5},
+		{Name: "desk", Kind: release.ServiceRoute, Service: "desk", Teams: []string{"sombat"}},
+	},
+}
+
+// bench is a server with fakes around it, and what the fakes saw.
+type bench struct {
+	entry.Server
+	url string
+
+	mu       sync.Mutex
+	requests []target.Request
+	calls    []dispatch.Call
+	reserved []float64
+	settled  []float64
+	log      bytes.Buffer
+	stop     func() error
+}
+
+func (b *bench) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.log.Write(p)
+}
+
+// start runs a server whose model answers "one two three " and whose services
+// echo; change alters it first.
+func start(t *testing.T, change func(b *bench)) *bench {
+	t.Helper()
+	state, err := (&release.State{}).Apply(1, note)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{url: "http://" + listener.Addr().String()}
+	b.Server = entry.Server{
+		State: func() *release.State { return state },
+		Authenticate: func(s *release.State, token string) (release.Key, error) {
+			if key, ok := s.Key("k1"); ok && token == secret {
+				return key, nil
+			}
+			return release.Key{}, errors.New("no such key")
+		},
+		KeysConfirmed: func() error { return nil },
+		Admit:         b.admit,
+		Execute:       b.execute,
+		Call:          b.call,
+		Ready:         func() error { return nil },
+		Listener:      listener,
+		Limits: entry.Limits{
+			MaxBodyBytes: 4096, DefaultMaxTokens: 16, MaxTokens: 100, BytesPerToken: 4, RequestTimeout: 20 * time.Second,
+		},
+		Grace: 20 * time.Second,
+		Log: zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()),
+			zapcore.AddSync(b), zap.DebugLevel)),
+	}
+	if change != nil {
+		change(b)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- b.Run(ctx) }()
+	b.stop = sync.OnceValue(func() error {
+		cancel()
+		return <-ended
+	})
+	t.Cleanup(func() {
+		if err := b.stop(); err != nil {
+			t.Errorf("Run() = %v", err)
+		}
+	})
+	return b
+}
+
+func (b *bench) admit(_ context.Context, _ string, tokens float64) (team.Reservation, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserved = append(b.reserved, tokens)
+	return team.Reservation{Settle: func(used float64) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.settled = append(b.settled, used)
+	}}, nil
+}
+
+func (b *bench) execute(_ context.Context, r target.Request, emit target.Emit) (target.Usage, error) {
+	b.mu.Lock()
+	b.requests = append(b.requests, r)
+	b.mu.Unlock()
+	for i, word := range []string{"one ", "two ", "three "} {
+		if err := emit(chunk(r, i, word)); err != nil {
+			return target.Usage{}, err
+		}
+	}
+	return target.Usage{PromptTokens: 4, CompletionTokens: 3}, emit(lastChunk(r, 3))
+}
+
+func chunk(r target.Request, offset int, word string) target.Chunk {
+	choice := fmt.Sprintf(`{"index":0,"text":%q}`, word)
+	if r.Path == "/v1/chat/completions" {
+		choice = fmt.Sprintf(`{"index":0,"delta":{"content":%q}}`, word)
+	}
+	data := fmt.Sprintf(`{"id":%q,"model":%q,"offset":%d,"tokens":1,"choices":[%s]}`, r.ID, r.Adapter, offset, choice)
+	return target.Chunk{Offset: offset, Tokens: 1, Data: []byte(data)}
+}
+
+func lastChunk(r target.Request, offset int) target.Chunk {
+	data := fmt.Sprintf(`{"id":%q,"model":%q,"choices":[{"index":0,"text":"","finish_reason":"stop"}],`+
+		`"usage":{"prompt_tokens":4,"completion_tokens":3,"total_tokens":7}}`, r.ID, r.Adapter)
+	return target.Chunk{Offset: offset, Data: []byte(data)}
+}
+
+func (b *bench) call(_ context.Context, c dispatch.Call) (dispatch.Reply, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.calls = append(b.calls, c)
+	return dispatch.Reply{
+		Status: http.StatusAccepted,
+		Header: []dispatch.Header{{Name: "Content-Type", Value: "text/plain"}, {Name: "X-Internal", Value: "x"}},
+		Body:   []byte(c.Method + " " + c.Path),
+	}, nil
+}
+
+// answer is a whole HTTP answer.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (b *bench) do(t *testing.T, method, path, body string, header ...string) answer {
+	t.Helper()
+	request, err := http.NewRequest(method, b.url+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Add(header[i], header[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer{status: response.StatusCode, header: response.Header, body: string(text)}
+}
+
+func (b *bench) post(t *testing.T, path, body string) answer {
+	t.Helper()
+	return b.do(t, http.MethodPost, path, body, "Authorization", "Bearer "+secret)
+}
+
+func TestWholeCompletion(t *testing.T) {
+	b := start(t, nil)
+	got := b.post(t, "/v1/completions", `{"model":"mowing@2","prompt":"verge at km 4","max_tokens":7,"user":"x"}`)
+	var body struct {
+		ID, Object, Model string
+		Choices           []struct {
+			Text         string
+			FinishReason string `json:"finish_reason"`
+		}
+		Usage struct {
+			TotalTokens int `json:"total_tokens"`
+		}
+	}
+	if err := json.Unmarshal([]byte(got.body), &body); err != nil {
+		t.Fatalf("%v in %+v", err, got)
+	}
+	if body.Model != "mowing@2" || body.Choices[0].Text != "one two three " || body.Usage.TotalTokens != 7 ||
+		body.Choices[0].FinishReason != "stop" || body.ID != got.header.Get("X-Request-Id") {
+		t.Errorf("answer = %s", got.body)
+	}
+	want := `{"max_tokens":7,"model":"mowing@2","prompt":"verge at km 4","stream":true}`
+	if r := b.requests[0]; string(r.Body) != want || r.PromptTokens != 4 || r.Team != "regie" || r.TeamWeight != 2 {
+		t.Errorf("request = %+v with body %s", r, r.Body)
+	}
+	if b.reserved[0] != 11 || b.settled[0] != 7 {
+		t.Errorf("reserved %v, settled %v", b.reserved, b.settled)
+	}
+}
+
+func TestWholeChat(t *testing.T) {
+	b := start(t, nil)
+	got := b.post(t, "/v1/chat/completions", `{"model":"mowing@1","messages":[{"role":"user","content":"hello"}]}`)
+	if !strings.Contains(got.body, `"message":{"role":"assistant","content":"one two three "}`) {
+		t.Errorf("answer = %s", got.body)
+	}
+}
+
+func TestStream(t *testing.T) {
+	b := start(t, nil)
+	got := b.post(t, "/v1/chat/completions", `{"model":"mowing@1","stream":true,"messages":[{"role":"user","content":"hello"}]}`)
+	events := strings.Split(strings.TrimSuffix(got.body, "\n\n"), "\n\n")
+	if len(events) != 5 || events[4] != "data: [DONE]" || !strings.Contains(events[1], `"content":"two "`) ||
+		!strings.Contains(events[3], `"usage"`) {
+		t.Errorf("events = %q", events)
+	}
+	if got.header.Get("Content-Type") != "text/event-stream" {
+		t.Errorf("header = %v", got.header)
+	}
+}
+
+func TestBrokenStreamEndsWithAnErrorEvent(t *testing.T) {
+	failures := map[string]func(r target.Request, emit target.Emit) error{
+		"refused": func(target.Request, target.Emit) error {
+			return refusal.MayHaveRun(refusal.CodeBrokenStream, "the engine went away")
+		},
+		"gap":   func(r target.Request, emit target.Emit) error { return emit(chunk(r, 2, "three")) },
+		"panic": func(target.Request, target.Emit) error { panic("bad chunk") },
+	}
+	for name, fail := range failures {
+		b := start(t, func(b *bench) {
+			b.Execute = func(_ context.Context, r target.Request, emit target.Emit) (target.Usage, error) {
+				if err := emit(chunk(r, 0, "one")); err != nil {
+					return target.Usage{}, err
+				}
+				return target.Usage{}, fail(r, emit)
+			}
+		})
+		got := b.post(t, "/v1/completions", `{"model":"mowing@1","prompt":"p","max_tokens":9,"stream":true}`)
+		if strings.Contains(got.body, "[DONE]") || !strings.Contains(got.body, "event: error\ndata: {\"error\":{\"code\":") ||
+			!strings.Contains(got.body, `"not_run":false`) {
+			t.Errorf("%s: stream = %q", name, got.body)
+		}
+		if whole := b.post(t, "/v1/completions", `{"model":"mowing@1","prompt":"p","max_tokens":9}`); whole.status < 500 {
+			t.Errorf("%s: whole answer = %+v", name, whole)
+		}
+		if b.settled[0] != b.reserved[0] {
+			t.Errorf("%s: settled %v of %v", name, b.settled, b.reserved)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	good := `{"model":"mowing@1","prompt":"p"}`
+	cases := []struct {
+		name, method, path, body string
+		header                   []string
+		status                   int
+		code                     refusal.Code
+	}{
+		{"no key", "POST", "/v1/completions", good, nil, 401, refusal.CodeUnauthenticated},
+		{"wrong key", "POST", "/v1/completions", good, []string{"Authorization", "Bearer x"}, 401, refusal.CodeUnauthenticated},
+		{"no key, bad body", "POST", "/v1/completions", `{`, nil, 401, refusal.CodeUnauthenticated},
+		{"other team's adapter", "POST", "/v1/completions", `{"model":"billing@1","prompt":"p"}`, key(), 403, refusal.CodeForbidden},
+		{"unknown adapter", "POST", "/v1/completions", `{"model":"mowing@9","prompt":"p"}`, key(), 404, refusal.CodeUnknownAdapter},
+		{"no version", "POST", "/v1/completions", `{"model":"mowing","prompt":"p"}`, key(), 400, refusal.CodeInvalidRequest},
+		{"malformed", "POST", "/v1/completions", `{"model":`, key(), 400, refusal.CodeInvalidRequest},
+		{"two objects", "POST", "/v1/completions", good + good, key(), 400, refusal.CodeInvalidRequest},
+		{"null", "POST", "/v1/completions", `null`, key(), 400, refusal.CodeInvalidRequest},
+		{"unknown field", "POST", "/v1/completions", `{"model":"mowing@1","prompt":"p","tools":[]}`, key(), 400, refusal.CodeInvalidRequest},
+		{"too many tokens", "POST", "/v1/completions", `{"model":"mowing@1","prompt":"p","max_tokens":101}`, key(), 400, refusal.CodeInvalidRequest},
+		{"key in prompt", "POST", "/v1/completions", `{"model":"mowing@1","prompt":"pl\u0061nted-5f1e6c"}`, key(), 400, refusal.CodeInvalidRequest},
+		{"too large", "POST", "/v1/completions", strings.Repeat(" ", 5000), key(), 413, refusal.CodeTooLarge},
+		{"unknown path", "GET", "/v2", "", key(), 404, refusal.CodeUnknownRoute},
+		{"wrong method", "GET", "/v1/completions", "", key(), 405, refusal.CodeUnknownRoute},
+		{"bad limit", "GET", "/v1/models?limit=0", "", key(), 400, refusal.CodeInvalidRequest},
+		{"unknown service", "POST", "/services/nothing/x", "", key(), 404, refusal.CodeUnknownRoute},
+		{"service without key", "POST", "/services/posting/x", "", nil, 401, refusal.CodeUnauthenticated},
+		{"wrong key on open route", "GET", "/services/rounds/x", "", []string{"Authorization", "Bearer x"}, 401, refusal.CodeUnauthenticated},
+		{"service of another team", "POST", "/services/desk/x", "", key(), 403, refusal.CodeForbidden},
+		{"key in query", "POST", "/services/posting/x?api_key=planted%2D5f1e6c", "", key(), 400, refusal.CodeInvalidRequest},
+		{"dot segments", "GET", "/services/rounds/../posting/x", "", nil, 400, refusal.CodeInvalidRequest},
+		{"encoded dot segments", "GET", "/services/rounds/%2e%2e/posting/x", "", nil, 400, refusal.CodeInvalidRequest},
+		{"encoded slash", "GET", "/services/rounds/a%2Fb", "", nil, 400, refusal.CodeInvalidRequest},
+		{"empty segment", "GET", "/services/rounds/a//b", "", nil, 400, refusal.CodeInvalidRequest},
+		{"key in a passed header", "POST", "/services/posting/x", "", append(key(), "Accept", secret), 400, refusal.CodeInvalidRequest},
+	}
+	b := start(t, nil)
+	for _, c := range cases {
+		got := b.do(t, c.method, c.path, c.body, c.header...)
+		var body struct {
+			Error struct {
+				Code      refusal.Code
+				NotRun    bool   `json:"not_run"`
+				RequestID string `json:"request_id"`
+			}
+		}
+		if err := json.Unmarshal([]byte(got.body), &body); err != nil {
+			t.Errorf("%s: %v in %q", c.name, err, got.body)
+			continue
+		}
+		if got.status != c.status || body.Error.Code != c.code || !body.Error.NotRun ||
+			body.Error.RequestID == "" || body.Error.RequestID != got.header.Get("X-Request-Id") {
+			t.Errorf("%s: got %d %s", c.name, got.status, got.body)
+		}
+	}
+	if len(b.requests)+len(b.calls) > 0 {
+		t.Errorf("%d requests and %d calls reached a target", len(b.requests), len(b.calls))
+	}
+	if strings.Contains(b.log.String(), secret) {
+		t.Error("the log holds the key")
+	}
+}
+
+func key() []string { return []string{"Authorization", "Bearer " + secret} }
+
+func TestRetryAfter(t *testing.T) {
+	b := start(t, func(b *bench) {
+		b.Admit = func(context.Context, string, float64) (team.Reservation, error) {
+			return team.Reservation{}, refusal.NotRun(refusal.CodeRateLimited, "over the rate").After(1200 * time.Millisecond)
+		}
+	})
+	got := b.post(t, "/v1/completions", `{"model":"mowing@1","prompt":"p"}`)
+	if got.status != 429 || got.header.Get("Retry-After") != "2" || !strings.Contains(got.body, `"retry_after_ms":1200`) {
+		t.Errorf("answer = %+v", got)
+	}
+}
+
+func TestServiceCall(t *testing.T) {
+	b := start(t, nil)
+	got := b.do(t, "POST", "/services/posting/a%20b/c?x=1", "body", "Authorization", "Bearer "+secret,
+		"Idempotency-Key", "once", "Cookie", secret, "X-Api-Key", secret, "Content-Type", "text/plain")
+	if got.status != 202 || got.header.Get("X-Internal") != "" {
+		t.Errorf("answer = %+v", got)
+	}
+	c := b.calls[0]
+	if c.Service != "posting" || c.Path != "/a%20b/c" || c.Query != "x=1" || c.IdempotencyKey != "once" || c.Repeatable || c.Team != "regie" {
+		t.Errorf("call = %+v", c)
+	}
+	if text := fmt.Sprintf("%+v %s", c, c.Body); strings.Contains(text, secret) {
+		t.Errorf("the call holds the key: %s", text)
+	}
+	if b.settled[0] != 5 {
+		t.Errorf("settled %v", b.settled)
+	}
+}
+
+func TestModelsArePagedAndOnlyTheTeams(t *testing.T) {
+	b := start(t, nil)
+	first := b.do(t, "GET", "/v1/models?limit=1", "", key()...)
+	if !strings.Contains(first.body, `"id":"mowing@1"`) || !strings.Contains(first.body, `"has_more":true,"next_after":"mowing@1"`) {
+		t.Errorf("first page = %s", first.body)
+	}
+	second := b.do(t, "GET", "/v1/models?limit=1&after=mowing@1", "", key()...)
+	if !strings.Contains(second.body, `"id":"mowing@2"`) || !strings.Contains(second.body, `"has_more":false`) {
+		t.Errorf("second page = %s", second.body)
+	}
+}
+
+func TestShutdownEndsIdleConnectionsAndWaitsForStreams(t *testing.T) {
+	started := make(chan struct{})
+	goOn := make(chan struct{})
+	b := start(t, func(b *bench) {
+		b.Execute = func(_ context.Context, r target.Request, emit target.Emit) (target.Usage, error) {
+			if err := emit(chunk(r, 0, "one")); err != nil {
+				return target.Usage{}, err
+			}
+			close(started)
+			<-goOn
+			return target.Usage{PromptTokens: 1, CompletionTokens: 1}, emit(lastChunk(r, 1))
+		}
+	})
+	b.do(t, "GET", "/livez", "") // Leaves an idle keep-alive connection.
+	streamed := make(chan answer, 1)
+	go func() { streamed <- b.post(t, "/v1/completions", `{"model":"mowing@1","prompt":"p","stream":true}`) }()
+	<-started
+	stopped := make(chan error, 1)
+	go func() { stopped <- b.stop() }()
+	for !b.Draining() {
+		time.Sleep(time.Millisecond)
+	}
+	close(goOn)
+	if got := <-streamed; !strings.HasSuffix(got.body, "data: [DONE]\n\n") {
+		t.Errorf("stream cut by the shutdown: %q", got.body)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("Run() = %v", err)
+	}
+}
+
+func TestCallerGoneEndsTheRun(t *testing.T) {
+	ended := make(chan error, 1)
+	b := start(t, func(b *bench) {
+		b.Execute = func(ctx context.Context, r target.Request, emit target.Emit) (target.Usage, error) {
+			for i := 0; ctx.Err() == nil; i++ {
+				if err := emit(chunk(r, i, strings.Repeat("word ", 100))); err != nil {
+					ended <- err
+					return target.Usage{}, err
+				}
+			}
+			ended <- ctx.Err()
+			return target.Usage{}, ctx.Err()
+		}
+	})
+	request, _ := http.NewRequest(http.MethodPost, b.url+"/v1/completions", strings.NewReader(`{"model":"mowing@1","prompt":"p","stream":true}`))
+	request.Header.Set("Authorization", "Bearer "+secret)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if err := <-ended; refusal.From(err).Code != refusal.CodeCallerGone {
+		t.Errorf("emit error = %v", err)
+	}
+}
