Keep teams to their rate with slices, transfers and ledgers

Ruled out: balances above the own burst without moving burst too (the giver refills meanwhile and the sum exceeds the burst); intervals in place of parts (they fragment); one ledger for the fleet (340 writers of one object).

Gone is a seam that the membership fills; nil reclaims nothing. go test -race ./internal/team passed, 6 s.

--- /dev/null
+++ b/internal/team/hints.go
@@ -0,0 +1,75 @@
+package team
+
+import (
+	"time"
+)
+
+// hintTerm is how long a peer's answer is believed; after it the peer is asked
+// again as if it were full.
+const hintTerm = time.Second
+
+// minAskPart is the least part of what is missing that makes a peer worth asking.
+const minAskPart = 0.02
+
+// hint is what a peer was last known to hold.
+type hint struct {
+	remaining float64
+	at        time.Time
+}
+
+type hintKey struct {
+	peer string
+	name string
+}
+
+// Hints estimates what peers hold of an allowance, from their last answers.
+// Estimates are only used to choose whom to ask; a wrong one costs a message.
+type Hints struct {
+	known map[hintKey]hint
+}
+
+// Note keeps what a peer answered.
+func (h *Hints) Note(now time.Time, peer, name string, remaining float64) {
+	if h.known == nil {
+		h.known = map[hintKey]hint{}
+	}
+	h.known[hintKey{peer, name}] = hint{remaining: remaining, at: now}
+}
+
+// Estimate returns what the peer may hold, if each of count peers owns an even
+// part of the rate.
+func (h *Hints) Estimate(now time.Time, peer string, rate Rate, count int) float64 {
+	part := 1 / float64(max(1, count))
+	k, ok := h.known[hintKey{peer, rate.Name}]
+	age := now.Sub(k.at)
+	if !ok || age > hintTerm {
+		return rate.BurstTokens * part
+	}
+	return k.remaining + rate.TokensPerSecond*part*age.Seconds()
+}
+
+// Next returns the peer to ask for what is missing, or false if the peers that
+// were not tried hold too little together. It prefers the fullest one, and
+// among peers that hold enough one of the own zone.
+func (h *Hints) Next(now time.Time, zone string, peers []Peer, rate Rate, missing float64, tried map[string]bool) (Peer, bool) {
+	var best Peer
+	bestScore, total := 0.0, 0.0
+	for _, p := range peers {
+		if tried[p.ID] {
+			continue
+		}
+		estimate := h.Estimate(now, p.ID, rate, len(peers)+1)
+		total += estimate
+		score := min(estimate, missing)
+		if p.Zone == zone {
+			score *= ownZonePreference
+		}
+		if estimate >= minAskPart*missing && score > bestScore {
+			best, bestScore = p, score
+		}
+	}
+	return best, bestScore > 0 && total >= missing
+}
+
+// ownZonePreference weighs peers of the own zone, whose answers come sooner.
+const ownZonePreference = 1.2
--- /dev/null
+++ b/internal/team/run.go
@@ -0,0 +1,180 @@
+package team
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+// The times of the duties.
+const (
+	tickInterval      = 250 * time.Millisecond
+	reconcileInterval = 20 * time.Second
+	stepInterval      = 20 * time.Millisecond
+	minRetry          = 200 * time.Millisecond
+	maxRetry          = 3 * time.Second
+	watchWait         = 25 * time.Second
+	leaveTimeout      = 2 * time.Second
+)
+
+// Run keeps the claim until ctx ends, and then hands it on. Without a store the
+// instance is alone and owns everything.
+func (a *Allowances) Run(ctx context.Context) error {
+	a.mu.Lock()
+	a.epoch = newEpoch()
+	if a.Log == nil {
+		a.Log = zap.NewNop()
+	}
+	alone := a.Store.Get == nil
+	if alone {
+		a.share.Resize(a.now(), a.now(), Claim{Teams: 1, Loads: 1})
+	}
+	a.updateRates(a.now())
+	a.mu.Unlock()
+	changed := make(chan struct{}, 1)
+	var duties conc.WaitGroup
+	duties.Go(func() { a.tick(ctx, changed) })
+	if !alone {
+		duties.Go(func() { a.keep(ctx, changed) })
+		duties.Go(func() { a.watch(ctx, changed) })
+	}
+	duties.Wait()
+	return nil
+}
+
+// signal wakes the keeper; a full channel means that it will wake anyway.
+func signal(changed chan<- struct{}) {
+	select {
+	case changed <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Allowances) tick(ctx context.Context, changed chan<- struct{}) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		a.mu.Lock()
+		had := a.share.Claim()
+		running := a.share.Tick(a.now())
+		if !running && had.Teams > 0 {
+			a.counters.ClaimInterruption++
+		}
+		a.updateRates(a.now())
+		a.mu.Unlock()
+		if !running {
+			signal(changed)
+		}
+	}
+}
+
+func (a *Allowances) keep(ctx context.Context, changed <-chan struct{}) {
+	k := a.keeper()
+	retry := minRetry
+	for ctx.Err() == nil {
+		again, err := k.Reconcile(ctx)
+		wait := reconcileInterval
+		switch {
+		case err != nil:
+			a.Log.Debug("allowance ledger not reconciled", zap.Error(err))
+			wait = retry
+			retry = min(2*retry, maxRetry)
+		case again:
+			wait = stepInterval
+			retry = minRetry
+		}
+		a.pause(ctx, wait, err == nil, changed)
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	if err := k.Leave(ctx); err != nil {
+		a.Log.Warn("allowances not handed on", zap.Error(err))
+	}
+}
+
+// pause waits for a time, or until the ledgers changed when early is set.
+func (a *Allowances) pause(ctx context.Context, wait time.Duration, early bool, changed <-chan struct{}) {
+	if !early {
+		changed = nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-changed:
+	}
+}
+
+func (a *Allowances) keeper() *Keeper {
+	return &Keeper{
+		Zone:       a.Zone,
+		InstanceID: a.InstanceID,
+		Epoch:      a.epoch,
+		Store:      a.Store,
+		Now:        a.now,
+		Wait:       sleep,
+		Gone:       a.gone,
+		Spend: func(readAt time.Time, claim Claim) Balances {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return a.share.Resize(a.now(), readAt, claim)
+		},
+		Deposit: func(g Grant) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.share.Deposit(a.now(), g)
+		},
+		Release: func() uint64 {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return a.share.Release()
+		},
+	}
+}
+
+func (a *Allowances) gone(instanceID string) bool {
+	return a.Gone != nil && a.Gone(instanceID)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// watch wakes the keeper when the ledgers of this zone or the root change.
+func (a *Allowances) watch(ctx context.Context, changed chan<- struct{}) {
+	after := uint64(0)
+	for ctx.Err() == nil {
+		changes, err := a.Store.Watch(ctx, ledgerPrefix, after, watchWait)
+		if err != nil {
+			listing, listErr := a.Store.List(ctx, rootKey)
+			if listErr != nil {
+				_ = sleep(ctx, maxRetry)
+				continue
+			}
+			after = listing.Version
+			signal(changed)
+			continue
+		}
+		after = changes.Version
+		for _, e := range changes.Events {
+			if e.Key == rootKey || e.Key == ledgerPrefix+a.Zone {
+				signal(changed)
+			}
+		}
+	}
+}
