Send loads of requests and check each answer whole

Cause: the benchmark of the path and the failure tests need one caller that never repeats a call and judges the whole answer. Ruled out: closed-loop workers, which hide waiting.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,5 @@
 // Command standin runs what surrounds the system in tests and first tries: a
-// platform, a model engine or a plain service.
+// platform, a model engine, a plain service, and a load of requests.
 package main
 
 import (
@@ -33,6 +33,7 @@
 		platformCommand(),
 		engineCommand(),
 		serviceCommand(),
+		loadCommand(),
 	)
 	return root
 }
