--- /dev/null
+++ b/cmd/heatherrelay/key.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"heatherrelay/internal/key"
+	"heatherrelay/pkg/release"
+)
+
+// keyCommand groups the commands on callers' keys.
+func keyCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "key",
+		Short: "Make callers' keys",
+	}
+	cmd.AddCommand(keyNewCommand())
+	return cmd
+}
+
+// newKey is a new key as JSON. It holds the secret.
+type newKey struct {
+	Key   string      `json:"key"`
+	Entry release.Key `json:"entry"`
+}
+
+// keyNewCommand makes a key for a team.
+func keyNewCommand() *cobra.Command {
+	var team, output string
+	cmd := &cobra.Command{
+		Use:   "new --team TEAM",
+		Short: "Make a key for a team",
+		Long: `Make a random key. The key itself is shown this once and kept nowhere: give it to
+the team. The entry below it goes into a release note and holds only a hash.`,
+		Example: `  heatherrelay key new --team crews
+  heatherrelay key new --team crews --output json`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			k := key.Generate()
+			entry := release.Key{ID: k.ID, Hash: k.Hash(), Team: team}
+			if err := (release.Note{Keys: []release.Key{entry}}).Check(); err != nil {
+				return invalid(errUsage.New("--team: %w", err))
+			}
+			if output == outputJSON {
+				return printJSON(cmd.OutOrStdout(), newKey{Key: k.Text(), Entry: entry})
+			}
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s\n\n[[keys]]\nid = %q\nhash = %q\nteam = %q\n", k.Text(), entry.ID, entry.Hash, entry.Team)
+			return err
+		},
+	}
+	cmd.Flags().StringVar(&team, "team", "", "the team that the key belongs to")
+	cmd.Flags().StringVar(&output, "output", outputText, "form of the result: text or json")
+	if err := cmd.MarkFlagRequired("team"); err != nil {
+		panic(err)
+	}
+	return cmd
+}
--- /dev/null
+++ b/cmd/heatherrelay/release.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"heatherrelay/internal/platform"
+	"heatherrelay/internal/publication"
+	"heatherrelay/pkg/release"
+)
+
+// The forms in which a command prints its result.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// platformFlags are the flags of commands that call the platform.
+type platformFlags struct {
+	address string
+	output  string
+}
+
+func (f *platformFlags) register(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.address, "platform", "", "address of the platform's object API, as IP:PORT")
+	cmd.Flags().StringVar(&f.output, "output", outputText, "form of the result: text or json")
+	if err := cmd.MarkFlagRequired("platform"); err != nil {
+		panic(err)
+	}
+}
+
+// store checks the flags and returns the platform's store.
+func (f *platformFlags) store() (platform.Store, error) {
+	if f.output != outputText && f.output != outputJSON {
+		return platform.Store{}, invalid(errUsage.New("--output: %q is neither text nor json", f.output))
+	}
+	address, err := netip.ParseAddrPort(f.address)
+	if err != nil {
+		return platform.Store{}, invalid(errUsage.New("--platform: %w", err))
+	}
+	client := &platform.Client{Address: address}
+	return client.Store(), nil
+}
+
+// releaseCommand groups the commands on release notes.
+func releaseCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "release",
+		Short: "Check, publish and follow release notes",
+	}
+	cmd.AddCommand(releaseLintCommand(), releasePublishCommand(), releaseStatusCommand())
+	return cmd
+}
+
+// readNote reads the release note in a file; "-" is the standard input.
+func readNote(cmd *cobra.Command, name string) (release.Note, error) {
+	if name == "-" {
+		return parseNote(cmd.InOrStdin(), name)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return release.Note{}, invalid(err)
+	}
+	defer func() { _ = file.Close() }()
+	return parseNote(file, name)
+}
+
+func parseNote(r io.Reader, name string) (release.Note, error) {
+	note, err := release.Parse(r)
+	if err == nil {
+		_, err = publication.Stored{Note: note}.Encode()
+	}
+	if err != nil {
+		return release.Note{}, invalid(fmt.Errorf("%s: %w", name, err))
+	}
+	return note, nil
+}
+
+func printJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
--- a/cmd/heatherrelay/root.go
+++ b/cmd/heatherrelay/root.go
@@ -40,6 +40,8 @@
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return invalid(err) })
 	root.AddCommand(
+		keyCommand(),
+		releaseCommand(),
 		versionCommand(),
 		configCommand(),
 	)
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,207 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+)
+
+// The client's defaults and bounds.
+const (
+	DefaultCallTimeout = 3 * time.Second
+	maxIdleConnection  = 20 * time.Second
+	maxConnections     = 64
+	maxAnswerBytes     = 256 << 20
+)
+
+// Client calls the platform's object API over HTTP. Each call is sent once and
+// has a deadline. A call without a clear answer fails with ErrUnavailable, and
+// the idle connections are given up with it, since they may be as dead as the
+// one that failed. Set the exported fields before the first use of Store.
+type Client struct {
+	Address netip.AddrPort
+	// CallTimeout bounds a call, a watch beyond its wait; zero is DefaultCallTimeout.
+	CallTimeout time.Duration
+
+	once sync.Once
+	http *fasthttp.HostClient
+}
+
+// Store returns the calls on the platform.
+func (c *Client) Store() Store {
+	c.once.Do(func() {
+		c.http = &fasthttp.HostClient{
+			Addr:                      c.Address.String(),
+			MaxConns:                  maxConnections,
+			MaxIdleConnDuration:       maxIdleConnection,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                neverRetry,
+			MaxResponseBodySize:       maxAnswerBytes,
+			NoDefaultUserAgentHeader:  true,
+		}
+		if c.CallTimeout == 0 {
+			c.CallTimeout = DefaultCallTimeout
+		}
+	})
+	return Store{
+		Get:       c.get,
+		Put:       c.put,
+		Delete:    c.delete,
+		List:      c.list,
+		Watch:     c.watch,
+		Instances: c.instances,
+		Targets:   c.targets,
+	}
+}
+
+func neverRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+
+// call is one request to the platform.
+type call struct {
+	method string
+	path   string
+	query  url.Values
+	body   []byte
+	// wait is how long the platform may hold the answer back.
+	wait time.Duration
+}
+
+// answer is what the platform said.
+type answer struct {
+	status int
+	body   []byte
+	err    error
+}
+
+func objectPath(key string) string {
+	segments := strings.Split(key, "/")
+	for i, s := range segments {
+		segments[i] = url.PathEscape(s)
+	}
+	return "/v1/objects/" + strings.Join(segments, "/")
+}
+
+func versionQuery(ifVersion uint64) url.Values {
+	return url.Values{"if_version": {strconv.FormatUint(ifVersion, 10)}}
+}
+
+func (c *Client) get(ctx context.Context, key string) (Object, error) {
+	var object Object
+	err := c.do(ctx, call{method: http.MethodGet, path: objectPath(key)}, &object)
+	return object, err
+}
+
+func (c *Client) put(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
+	if len(value) > MaxValueBytes {
+		return 0, ErrTooLarge.New("%s: %d bytes", key, len(value))
+	}
+	var object Object
+	err := c.do(ctx, call{method: http.MethodPut, path: objectPath(key), query: versionQuery(ifVersion), body: value}, &object)
+	return object.Version, err
+}
+
+func (c *Client) delete(ctx context.Context, key string, ifVersion uint64) error {
+	return c.do(ctx, call{method: http.MethodDelete, path: objectPath(key), query: versionQuery(ifVersion)}, nil)
+}
+
+func (c *Client) list(ctx context.Context, prefix string) (Listing, error) {
+	var listing Listing
+	err := c.do(ctx, call{method: http.MethodGet, path: "/v1/objects", query: url.Values{"prefix": {prefix}}}, &listing)
+	return listing, err
+}
+
+func (c *Client) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error) {
+	query := url.Values{
+		"prefix":  {prefix},
+		"after":   {strconv.FormatUint(after, 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	var changes Changes
+	err := c.do(ctx, call{method: http.MethodGet, path: "/v1/watch", query: query, wait: wait}, &changes)
+	return changes, err
+}
+
+func (c *Client) instances(ctx context.Context) ([]InstanceEntry, error) {
+	var entries []InstanceEntry
+	err := c.do(ctx, call{method: http.MethodGet, path: "/v1/instances"}, &entries)
+	return entries, err
+}
+
+func (c *Client) targets(ctx context.Context) ([]TargetEntry, error) {
+	var entries []TargetEntry
+	err := c.do(ctx, call{method: http.MethodGet, path: "/v1/targets"}, &entries)
+	return entries, err
+}
+
+// do sends a call and decodes the answer. It returns when ctx is done, although
+// the call may still be under way.
+func (c *Client) do(ctx context.Context, l call, into any) error {
+	if err := ctx.Err(); err != nil {
+		return ErrUnavailable.Wrap(err)
+	}
+	answers := make(chan answer, 1)
+	go func() { answers <- c.send(ctx, l) }()
+	select {
+	case a := <-answers:
+		return decode(l, a, into)
+	case <-ctx.Done():
+		return ErrUnavailable.Wrap(ctx.Err())
+	}
+}
+
+func (c *Client) send(ctx context.Context, l call) answer {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(l.method)
+	request.SetRequestURI("http://" + c.Address.String() + l.path + "?" + l.query.Encode())
+	request.SetBody(l.body)
+	deadline := time.Now().Add(c.CallTimeout + l.wait)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	if err := c.http.DoDeadline(request, response, deadline); err != nil {
+		c.http.CloseIdleConnections()
+		return answer{err: err}
+	}
+	return answer{status: response.StatusCode(), body: append([]byte(nil), response.Body()...)}
+}
+
+// kinds maps the platform's refusals; all other answers leave the outcome open.
+var kinds = map[int]*errs.Class{
+	http.StatusNotFound:              &ErrNotFound,
+	http.StatusConflict:              &ErrConflict,
+	http.StatusRequestEntityTooLarge: &ErrTooLarge,
+	http.StatusTooManyRequests:       &ErrThrottled,
+	http.StatusGone:                  &ErrCompacted,
+}
+
+func decode(l call, a answer, into any) error {
+	if a.err != nil {
+		return ErrUnavailable.New("%s %s: %w", l.method, l.path, a.err)
+	}
+	if a.status != http.StatusOK {
+		kind, ok := kinds[a.status]
+		if !ok {
+			kind = &ErrUnavailable
+		}
+		return kind.New("%s %s: status %d", l.method, l.path, a.status)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(a.body, into); err != nil {
+		return ErrUnavailable.Wrap(fmt.Errorf("%s %s: unreadable answer: %w", l.method, l.path, err))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/publication/follower.go
@@ -0,0 +1,241 @@
+package publication
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"heatherrelay/internal/platform"
+)
+
+// The defaults of a follower.
+const (
+	DefaultRecheck      = 8 * time.Second
+	DefaultPeerInterval = time.Second
+	DefaultCallTimeout  = 3 * time.Second
+)
+
+// Follower keeps a replica up to date from the platform and from peers. The
+// platform is watched and, since a watch may miss changes, listed now and then.
+// Peers are asked in turn, so that an instance that reaches no platform learns
+// of notes through any peer that does. Set the exported fields before Run.
+type Follower struct {
+	Replica
+	Store platform.Store
+	// Peers returns the instances that can be asked now; nil means none.
+	Peers func() []string
+	// PullPeer asks one peer for the notes after a number.
+	PullPeer func(ctx context.Context, peer string, after uint64) (Pulled, error)
+	// Recheck is the time between listings; zero is DefaultRecheck.
+	Recheck time.Duration
+	// PeerInterval is the time between questions to a peer; zero is DefaultPeerInterval.
+	PeerInterval time.Duration
+	// Failed hears of calls that failed; may be nil.
+	Failed func(error)
+	// Now is the clock; nil is time.Now.
+	Now func() time.Time
+
+	platformTried, platformRead atomic.Bool
+	peersTried, peerAnswered    atomic.Bool
+}
+
+// Ready reports whether the instance may serve: it has taken the newest state
+// of those that can be reached, from the platform or, failing that, from at
+// least one peer. Once true it stays true.
+func (f *Follower) Ready() bool {
+	tried := f.platformTried.Load() && f.peersTried.Load()
+	return tried && (f.platformRead.Load() || f.peerAnswered.Load())
+}
+
+// Run follows the platform and the peers until ctx is done.
+func (f *Follower) Run(ctx context.Context) {
+	if f.Recheck == 0 {
+		f.Recheck = DefaultRecheck
+	}
+	if f.PeerInterval == 0 {
+		f.PeerInterval = DefaultPeerInterval
+	}
+	var duties conc.WaitGroup
+	duties.Go(func() { f.followPlatform(ctx) })
+	duties.Go(func() { f.followPeers(ctx) })
+	duties.Wait()
+}
+
+func (f *Follower) followPlatform(ctx context.Context) {
+	var backoff platform.Backoff
+	for ctx.Err() == nil {
+		version, err := f.CatchUp(ctx)
+		if err == nil && !f.Gap() {
+			backoff.Reset()
+			err = f.watch(ctx, version)
+		}
+		if err != nil {
+			f.fail(ctx, err)
+		}
+		if err != nil || f.Gap() {
+			backoff.Sleep(ctx)
+		}
+	}
+}
+
+// watch applies the notes that the platform tells of until the next listing is
+// due or a note is missing.
+func (f *Follower) watch(ctx context.Context, version uint64) error {
+	due := f.now().Add(f.Recheck)
+	for ctx.Err() == nil {
+		left := due.Sub(f.now())
+		if left <= 0 || f.Gap() {
+			return nil
+		}
+		changes, err := f.Store.Watch(ctx, NotePrefix, version, left)
+		if err != nil {
+			return err
+		}
+		version = changes.Version
+		for _, e := range changes.Events {
+			if e.Deleted {
+				continue
+			}
+			stored, err := Decode(e.Key, e.Value)
+			if err != nil {
+				return err
+			}
+			f.Offer([]Stored{stored})
+		}
+	}
+	return nil
+}
+
+// CatchUp reads all that the platform has and this replica has not. It returns
+// a version of the store from which a watch misses nothing.
+func (f *Follower) CatchUp(ctx context.Context) (uint64, error) {
+	version, err := f.catchUp(ctx)
+	if err == nil {
+		f.platformRead.Store(true)
+	}
+	f.platformTried.Store(true)
+	return version, err
+}
+
+func (f *Follower) catchUp(ctx context.Context) (uint64, error) {
+	version, err := f.loadSnapshot(ctx)
+	if err != nil {
+		return 0, err
+	}
+	for {
+		asked := f.now()
+		next := f.State().Number + 1
+		listing, err := f.Store.List(ctx, blockPrefix(next))
+		if err != nil {
+			return 0, err
+		}
+		notes, err := decodeFrom(listing, next)
+		if err != nil {
+			return 0, err
+		}
+		f.Offer(notes)
+		reached := f.State().Number
+		if reached+1 == next || (reached+1)%blockNotes != 0 {
+			// Whatever was accepted before the question has been applied.
+			if !f.Gap() {
+				f.Confirm(asked)
+			}
+			return version, nil
+		}
+	}
+}
+
+// decodeFrom returns the notes of a listing from number next on.
+func decodeFrom(listing platform.Listing, next uint64) ([]Stored, error) {
+	var notes []Stored
+	for _, object := range listing.Objects {
+		if object.Key < NoteKey(next) {
+			continue
+		}
+		stored, err := Decode(object.Key, object.Value)
+		if err != nil {
+			return nil, err
+		}
+		notes = append(notes, stored)
+	}
+	return notes, nil
+}
+
+func (f *Follower) followPeers(ctx context.Context) {
+	f.AskAllPeers(ctx)
+	for ctx.Err() == nil {
+		pause := f.PeerInterval/2 + rand.N(f.PeerInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		f.AskPeer(ctx)
+	}
+}
+
+// AskAllPeers asks each peer once, at the same time, and waits for the answers.
+func (f *Follower) AskAllPeers(ctx context.Context) {
+	var asking conc.WaitGroup
+	var answers atomic.Int64
+	for _, peer := range f.peers() {
+		asking.Go(func() {
+			if f.ask(ctx, peer) {
+				answers.Add(1)
+			}
+		})
+	}
+	asking.Wait()
+	if answers.Load() > 0 {
+		f.peerAnswered.Store(true)
+	}
+	f.peersTried.Store(true)
+}
+
+// AskPeer asks one peer picked at random, or all while none has answered yet
+// and the platform has not been read.
+func (f *Follower) AskPeer(ctx context.Context) {
+	if !f.Ready() {
+		f.AskAllPeers(ctx)
+		return
+	}
+	if peers := f.peers(); len(peers) > 0 {
+		f.ask(ctx, peers[rand.IntN(len(peers))])
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, peer string) bool {
+	ctx, cancel := context.WithTimeout(ctx, DefaultCallTimeout)
+	defer cancel()
+	asked := f.now()
+	pulled, err := f.PullPeer(ctx, peer, f.State().Number)
+	if err != nil {
+		f.fail(ctx, err)
+		return false
+	}
+	f.Take(pulled, asked)
+	return true
+}
+
+func (f *Follower) peers() []string {
+	if f.Peers == nil || f.PullPeer == nil {
+		return nil
+	}
+	return f.Peers()
+}
+
+func (f *Follower) fail(ctx context.Context, err error) {
+	if f.Failed != nil && ctx.Err() == nil {
+		f.Failed(err)
+	}
+}
+
+func (f *Follower) now() time.Time {
+	if f.Now != nil {
+		return f.Now()
+	}
+	return time.Now()
+}
