--- /dev/null
+++ b/internal/publication/wire.go
@@ -0,0 +1,70 @@
+package publication
+
+import (
+	"encoding/json"
+	"time"
+
+	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+	"heatherrelay/pkg/release"
+)
+
+// Message returns the answer as the peer protocol's message.
+func (p Pulled) Message() (*v1.PullReleasesResponse, error) {
+	m := &v1.PullReleasesResponse{
+		Latest:         p.Latest,
+		Confirmed:      p.Confirmed,
+		ConfirmedAgeMs: ageMilliseconds(p.ConfirmedAge),
+	}
+	for _, s := range p.Notes {
+		value, err := json.Marshal(s)
+		if err != nil {
+			return nil, err
+		}
+		m.Notes = append(m.Notes, &v1.ReleaseNote{Number: s.Number, Value: value})
+	}
+	if p.Snapshot == nil {
+		return m, nil
+	}
+	m.Snapshot = &v1.ReleaseSnapshot{Number: p.Snapshot.Number}
+	for _, part := range p.Snapshot.Parts {
+		value, err := json.Marshal(part)
+		if err != nil {
+			return nil, err
+		}
+		m.Snapshot.Parts = append(m.Snapshot.Parts, value)
+	}
+	return m, nil
+}
+
+// ageMilliseconds rounds up, so that an age on the wire is never too young.
+func ageMilliseconds(age time.Duration) int64 {
+	return (age + time.Millisecond - 1).Milliseconds()
+}
+
+// PulledFrom reads the peer protocol's message.
+func PulledFrom(m *v1.PullReleasesResponse) (Pulled, error) {
+	p := Pulled{
+		Latest:       m.GetLatest(),
+		Confirmed:    m.GetConfirmed(),
+		ConfirmedAge: time.Duration(m.GetConfirmedAgeMs()) * time.Millisecond,
+	}
+	for _, n := range m.GetNotes() {
+		s, err := Decode(NoteKey(n.GetNumber()), n.GetValue())
+		if err != nil {
+			return Pulled{}, err
+		}
+		p.Notes = append(p.Notes, s)
+	}
+	if m.GetSnapshot() == nil {
+		return p, nil
+	}
+	p.Snapshot = &Snapshot{Number: m.GetSnapshot().GetNumber()}
+	for _, value := range m.GetSnapshot().GetParts() {
+		var part release.Note
+		if err := json.Unmarshal(value, &part); err != nil {
+			return Pulled{}, ErrCorrupt.New("snapshot from a peer: %w", err)
+		}
+		p.Snapshot.Parts = append(p.Snapshot.Parts, part)
+	}
+	return p, nil
+}
