Send calls that may not be repeated at most once

Cause: a doubled dispatch or posting costs the users real money, and a refusal that says not run must be true. Change: internal/dispatch. Intents past a retention are swept by a part of the key space at a time. Settings table [dispatch]. Ruled out: a third write 'about to send' between create and send, which would let a retry take over an unsent intent; it costs a platform write per call. Conclusion: at most once within the retention.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -39,4 +39,6 @@
 	Body   []byte   `json:"body,omitempty"`
 	// Replayed says that this is the kept answer of an earlier attempt.
 	Replayed bool `json:"-"`
+	// BodyNotKept says that a replayed answer's body and headers were too large to keep.
+	BodyNotKept bool `json:"-"`
 }
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -16,6 +16,7 @@
 	headerRequestID      = "X-Request-Id"
 	headerIdempotencyKey = "Idempotency-Key"
 	headerReplayed       = "Idempotency-Replayed"
+	headerBodyNotKept    = "Idempotency-Body-Not-Kept"
 	bearerScheme         = "bearer "
 )
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -140,5 +140,8 @@
 	if reply.Replayed {
 		c.Set(headerReplayed, "true")
 	}
+	if reply.BodyNotKept {
+		c.Set(headerBodyNotKept, "true")
+	}
 	return c.Status(reply.Status).Send(reply.Body)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,7 @@
 	Targets    Targets    `toml:"targets" comment:"Targets and their groups."`
 	Loads      Loads      `toml:"loads" comment:"What the weight store allows over the whole fleet."`
 	Keys       Keys       `toml:"keys" comment:"Callers' keys."`
+	Dispatch   Dispatch   `toml:"dispatch" comment:"Calls to plain services that may not be repeated."`
 	Shutdown   Shutdown   `toml:"shutdown" comment:"Graceful shutdown."`
 	TLS        TLS        `toml:"tls" comment:"Certificates, as PEM files."`
 	Log        Log        `toml:"log" comment:"Logs, as JSON lines on standard error."`
@@ -90,6 +91,12 @@
 	StaleKeyLimit Duration `toml:"stale_key_limit" comment:"How long keys go on counting while neither the platform nor a peer confirms them; 0s: without end." validate:"min=0s,max=720h"`
 }
 
+// Dispatch says how long outcomes of calls that may not be repeated are kept.
+type Dispatch struct {
+	Retention  Duration `toml:"retention" comment:"How long an idempotency key is remembered at least; 0s: for ever." validate:"min=0s,max=87600h"`
+	SweepEvery Duration `toml:"sweep_every" comment:"Time between looks at a part of the kept outcomes for ones past retention." validate:"min=1s,max=24h"`
+}
+
 // Shutdown bounds a graceful shutdown.
 type Shutdown struct {
 	Grace      Duration `toml:"grace" comment:"Longest wait for running requests." validate:"min=0s,max=24h"`
@@ -166,6 +173,7 @@
 		},
 		Loads:    Loads{PerSecond: 3, InFlight: 8},
 		Keys:     Keys{StaleKeyLimit: seconds(0)},
+		Dispatch: Dispatch{Retention: seconds(7 * 24 * 3600), SweepEvery: seconds(60)},
 		Shutdown: Shutdown{Grace: seconds(150), DrainDelay: seconds(2)},
 		Log:      Log{Level: "info"},
 		Objectives: Objectives{
