--- a/cmd/heatherrelay/root.go
+++ b/cmd/heatherrelay/root.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -42,6 +43,7 @@
 	root.AddCommand(
 		keyCommand(),
 		releaseCommand(),
+		serveCommand(),
 		versionCommand(),
 		configCommand(),
 	)
@@ -54,7 +56,7 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	err := root.Execute()
+	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return exitOK
 	}
--- /dev/null
+++ b/internal/instance/services.go
@@ -0,0 +1,41 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+
+	"heatherrelay/internal/dispatch"
+	"heatherrelay/internal/platform"
+	"heatherrelay/internal/refusal"
+)
+
+// serviceTargets returns this zone's targets of a plain service that are not leaving.
+func (i *Instance) serviceTargets(service string) []platform.TargetEntry {
+	return i.serviceTargetsIn(i.Settings.Zone, service)
+}
+
+func (i *Instance) serviceTargetsIn(zone, service string) []platform.TargetEntry {
+	var targets []platform.TargetEntry
+	for _, e := range i.directory.Targets() {
+		if e.Zone == zone && e.Kind == platform.TargetService && e.Service == service && !e.Leaving {
+			targets = append(targets, e)
+		}
+	}
+	return targets
+}
+
+// forwardCall sends a plain service call through an instance of a zone that has
+// a target for it.
+func (i *Instance) forwardCall(ctx context.Context, c dispatch.Call) (dispatch.Reply, error) {
+	var addresses []netip.AddrPort
+	for _, l := range i.directory.Live("") {
+		if l.Zone != i.Settings.Zone && l.Ready && !l.Leaving && len(i.serviceTargetsIn(l.Zone, c.Service)) > 0 {
+			addresses = append(addresses, l.Peer)
+		}
+	}
+	if len(addresses) == 0 {
+		return dispatch.Reply{}, refusal.NotRun(refusal.CodeNoTarget, "no target of service %s can be reached", c.Service).After(noTargetRetry)
+	}
+	return i.peers.Call(ctx, addresses[rand.IntN(len(addresses))], c)
+}
