Add the measuring tool for decisions

Cause: decisions are to be measured against their baselines before they are believed.

Change: go run ./internal/measure replays seven seeded workloads (12 engines with 16 slots, 3,000 adapters, 5 teams) in virtual time against adapter.Table, View, Router, LoadOrder and target.Queue as they stand, and against random, hashed, least-loaded, own-zone routing, LRU, LFU, loads and queues in order, and a Belady bound. -isolation compares teams beside a noisy one. No network model: one load order and one set of permits stand for all owners.

--- /dev/null
+++ b/internal/measure/fleet/bound.go
@@ -0,0 +1,69 @@
+package fleet
+
+import "container/heap"
+
+// OfflineStalls returns the fewest load-stalled requests that any eviction can
+// reach when loads start only on demand, take no time and the engines' slots
+// form one pool: Belady's rule with the trace known. Like Run it counts the
+// requests after the warm-up.
+func OfflineStalls(w Workload, seed uint64) (stalled, requests int) {
+	trace := w.generate(seed)
+	nextUse := make([]int, len(trace))
+	last := map[int]int{}
+	for i := len(trace) - 1; i >= 0; i-- {
+		nextUse[i] = len(trace)
+		if n, ok := last[trace[i].adapter]; ok {
+			nextUse[i] = n
+		}
+		last[trace[i].adapter] = i
+	}
+	resident := map[int]int{}
+	var farthest useHeap
+	for i, q := range trace {
+		counted := q.at >= w.Warmup
+		if counted {
+			requests++
+		}
+		if _, ok := resident[q.adapter]; !ok {
+			if counted {
+				stalled++
+			}
+			if len(resident) == Engines*slotsPerEngine {
+				farthest.evict(resident)
+			}
+		}
+		resident[q.adapter] = nextUse[i]
+		heap.Push(&farthest, use{adapter: q.adapter, next: nextUse[i]})
+	}
+	return stalled, requests
+}
+
+type use struct{ adapter, next int }
+
+// useHeap orders residents by their next use, the farthest first. Entries that
+// a later use has replaced are skipped.
+type useHeap []use
+
+func (h *useHeap) evict(resident map[int]int) {
+	for {
+		u := heap.Pop(h).(use)
+		if next, ok := resident[u.adapter]; ok && next == u.next {
+			delete(resident, u.adapter)
+			return
+		}
+	}
+}
+
+func (h useHeap) Len() int           { return len(h) }
+func (h useHeap) Less(i, j int) bool { return h[i].next > h[j].next }
+func (h useHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push is for container/heap.
+func (h *useHeap) Push(x any) { *h = append(*h, x.(use)) }
+
+// Pop is for container/heap.
+func (h *useHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
--- /dev/null
+++ b/internal/measure/fleet/fleet_test.go
@@ -0,0 +1,49 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"heatherrelay/internal/measure/fleet"
+)
+
+// short returns a workload of a few minutes that keeps its faults.
+func short(w fleet.Workload) fleet.Workload {
+	w.Duration, w.Warmup = 3*time.Minute, 30*time.Second
+	if w.Cut.To > 0 {
+		w.Cut = fleet.Span{From: time.Minute, To: 2 * time.Minute}
+	}
+	if w.SlowStore.To > 0 {
+		w.SlowStore = fleet.Span{From: time.Minute, To: 2 * time.Minute}
+	}
+	if len(w.Restarts) > 0 {
+		w.Restarts = []time.Duration{time.Minute, 90 * time.Second}
+	}
+	return w
+}
+
+func TestRunServesEachRequestOnceWithinTheStoresLimits(t *testing.T) {
+	for _, w := range fleet.Workloads() {
+		w = short(w)
+		result := fleet.Run(w, fleet.Product(), 1)
+		if result.Unfinished > 0 || result.Refused > 0 {
+			t.Errorf("%s: %d unfinished, %d refused of %d", w.Name, result.Unfinished, result.Refused, result.Requests)
+		}
+		if result.MostAtOne > 8 {
+			t.Errorf("%s: %d loads at once", w.Name, result.MostAtOne)
+		}
+		if result != fleet.Run(w, fleet.Product(), 1) {
+			t.Errorf("%s: two runs of one seed differ", w.Name)
+		}
+	}
+}
+
+func TestNoPolicyBeatsTheOfflineBound(t *testing.T) {
+	w := short(fleet.Workloads()[0])
+	bound, _ := fleet.OfflineStalls(w, 1)
+	for _, p := range append([]fleet.Policy{fleet.Product()}, fleet.Baselines()...) {
+		if result := fleet.Run(w, p, 1); result.Stalled < bound {
+			t.Errorf("%s: %d stalled, bound %d", p.Name, result.Stalled, bound)
+		}
+	}
+}
--- /dev/null
+++ b/internal/measure/fleet/owner.go
@@ -0,0 +1,180 @@
+package fleet
+
+import (
+	"fmt"
+
+	"heatherrelay/internal/adapter"
+	"heatherrelay/internal/target"
+	"heatherrelay/pkg/release"
+)
+
+// teamName and teamWeight are how the decisions see a team.
+func teamName(team int) string { return fmt.Sprintf("team-%d", team) }
+
+func teamWeight(team int) float64 { return teamShares[team] * float64(Teams) }
+
+// enqueue is what the owner of an engine does with a request.
+func (r *run) enqueue(e *engine, j *job) {
+	id := r.ids[j.adapter]
+	e.table.Touch(id, r.time(), j.prompt+j.output)
+	e.lastUse[id] = r.now
+	e.uses[id]++
+	item := target.Item[*job]{
+		ID: fmt.Sprint(j.number), Team: teamName(j.team), Weight: teamWeight(j.team),
+		Class: j.class, Adapter: id, Tokens: j.prompt + j.output, Payload: j,
+	}
+	if r.policy.QueueInOrder {
+		item.Team, item.Weight, item.Class = "", 1, release.Interactive
+	}
+	if err := e.queue.Push(r.time(), item); err != nil {
+		j.refused = true
+		return
+	}
+	e.waiting[id]++
+	if !e.table.Resident(id) {
+		j.stalled = true
+		r.wantLoad(e, id, j)
+	}
+	r.pump(e)
+}
+
+// wantLoad asks for a load unless one is in flight. A nil job stands for those
+// that wait already.
+func (r *run) wantLoad(e *engine, id adapter.ID, j *job) {
+	if e.table.Resident(id) || e.table.Reserved(id) {
+		return
+	}
+	load := adapter.Load{TargetID: e.id, Adapter: id}
+	if !r.order.Pending(load) {
+		r.inOrder = append(r.inOrder, load)
+	}
+	team, class := 0, release.Interactive
+	if j != nil {
+		team, class = j.team, j.class
+	}
+	r.order.Add(load, teamWeight(team), class, r.time())
+	r.startLoads()
+}
+
+func (r *run) nextLoad() (adapter.Load, bool) {
+	if !r.policy.LoadsInOrder {
+		return r.order.Next(r.time(), r.hasRoom)
+	}
+	for i, load := range r.inOrder {
+		if !r.order.Pending(load) {
+			continue
+		}
+		if r.hasRoom(load) {
+			r.inOrder = append(r.inOrder[:i], r.inOrder[i+1:]...)
+			r.order.Remove(load)
+			return load, true
+		}
+	}
+	return adapter.Load{}, false
+}
+
+func (r *run) hasRoom(load adapter.Load) bool {
+	e := r.byID[load.TargetID]
+	if e.table.Free() > 0 {
+		return true
+	}
+	_, ok := r.victim(e)
+	return ok
+}
+
+func (r *run) victim(e *engine) (adapter.ID, bool) {
+	if r.policy.Victim != nil {
+		return r.policy.Victim(e, r.time())
+	}
+	return e.table.Victim(r.time())
+}
+
+// startLoads starts the loads that the store permits, and wakes up for the next.
+func (r *run) startLoads() {
+	for r.order.Len() > 0 && r.store.mayStart(r.now) {
+		load, ok := r.nextLoad()
+		if !ok {
+			return
+		}
+		r.startLoad(r.byID[load.TargetID], load.Adapter)
+	}
+	if r.order.Len() > 0 && r.store.inFlight < maxLoadsAtOnce && !r.woken {
+		r.woken = true
+		r.after(r.store.nextPermit(r.now), func() {
+			r.woken = false
+			r.startLoads()
+		})
+	}
+}
+
+func (r *run) startLoad(e *engine, id adapter.ID) {
+	if e.table.Free() == 0 {
+		victim, _ := r.victim(e)
+		r.evict(e, victim)
+	}
+	if !e.table.Reserve(id) {
+		panic("load without a free slot")
+	}
+	r.after(r.store.start(r.now), func() {
+		r.store.inFlight--
+		e.table.Add(id, r.time())
+		r.reportResidency(func(v *routerView) {
+			if e.table.Resident(id) {
+				v.AddResident(e.id, id)
+			}
+		})
+		r.pump(e)
+		r.startLoads()
+	})
+}
+
+func (r *run) evict(e *engine, id adapter.ID) {
+	if !e.table.BeginEvict(id, r.time()) {
+		panic("evicted an adapter in use")
+	}
+	e.table.Remove(id)
+	e.uses[id] = 0
+	r.reportResidency(func(v *routerView) {
+		if !e.table.Resident(id) {
+			v.RemoveResident(e.id, id)
+		}
+	})
+	if e.waiting[id] > 0 {
+		r.after(0, func() { r.wantLoad(e, id, nil) })
+	}
+}
+
+// pump fills the batch from the queue and keeps the engine stepping.
+func (r *run) pump(e *engine) {
+	for len(e.running) < batchPerEngine {
+		item, ok := e.queue.Pop(r.time(), e.table.Resident)
+		if !ok {
+			break
+		}
+		j := item.Payload
+		e.table.Pin(item.Adapter)
+		e.waiting[item.Adapter]--
+		e.lastUse[item.Adapter] = r.now
+		if j.stalled && j.loadedAt == 0 {
+			j.loadedAt = r.now
+		}
+		e.running = append(e.running, j)
+	}
+	if len(e.running) > 0 && !e.stepping {
+		e.stepping = true
+		r.after(e.stepTime(r.now), func() { r.finishStep(e) })
+	}
+}
+
+func (r *run) finishStep(e *engine) {
+	e.stepping = false
+	done := e.step(r.now)
+	for _, j := range done {
+		e.table.Unpin(r.ids[j.adapter], r.time())
+		r.reportLoad(r.views[j.router], e)
+	}
+	if len(done) > 0 {
+		r.startLoads()
+	}
+	r.pump(e)
+}
--- /dev/null
+++ b/internal/measure/fleet/policy.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"heatherrelay/internal/adapter"
+)
+
+// Policy is the decisions of a run. A nil function or false takes the
+// product's own code.
+type Policy struct {
+	Name string
+	// Route replaces the router.
+	Route func(r *rand.Rand, want *adapter.Want, view *routerView) (string, bool)
+	// Victim replaces the choice of what to evict.
+	Victim func(e *engine, now time.Time) (adapter.ID, bool)
+	// LoadsInOrder starts loads first come first served.
+	LoadsInOrder bool
+	// QueueInOrder runs requests first come first served.
+	QueueInOrder bool
+	// OwnZone lets routers use only the targets of their zone.
+	OwnZone bool
+}
+
+// Product is the decisions as the product makes them.
+func Product() Policy { return Policy{Name: "product"} }
+
+// Baselines returns the policies that the product is compared with.
+func Baselines() []Policy {
+	return []Policy{
+		{Name: "least loaded + LRU", Route: routeLeastLoaded, Victim: victimLRU, LoadsInOrder: true, QueueInOrder: true},
+		{Name: "resident first + LRU", Route: routeResidentFirst, Victim: victimLRU, LoadsInOrder: true, QueueInOrder: true},
+		{Name: "route random", Route: routeRandom},
+		{Name: "route consistent hash", Route: routeHash},
+		{Name: "route least loaded", Route: routeLeastLoaded},
+		{Name: "route own zone", OwnZone: true},
+		{Name: "evict LRU", Victim: victimLRU},
+		{Name: "evict LFU", Victim: victimLFU},
+		{Name: "loads FCFS", LoadsInOrder: true},
+		{Name: "queue FIFO", QueueInOrder: true},
+	}
+}
+
+func routeRandom(r *rand.Rand, _ *adapter.Want, v *routerView) (string, bool) {
+	usable := v.usable()
+	if len(usable) == 0 {
+		return "", false
+	}
+	return usable[r.IntN(len(usable))], true
+}
+
+// routeHash is rendezvous hashing alone, without a load bound or residency.
+func routeHash(_ *rand.Rand, want *adapter.Want, v *routerView) (string, bool) {
+	return v.hash.Choose(want, &v.empty, time.Time{})
+}
+
+func routeLeastLoaded(_ *rand.Rand, _ *adapter.Want, v *routerView) (string, bool) {
+	return v.least(func(string) bool { return true })
+}
+
+// routeResidentFirst is least loaded among the targets that hold the adapter,
+// or among all when none does.
+func routeResidentFirst(_ *rand.Rand, want *adapter.Want, v *routerView) (string, bool) {
+	if id, ok := v.least(func(id string) bool { return v.Holds(id, want.Adapter) }); ok {
+		return id, true
+	}
+	return v.least(func(string) bool { return true })
+}
+
+func victimLRU(e *engine, _ time.Time) (adapter.ID, bool) {
+	return e.lowest(func(id adapter.ID) float64 { return e.lastUse[id].Seconds() })
+}
+
+func victimLFU(e *engine, _ time.Time) (adapter.ID, bool) {
+	return e.lowest(func(id adapter.ID) float64 { return float64(e.uses[id]) })
+}
--- /dev/null
+++ b/internal/measure/fleet/run.go
@@ -0,0 +1,183 @@
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"heatherrelay/internal/adapter"
+)
+
+// epoch is the time of a run's start; the decisions see it plus the virtual time.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// run is one replay of a workload with a policy.
+type run struct {
+	workload Workload
+	policy   Policy
+	random   *rand.Rand
+	now      time.Duration
+	events   eventHeap
+	pushed   int
+	engines  []*engine
+	byID     map[string]*engine
+	views    []*routerView
+	router   adapter.Router
+	order    adapter.LoadOrder
+	inOrder  []adapter.Load
+	store    store
+	woken    bool
+	jobs     []*job
+	ids      []adapter.ID
+}
+
+type event struct {
+	at     time.Duration
+	number int
+	do     func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].number < h[j].number
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push is for container/heap.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop is for container/heap.
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// Run replays a workload and returns what was measured.
+func Run(w Workload, p Policy, seed uint64) Result {
+	r := &run{
+		workload: w, policy: p, random: rand.New(rand.NewPCG(seed, 1<<32)),
+		byID: map[string]*engine{}, store: store{slow: w.SlowStore},
+	}
+	for i := range Engines {
+		e := newEngine(i)
+		r.engines = append(r.engines, e)
+		r.byID[e.id] = e
+	}
+	for i := range Routers {
+		r.views = append(r.views, newRouterView(i/RoutersPerZone, r.engines, p.OwnZone))
+	}
+	for i := range adapterCount {
+		r.ids = append(r.ids, adapter.ID{Name: fmt.Sprintf("adapter-%05d", i), Version: "1"})
+	}
+	r.schedule(w.generate(seed))
+	for len(r.events) > 0 {
+		e := heap.Pop(&r.events).(event)
+		r.now = e.at
+		e.do()
+	}
+	return r.result()
+}
+
+func (r *run) after(d time.Duration, do func()) {
+	r.pushed++
+	heap.Push(&r.events, event{at: r.now + d, number: r.pushed, do: do})
+}
+
+func (r *run) time() time.Time { return epoch.Add(r.now) }
+
+// schedule puts the arrivals, faults and load reports into the event queue.
+func (r *run) schedule(requests []request) {
+	for _, q := range requests {
+		j := &job{request: q}
+		r.jobs = append(r.jobs, j)
+		r.after(q.at, func() { r.arrive(j) })
+	}
+	for i, at := range r.workload.Restarts {
+		r.after(at, func() { r.restart(r.engines[(i*5)%Engines]) })
+	}
+	if cut := r.workload.Cut; cut.To > 0 {
+		r.after(cut.From, func() { r.setCut(true) })
+		r.after(cut.To, func() { r.setCut(false) })
+	}
+	for at := loadReportTime; at < r.workload.Duration; at += loadReportTime {
+		r.after(at, r.reportLoads)
+	}
+}
+
+func (r *run) arrive(j *job) {
+	view := r.views[j.router]
+	want := &adapter.Want{
+		Adapter: r.ids[j.adapter], BaseModel: baseModel, PrefixHash: j.prefix, Tokens: j.prompt + j.output,
+	}
+	id, ok := r.choose(want, view)
+	if !ok {
+		j.refused = true
+		return
+	}
+	view.Sent(id, want.Tokens, j.prefix)
+	view.sent[id]++
+	r.enqueue(r.byID[id], j)
+}
+
+func (r *run) choose(want *adapter.Want, view *routerView) (string, bool) {
+	if r.policy.Route != nil {
+		return r.policy.Route(r.random, want, view)
+	}
+	return r.router.Choose(want, &view.View, r.time())
+}
+
+func (r *run) reportLoads() {
+	for _, v := range r.views {
+		for _, e := range r.engines {
+			r.reportLoad(v, e)
+		}
+	}
+}
+
+func (r *run) reportLoad(v *routerView, e *engine) {
+	v.SetLoad(e.id, e.load())
+	v.sent[e.id] = 0
+}
+
+// reportResidency tells all routers of an engine's change after a lag.
+func (r *run) reportResidency(change func(v *routerView)) {
+	r.after(residencyLag, func() {
+		for _, v := range r.views {
+			change(v)
+		}
+	})
+}
+
+func (r *run) setCut(cut bool) {
+	for _, v := range r.views {
+		for _, e := range r.engines {
+			if e.zone != v.zone {
+				v.setUsable(e, !cut)
+			}
+		}
+	}
+}
+
+// restart loses an engine's residents; its running requests start again.
+func (r *run) restart(e *engine) {
+	for _, id := range e.table.Residents() {
+		e.table.Remove(id)
+	}
+	broken := e.running
+	e.running = nil
+	r.reportResidency(func(v *routerView) { v.SetResident(e.id, e.table.Residents()) })
+	for _, id := range r.ids {
+		if e.waiting[id] > 0 {
+			r.wantLoad(e, id, nil)
+		}
+	}
+	for _, j := range broken {
+		e.table.Unpin(r.ids[j.adapter], r.time())
+		j.prefilled = false
+		r.enqueue(e, j)
+	}
+}
--- /dev/null
+++ b/internal/measure/fleet/view.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"time"
+
+	"heatherrelay/internal/adapter"
+)
+
+// The lags of what routers know.
+const (
+	residencyLag   = 100 * time.Millisecond
+	loadReportTime = 500 * time.Millisecond
+	baseModel      = "m"
+)
+
+// routerView is one instance's view with what the baselines need beside it.
+type routerView struct {
+	adapter.View
+	zone int
+	ids  []string
+	// sent counts requests since the last load report, for the baselines.
+	sent  map[string]int
+	hash  adapter.Router
+	empty adapter.View
+}
+
+func newRouterView(zone int, engines []*engine, ownZone bool) *routerView {
+	v := &routerView{zone: zone, sent: map[string]int{}}
+	for _, e := range engines {
+		if ownZone && e.zone != zone {
+			continue
+		}
+		v.Set(e.info(true))
+		v.empty.Set(e.info(true))
+		v.ids = append(v.ids, e.id)
+	}
+	return v
+}
+
+// setUsable changes whether an engine may be chosen.
+func (v *routerView) setUsable(e *engine, usable bool) {
+	if _, _, ok := v.Target(e.id); ok {
+		v.Set(e.info(usable))
+		v.empty.Set(e.info(usable))
+	}
+}
+
+func (v *routerView) usable() []string {
+	var out []string
+	for _, id := range v.ids {
+		if info, _, ok := v.Target(id); ok && info.Usable {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// least returns the usable target with the least load of those that fit.
+func (v *routerView) least(fits func(string) bool) (string, bool) {
+	best, bestLoad := "", 0.0
+	for _, id := range v.ids {
+		info, load, ok := v.Target(id)
+		if !ok || !info.Usable || !fits(id) {
+			continue
+		}
+		l := float64(load.QueuedTokens)/meanOutput + float64(load.Running+v.sent[id])
+		if best == "" || l < bestLoad {
+			best, bestLoad = id, l
+		}
+	}
+	return best, best != ""
+}
--- /dev/null
+++ b/internal/measure/fleet/workload.go
@@ -0,0 +1,213 @@
+// Package fleet replays seeded workloads against the routing, residency, load
+// order and queue decisions in virtual time. It has no network and no processes:
+// only a fake engine that batches continuously and a fake weight store.
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"heatherrelay/pkg/release"
+)
+
+// The shape of the fleet that all workloads share.
+const (
+	Zones          = 3
+	EnginesPerZone = 4
+	RoutersPerZone = 3
+	Engines        = Zones * EnginesPerZone
+	Routers        = Zones * RoutersPerZone
+	slotsPerEngine = 16
+	batchPerEngine = 8
+	adapterCount   = 3000
+	prefixesEach   = 3
+	prefixTokens   = 200
+)
+
+// teamShares is each team's share of the requests; the teams' weights follow it.
+var teamShares = [...]float64{0.40, 0.25, 0.20, 0.10, 0.05}
+
+// Teams is the number of teams.
+const Teams = len(teamShares)
+
+// request is one arrival of a workload.
+type request struct {
+	at      time.Duration
+	number  int
+	team    int
+	class   release.Class
+	adapter int
+	prompt  int
+	output  int
+	prefix  uint64
+	router  int
+}
+
+// Span is a period of a run.
+type Span struct {
+	From, To time.Duration
+}
+
+func (s Span) contains(at time.Duration) bool { return at >= s.From && at < s.To }
+
+// Workload describes the arrivals and faults of a run. Zero spans mean never.
+type Workload struct {
+	Name string
+	// Duration is the length of a run, and Warmup its start that is not counted.
+	Duration, Warmup time.Duration
+	// RequestsPerSecond is the mean rate of all teams together.
+	RequestsPerSecond float64
+	// ZipfExponent is the skew of the adapters' popularity.
+	ZipfExponent float64
+	// ShiftEvery swaps a part of the popular adapters for others; zero never.
+	ShiftEvery time.Duration
+	// Burst is when team BurstTeam sends five times its rate.
+	Burst     Span
+	BurstTeam int
+	// Alone, when set, leaves only the requests of team AloneTeam.
+	Alone     bool
+	AloneTeam int
+	// SkewedShare of the requests goes to the first router; zero spreads evenly.
+	SkewedShare float64
+	// Restarts are cold restarts, of one engine after the other.
+	Restarts []time.Duration
+	// Cut is when zones see only their own targets.
+	Cut Span
+	// SlowStore is when loads take four times as long at a third of the rate.
+	SlowStore Span
+}
+
+const (
+	burstFactor    = 5
+	shiftedHead    = 200
+	shiftedShare   = 0.25
+	patientShare   = 0.3
+	meanOutput     = 180
+	meanExtra      = 100
+	patientStretch = 1.5
+)
+
+// Workloads returns all workloads.
+func Workloads() []Workload {
+	base := Workload{
+		Duration: 40 * time.Minute, Warmup: 10 * time.Minute, RequestsPerSecond: 8, ZipfExponent: 1.1,
+	}
+	named := func(name string, change func(*Workload)) Workload {
+		w := base
+		w.Name = name
+		change(&w)
+		return w
+	}
+	middle := Span{From: 20 * time.Minute, To: 30 * time.Minute}
+	return []Workload{
+		named("steady", func(*Workload) {}),
+		named("shift", func(w *Workload) { w.ShiftEvery = 5 * time.Minute }),
+		named("noisy team", func(w *Workload) { w.Burst, w.BurstTeam = Span{From: w.Warmup, To: w.Duration}, 0 }),
+		named("skewed balancer", func(w *Workload) { w.SkewedShare = 0.7 }),
+		named("restarts", func(w *Workload) {
+			for at := 12 * time.Minute; at < w.Duration; at += 4 * time.Minute {
+				w.Restarts = append(w.Restarts, at)
+			}
+		}),
+		named("zone cut", func(w *Workload) { w.Cut = middle }),
+		named("slow store", func(w *Workload) { w.SlowStore = middle }),
+	}
+}
+
+// generate returns the arrivals in order of time.
+func (w *Workload) generate(seed uint64) []request {
+	var all []request
+	for team := range Teams {
+		if w.Alone && team != w.AloneTeam {
+			continue
+		}
+		all = append(all, w.generateTeam(team, seed)...)
+	}
+	slices.SortFunc(all, func(a, b request) int { return int(a.at - b.at) })
+	for i := range all {
+		all[i].number = i
+	}
+	return all
+}
+
+// generateTeam draws one team's arrivals from its own random stream, so that a
+// team's requests are the same with and without another team's burst.
+func (w *Workload) generateTeam(team int, seed uint64) []request {
+	r := rand.New(rand.NewPCG(seed, uint64(team)))
+	popularity := newPopularity(w, team, r)
+	var out []request
+	at := time.Duration(0)
+	for {
+		rate := w.RequestsPerSecond * teamShares[team]
+		if team == w.BurstTeam && w.Burst.contains(at) {
+			rate *= burstFactor
+		}
+		at += time.Duration(r.ExpFloat64() / rate * float64(time.Second))
+		if at >= w.Duration {
+			return out
+		}
+		out = append(out, w.draw(team, at, popularity, r))
+	}
+}
+
+func (w *Workload) draw(team int, at time.Duration, p *popularity, r *rand.Rand) request {
+	id := p.draw(at, r)
+	q := request{
+		at: at, team: team, class: release.Interactive, adapter: id,
+		prompt: prefixTokens + 1 + int(r.ExpFloat64()*meanExtra),
+		output: 1 + int(r.ExpFloat64()*meanOutput),
+		prefix: uint64(id*prefixesEach+r.IntN(prefixesEach)) + 1,
+		router: r.IntN(Routers),
+	}
+	if r.Float64() < patientShare {
+		q.class = release.Patient
+		q.output = int(float64(q.output)*patientStretch) + 1
+	}
+	if r.Float64() < w.SkewedShare {
+		q.router = 0
+	}
+	return q
+}
+
+// popularity draws a team's adapters by a Zipf law. Adapters are dealt to teams
+// in turn by rank, so each team has popular and rare ones.
+type popularity struct {
+	cumulative []float64
+	ranked     []int
+	every      time.Duration
+	shifted    time.Duration
+}
+
+func newPopularity(w *Workload, team int, r *rand.Rand) *popularity {
+	p := &popularity{every: w.ShiftEvery, shifted: w.ShiftEvery}
+	sum := 0.0
+	for rank := team; rank < adapterCount; rank += Teams {
+		sum += math.Pow(float64(rank+1), -w.ZipfExponent)
+		p.cumulative = append(p.cumulative, sum)
+		p.ranked = append(p.ranked, rank)
+	}
+	r.Shuffle(len(p.ranked), func(i, j int) { p.ranked[i], p.ranked[j] = p.ranked[j], p.ranked[i] })
+	return p
+}
+
+func (p *popularity) draw(at time.Duration, r *rand.Rand) int {
+	for p.every > 0 && at >= p.shifted {
+		p.shift(r)
+		p.shifted += p.every
+	}
+	x := r.Float64() * p.cumulative[len(p.cumulative)-1]
+	i, _ := slices.BinarySearch(p.cumulative, x)
+	return p.ranked[min(i, len(p.ranked)-1)]
+}
+
+// shift swaps a share of the popular adapters for any others.
+func (p *popularity) shift(r *rand.Rand) {
+	for i := range shiftedHead / Teams {
+		if r.Float64() < shiftedShare {
+			j := r.IntN(len(p.ranked))
+			p.ranked[i], p.ranked[j] = p.ranked[j], p.ranked[i]
+		}
+	}
+}
