Count requests, not tokens, as popularity, with a half-life of five minutes

Cause: load stalls are per request, and the slots' last places are decided between adapters asked for every few minutes; a half-life of two minutes forgets these.

--- a/internal/adapter/table.go
+++ b/internal/adapter/table.go
@@ -7,7 +7,10 @@
 )
 
 // PopularityHalfLife is how long it takes until a past use counts half.
-const PopularityHalfLife = 2 * time.Minute
+const PopularityHalfLife = 5 * time.Minute
+
+// popularityPerToken is what a token counts beside a request's one.
+const popularityPerToken = 1e-5
 
 // maxTrackedAdapters bounds the adapters whose popularity a table remembers
 // beyond those that hold a slot.
@@ -46,17 +49,18 @@
 	used       time.Time
 }
 
-// Touch counts tokens asked of an adapter at now, whether it is resident or not.
+// Touch counts a request for an adapter at now, whether it is resident or not.
+// A load stalls requests and not tokens, so tokens count little.
 func (t *Table) Touch(id ID, now time.Time, tokens int) {
 	e := t.entry(id)
-	e.popularity.add(float64(tokens), now, t.halfLife())
+	e.popularity.add(1+popularityPerToken*float64(tokens), now, t.halfLife())
 	e.used = now
 	if len(t.entries) > maxTrackedAdapters+t.Slots {
 		t.forgetUnpopular(now)
 	}
 }
 
-// Popularity returns the decayed tokens asked of an adapter.
+// Popularity returns the decayed number of requests for an adapter.
 func (t *Table) Popularity(id ID, now time.Time) float64 {
 	e, ok := t.entries[id]
 	if !ok {
