Choose a home zone for an adapter, and measure loads as owners order them

Cause: routing only within the caller's zone makes each zone load its own copy of every adapter.

In the measuring tool a request goes on to a router of its home zone unless its own zone holds the adapter or is cut; each engine has its own load order and asks for one permit at a time, as the owners do.

--- a/internal/measure/fleet/engine.go
+++ b/internal/measure/fleet/engine.go
@@ -58,7 +58,7 @@
 
 func (e *engine) info(usable bool) adapter.TargetInfo {
 	return adapter.TargetInfo{
-		ID: e.id, Zone: fmt.Sprint(e.zone), BaseModel: baseModel,
+		ID: e.id, Zone: zoneNames[e.zone], BaseModel: baseModel,
 		Slots: slotsPerEngine, Capacity: batchPerEngine, Usable: usable,
 	}
 }
--- a/internal/measure/fleet/owner.go
+++ b/internal/measure/fleet/owner.go
@@ -38,96 +38,6 @@
 	r.pump(e)
 }
 
-// wantLoad asks for a load unless one is in flight. A nil job stands for those
-// that wait already.
-func (r *run) wantLoad(e *engine, id adapter.ID, j *job) {
-	if e.table.Resident(id) || e.table.Reserved(id) {
-		return
-	}
-	load := adapter.Load{TargetID: e.id, Adapter: id}
-	if !r.order.Pending(load) {
-		r.inOrder = append(r.inOrder, load)
-	}
-	team, class := 0, release.Interactive
-	if j != nil {
-		team, class = j.team, j.class
-	}
-	r.order.Add(load, teamWeight(team), class, r.time())
-	r.startLoads()
-}
-
-func (r *run) nextLoad() (adapter.Load, bool) {
-	if !r.policy.LoadsInOrder {
-		return r.order.Next(r.time(), r.hasRoom)
-	}
-	for i, load := range r.inOrder {
-		if !r.order.Pending(load) {
-			continue
-		}
-		if r.hasRoom(load) {
-			r.inOrder = append(r.inOrder[:i], r.inOrder[i+1:]...)
-			r.order.Remove(load)
-			return load, true
-		}
-	}
-	return adapter.Load{}, false
-}
-
-func (r *run) hasRoom(load adapter.Load) bool {
-	e := r.byID[load.TargetID]
-	if e.table.Free() > 0 {
-		return true
-	}
-	_, ok := r.victim(e)
-	return ok
-}
-
-func (r *run) victim(e *engine) (adapter.ID, bool) {
-	if r.policy.Victim != nil {
-		return r.policy.Victim(e, r.time())
-	}
-	return e.table.Victim(r.time())
-}
-
-// startLoads starts the loads that the store permits, and wakes up for the next.
-func (r *run) startLoads() {
-	for r.order.Len() > 0 && r.store.mayStart(r.now) {
-		load, ok := r.nextLoad()
-		if !ok {
-			return
-		}
-		r.startLoad(r.byID[load.TargetID], load.Adapter)
-	}
-	if r.order.Len() > 0 && r.store.inFlight < maxLoadsAtOnce && !r.woken {
-		r.woken = true
-		r.after(r.store.nextPermit(r.now), func() {
-			r.woken = false
-			r.startLoads()
-		})
-	}
-}
-
-func (r *run) startLoad(e *engine, id adapter.ID) {
-	if e.table.Free() == 0 {
-		victim, _ := r.victim(e)
-		r.evict(e, victim)
-	}
-	if !e.table.Reserve(id) {
-		panic("load without a free slot")
-	}
-	r.after(r.store.start(r.now), func() {
-		r.store.inFlight--
-		e.table.Add(id, r.time())
-		r.reportResidency(func(v *routerView) {
-			if e.table.Resident(id) {
-				v.AddResident(e.id, id)
-			}
-		})
-		r.pump(e)
-		r.startLoads()
-	})
-}
-
 func (r *run) evict(e *engine, id adapter.ID) {
 	if !e.table.BeginEvict(id, r.time()) {
 		panic("evicted an adapter in use")
@@ -174,7 +84,7 @@
 		r.reportLoad(r.views[j.router], e)
 	}
 	if len(done) > 0 {
-		r.startLoads()
+		r.askPermit(e)
 	}
 	r.pump(e)
 }
--- a/internal/measure/fleet/policy.go
+++ b/internal/measure/fleet/policy.go
@@ -19,8 +19,11 @@
 	LoadsInOrder bool
 	// QueueInOrder runs requests first come first served.
 	QueueInOrder bool
-	// OwnZone lets routers use only the targets of their zone.
-	OwnZone bool
+	// OwnZone lets routers use only the targets of their zone, WholeFleet all
+	// targets; otherwise a request goes to its adapter's home zone first.
+	OwnZone, WholeFleet bool
+	// SharedLoadOrder orders the loads of all engines together.
+	SharedLoadOrder bool
 }
 
 // Product is the decisions as the product makes them.
@@ -29,15 +32,17 @@
 // Baselines returns the policies that the product is compared with.
 func Baselines() []Policy {
 	return []Policy{
-		{Name: "least loaded + LRU", Route: routeLeastLoaded, Victim: victimLRU, LoadsInOrder: true, QueueInOrder: true},
-		{Name: "resident first + LRU", Route: routeResidentFirst, Victim: victimLRU, LoadsInOrder: true, QueueInOrder: true},
-		{Name: "route random", Route: routeRandom},
-		{Name: "route consistent hash", Route: routeHash},
-		{Name: "route least loaded", Route: routeLeastLoaded},
+		{Name: "least loaded + LRU", Route: routeLeastLoaded, WholeFleet: true, Victim: victimLRU, LoadsInOrder: true, QueueInOrder: true},
+		{Name: "resident first + LRU", Route: routeResidentFirst, WholeFleet: true, Victim: victimLRU, LoadsInOrder: true, QueueInOrder: true},
+		{Name: "route random", Route: routeRandom, WholeFleet: true},
+		{Name: "route consistent hash", Route: routeHash, WholeFleet: true},
+		{Name: "route least loaded", Route: routeLeastLoaded, WholeFleet: true},
 		{Name: "route own zone", OwnZone: true},
+		{Name: "route whole fleet", WholeFleet: true},
 		{Name: "evict LRU", Victim: victimLRU},
 		{Name: "evict LFU", Victim: victimLFU},
 		{Name: "loads FCFS", LoadsInOrder: true},
+		{Name: "loads shared order", SharedLoadOrder: true},
 		{Name: "queue FIFO", QueueInOrder: true},
 	}
 }
--- a/internal/measure/fleet/run.go
+++ b/internal/measure/fleet/run.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"heatherrelay/internal/adapter"
@@ -24,10 +25,9 @@
 	byID     map[string]*engine
 	views    []*routerView
 	router   adapter.Router
-	order    adapter.LoadOrder
-	inOrder  []adapter.Load
+	loads    loads
 	store    store
-	woken    bool
+	cut      bool
 	jobs     []*job
 	ids      []adapter.ID
 }
@@ -68,7 +68,7 @@
 		r.byID[e.id] = e
 	}
 	for i := range Routers {
-		r.views = append(r.views, newRouterView(i/RoutersPerZone, r.engines, p.OwnZone))
+		r.views = append(r.views, newRouterView(i/RoutersPerZone, r.engines, p.WholeFleet))
 	}
 	for i := range adapterCount {
 		r.ids = append(r.ids, adapter.ID{Name: fmt.Sprintf("adapter-%05d", i), Version: "1"})
@@ -109,6 +109,7 @@
 }
 
 func (r *run) arrive(j *job) {
+	r.forward(j)
 	view := r.views[j.router]
 	want := &adapter.Want{
 		Adapter: r.ids[j.adapter], BaseModel: baseModel, PrefixHash: j.prefix, Tokens: j.prompt + j.output,
@@ -123,6 +124,28 @@
 	r.enqueue(r.byID[id], j)
 }
 
+// forward moves a request to a router of its adapter's home zone, unless the
+// own zone holds the adapter or is cut off.
+func (r *run) forward(j *job) {
+	if r.policy.OwnZone || r.policy.WholeFleet || r.cut {
+		return
+	}
+	own := r.views[j.router]
+	id := r.ids[j.adapter]
+	if own.HasCopy(id, baseModel) {
+		return
+	}
+	var zones [Zones]adapter.ZoneInfo
+	for zone := range Zones {
+		load, slots := r.views[zone*RoutersPerZone].MeanLoad(baseModel)
+		zones[zone] = adapter.ZoneInfo{Zone: zoneNames[zone], Slots: slots, LoadTokens: load}
+	}
+	home, ok := adapter.ChooseZone(id, zones[:])
+	if zone := slices.Index(zoneNames[:], home); ok && zone != own.zone {
+		j.router = zone*RoutersPerZone + r.random.IntN(RoutersPerZone)
+	}
+}
+
 func (r *run) choose(want *adapter.Want, view *routerView) (string, bool) {
 	if r.policy.Route != nil {
 		return r.policy.Route(r.random, want, view)
@@ -153,6 +176,7 @@
 }
 
 func (r *run) setCut(cut bool) {
+	r.cut = cut
 	for _, v := range r.views {
 		for _, e := range r.engines {
 			if e.zone != v.zone {
--- a/internal/measure/fleet/view.go
+++ b/internal/measure/fleet/view.go
@@ -24,10 +24,10 @@
 	empty adapter.View
 }
 
-func newRouterView(zone int, engines []*engine, ownZone bool) *routerView {
+func newRouterView(zone int, engines []*engine, wholeFleet bool) *routerView {
 	v := &routerView{zone: zone, sent: map[string]int{}}
 	for _, e := range engines {
-		if ownZone && e.zone != zone {
+		if !wholeFleet && e.zone != zone {
 			continue
 		}
 		v.Set(e.info(true))
--- a/internal/measure/fleet/workload.go
+++ b/internal/measure/fleet/workload.go
@@ -26,6 +26,8 @@
 	prefixTokens   = 200
 )
 
+var zoneNames = [Zones]string{"silom", "bang-na", "nonthaburi"}
+
 // teamShares is each team's share of the requests; the teams' weights follow it.
 var teamShares = [...]float64{0.40, 0.25, 0.20, 0.10, 0.05}
 
