--- a/internal/team/allowances.go
+++ b/internal/team/allowances.go
@@ -60,6 +60,7 @@
 	hints    Hints
 	counters Counters
 	epoch    string
+	started  bool
 	sequence atomic.Uint64
 }
 
--- a/internal/team/keeper.go
+++ b/internal/team/keeper.go
@@ -27,13 +27,13 @@
 	Store platform.Store
 	// Now returns the present time.
 	Now func() time.Time
-	// Wait sleeps.
-	Wait func(ctx context.Context, d time.Duration) error
 	// Spend sets the claim, read from the platform at readAt, and returns the
 	// balances that do not fit any more.
-	Spend func(readAt time.Time, claim Claim) Balances
+	Spend func(readAt time.Time, claim Claim) Handed
 	// Deposit adds the balances of a grant that made the claim larger.
 	Deposit func(Grant)
+	// GiveUp sets the claim to nothing and returns all balances.
+	GiveUp func() Handed
 	// Release returns the last release that is in force here.
 	Release func() uint64
 	// Gone says that an instance can never spend again: the platform's list shows
@@ -41,7 +41,20 @@
 	Gone func(instanceID string) bool
 
 	// handed is what was cut from the balances and is not yet written.
-	handed Balances
+	handed Handed
+	// ceding is what this instance stopped spending at smallerAt.
+	ceding    Claim
+	smallerAt time.Time
+	// moving is what the last step took out of a zone's pool.
+	moving moving
+	// reclaimAt is when the other zones are looked at next.
+	reclaimAt time.Time
+}
+
+// moving is what was taken out of a zone's pool and is not in the root's yet.
+type moving struct {
+	Grant
+	zone string
 }
 
 // memberID returns the name of this process in its zone's ledger.
@@ -93,30 +106,52 @@
 	return nil
 }
 
-// Reconcile takes one step and reports whether another may follow at once. On
-// an error nothing is known of the write; the next call reads again.
-func (k *Keeper) Reconcile(ctx context.Context) (bool, error) {
+// Reconcile takes one step and returns when to take the next; zero means when a
+// ledger has changed. On an error nothing is known of the write; the next call
+// reads again.
+func (k *Keeper) Reconcile(ctx context.Context) (time.Duration, error) {
+	m := k.moving
+	k.moving = moving{}
 	readAt := k.Now()
 	root, err := k.read(ctx, rootKey)
 	if err != nil {
-		return false, err
+		return 0, err
 	}
 	if root.version == 0 {
-		return true, k.createRoot(ctx, &root)
+		return stepInterval, k.createRoot(ctx, &root)
 	}
 	zone, err := k.read(ctx, ledgerPrefix+k.Zone)
 	if err != nil {
-		return false, err
+		return 0, err
+	}
+	k.spend(readAt, zone.Find(k.memberID()))
+	changed, err := k.balanceZones(ctx, &root, &zone, k.Zone, m)
+	if changed || err != nil {
+		return stepInterval, err
+	}
+	wait, err := k.balanceInstances(ctx, &zone)
+	if wait > 0 || err != nil {
+		return wait, err
 	}
-	if m := zone.Find(k.memberID()); m != nil {
-		k.handed = k.handed.merge(k.Spend(readAt, m.Claim()))
-	} else {
+	changed, err = k.reclaimZones(ctx, &root, &zone, m)
+	if changed {
+		wait = stepInterval
+	}
+	return wait, err
+}
+
+// spend takes over what the ledger says of this instance.
+func (k *Keeper) spend(readAt time.Time, m *Member) {
+	if m == nil {
 		k.Spend(readAt, Claim{Since: math.MaxUint64})
+		k.handed = Handed{}
+		return
 	}
-	if changed, err := k.balanceZones(ctx, &root, &zone, k.Zone); changed || err != nil {
-		return changed, err
+	k.handed.Add(k.Spend(readAt, m.Claim()))
+	if ceding := (Claim{Teams: float64(m.CedeTeams), Loads: float64(m.CedeLoads)}); ceding != k.ceding {
+		k.ceding = ceding
+		k.smallerAt = k.Now()
 	}
-	return k.balanceInstances(ctx, &zone)
 }
 
 func (k *Keeper) createRoot(ctx context.Context, root *stored) error {
@@ -125,7 +160,7 @@
 }
 
 // balanceZones takes one step between the root ledger and a zone's.
-func (k *Keeper) balanceZones(ctx context.Context, root, zone *stored, name string) (bool, error) {
+func (k *Keeper) balanceZones(ctx context.Context, root, zone *stored, name string, last moving) (bool, error) {
 	m := root.Find(name)
 	if m == nil {
 		root.Join(name)
@@ -144,7 +179,10 @@
 			zone.RootVersion = root.version
 			return true, k.write(ctx, zone)
 		}
-		return true, k.cedeZone(ctx, root, m, Grant{Teams: teams, Loads: loads})
+		if last.zone != name || last.Teams != teams || last.Loads != loads {
+			last.Grant = Grant{Teams: teams, Loads: loads}
+		}
+		return true, k.cedeZone(ctx, root, m, last.Grant)
 	}
 	if m.CedeTeams > 0 || m.CedeLoads > 0 {
 		return k.collect(ctx, root, zone, m)
@@ -176,56 +214,57 @@
 func (k *Keeper) collect(ctx context.Context, root, zone *stored, m *Member) (bool, error) {
 	teams, loads := min(m.CedeTeams, zone.Free.Teams), min(m.CedeLoads, zone.Free.Loads)
 	if teams > 0 || loads > 0 {
-		zone.Withdraw(teams, loads)
+		g := zone.Withdraw(teams, loads)
 		zone.RootVersion = root.version
-		return true, k.write(ctx, zone)
+		err := k.write(ctx, zone)
+		if err == nil {
+			k.moving = moving{Grant: g, zone: m.ID}
+		}
+		return true, err
 	}
 	if zone.AskAll(m.CedeTeams, m.CedeLoads) {
 		return true, k.write(ctx, zone)
 	}
-	return k.cedeOwn(ctx, zone)
+	return false, nil
 }
 
 // balanceInstances takes one step within the zone's ledger.
-func (k *Keeper) balanceInstances(ctx context.Context, zone *stored) (bool, error) {
+func (k *Keeper) balanceInstances(ctx context.Context, zone *stored) (time.Duration, error) {
 	if k.reclaim(zone) {
-		return true, k.write(ctx, zone)
+		return stepInterval, k.write(ctx, zone)
 	}
 	if zone.Join(k.memberID()) {
 		zone.Ask(k.memberID(), true)
-		return true, k.write(ctx, zone)
+		return stepInterval, k.write(ctx, zone)
 	}
-	if changed, err := k.cedeOwn(ctx, zone); changed || err != nil {
-		return changed, err
+	m := zone.Find(k.memberID())
+	if m.CedeTeams > 0 || m.CedeLoads > 0 {
+		return k.cede(ctx, zone)
 	}
 	g, ok := zone.Take(k.memberID(), true)
 	if !ok {
 		if zone.Ask(k.memberID(), true) {
-			return true, k.write(ctx, zone)
+			return stepInterval, k.write(ctx, zone)
 		}
-		return false, nil
+		return 0, nil
 	}
 	readAt := k.Now()
 	if err := k.write(ctx, zone); err != nil {
-		return true, err
+		return stepInterval, err
 	}
 	k.Spend(readAt, zone.Find(k.memberID()).Claim())
 	k.Deposit(g)
-	return true, nil
+	return stepInterval, nil
 }
 
-// cedeOwn writes that this instance gave up what it was asked for. Its claim is
+// cede writes that this instance gave up what it was asked for. Its claim is
 // smaller already; what it lent out of the larger one is over after LentTerm.
-func (k *Keeper) cedeOwn(ctx context.Context, zone *stored) (bool, error) {
-	m := zone.Find(k.memberID())
-	if m == nil || (m.CedeTeams == 0 && m.CedeLoads == 0) {
-		return false, nil
-	}
-	if err := k.Wait(ctx, LentTerm); err != nil {
-		return false, err
+func (k *Keeper) cede(ctx context.Context, zone *stored) (time.Duration, error) {
+	if left := k.smallerAt.Add(LentTerm).Sub(k.Now()); left > 0 {
+		return left, nil
 	}
 	zone.Cede(k.memberID(), k.Release(), k.handed)
-	return true, k.writeHanded(ctx, zone)
+	return stepInterval, k.writeHanded(ctx, zone)
 }
 
 // writeHanded writes balances into a ledger. Unless the write is known to have
@@ -233,44 +272,19 @@
 func (k *Keeper) writeHanded(ctx context.Context, zone *stored) error {
 	err := k.write(ctx, zone)
 	if !platform.ErrConflict.Has(err) {
-		k.handed = nil
+		k.handed = Handed{}
 	}
 	return err
 }
 
-// reclaim takes out the members that are gone. Their balances are lost.
-func (k *Keeper) reclaim(zone *stored) bool {
-	changed := false
-	for _, m := range zone.Clone().Members {
-		if k.gone(m.ID) {
-			zone.Remove(m.ID, k.Release()+reclaimMarginReleases, nil)
-			changed = true
-		}
-	}
-	return changed
+// StartLeaving stops spending. FinishLeaving may follow after LentTerm.
+func (k *Keeper) StartLeaving() {
+	k.handed.Add(k.GiveUp())
 }
 
-// Leave hands the whole claim and its balances on. It tries again until ctx ends.
-func (k *Keeper) Leave(ctx context.Context) error {
-	k.handed = k.handed.merge(k.Spend(k.Now(), Claim{Since: math.MaxUint64}))
-	if err := k.Wait(ctx, LentTerm); err != nil {
-		return err
-	}
-	for {
-		err := k.leave(ctx)
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-		if err := k.Wait(ctx, leaveRetry); err != nil {
-			return err
-		}
-	}
-}
-
-// leaveRetry is the time between tries to hand the claim on.
-const leaveRetry = 50 * time.Millisecond
-
-func (k *Keeper) leave(ctx context.Context) error {
+// FinishLeaving hands the whole claim and its balances on. After an error it may
+// be called again.
+func (k *Keeper) FinishLeaving(ctx context.Context) error {
 	zone, err := k.read(ctx, ledgerPrefix+k.Zone)
 	if err != nil || zone.Find(k.memberID()) == nil {
 		return err
--- a/internal/team/ledger.go
+++ b/internal/team/ledger.go
@@ -26,7 +26,7 @@
 // and the pool grows only after a member spends less.
 type Ledger struct {
 	Members []Member `json:"members"`
-	Free    Pool     `json:"free"`
+	Free    Grant    `json:"free"`
 	// RootVersion is the version of the root ledger that the zone's total was
 	// last changed against. A zone's total may be raised only on a later version.
 	RootVersion uint64 `json:"root_version,omitempty"`
@@ -53,20 +53,30 @@
 	}
 }
 
-// Pool is parts that nobody spends, with the balances that were handed on.
-type Pool struct {
-	Teams    int64    `json:"teams"`
-	Loads    int64    `json:"loads"`
-	Since    uint64   `json:"since"`
+// Grant is parts that nobody spends, with the balances that were handed on: a
+// pool, or what moves between a pool and a member.
+type Grant struct {
+	Teams int64  `json:"teams"`
+	Loads int64  `json:"loads"`
+	Since uint64 `json:"since"`
+	Handed
+}
+
+// Handed is balances on their way, and the release that they were counted under.
+type Handed struct {
 	Balances Balances `json:"balances,omitempty"`
+	Release  uint64   `json:"release,omitempty"`
 }
 
-// Grant is parts on their way between a member and the pool.
-type Grant struct {
-	Teams    int64
-	Loads    int64
-	Since    uint64
-	Balances Balances
+// Add puts more balances in. Of two releases the later one's stay.
+func (h *Handed) Add(other Handed) {
+	if len(other.Balances) == 0 || other.Release < h.Release {
+		return
+	}
+	if other.Release > h.Release {
+		*h = Handed{Release: other.Release}
+	}
+	h.Balances = h.Balances.merge(other.Balances)
 }
 
 // ParseLedger reads a ledger's stored form.
@@ -137,14 +147,12 @@
 	l.Free.Since = max(l.Free.Since, g.Since)
 	l.Free.Teams += g.Teams
 	l.Free.Loads += g.Loads
-	for name, tokens := range g.Balances {
-		l.Free.Balances = l.Free.Balances.add(name, tokens)
-	}
+	l.Free.Add(g.Handed)
 }
 
 // Withdraw takes parts out of the pool, with their share of its balances.
 func (l *Ledger) Withdraw(teams, loads int64) Grant {
-	g := Grant{Teams: teams, Loads: loads, Since: l.Free.Since}
+	g := Grant{Teams: teams, Loads: loads, Since: l.Free.Since, Handed: Handed{Release: l.Free.Release}}
 	for name, tokens := range l.Free.Balances {
 		part := float64(teams) / float64(max(1, l.Free.Teams))
 		if name == LoadRate {
@@ -263,25 +271,25 @@
 
 // Cede moves what a member was asked for to the pool, with the balances that it
 // hands on. The member must have stopped spending it.
-func (l *Ledger) Cede(id string, release uint64, balances Balances) {
+func (l *Ledger) Cede(id string, release uint64, handed Handed) {
 	m := l.Find(id)
 	if m == nil {
 		return
 	}
-	l.Deposit(Grant{Teams: m.CedeTeams, Loads: m.CedeLoads, Since: max(m.Since, release), Balances: balances})
+	l.Deposit(Grant{Teams: m.CedeTeams, Loads: m.CedeLoads, Since: max(m.Since, release), Handed: handed})
 	m.Teams -= m.CedeTeams
 	m.Loads -= m.CedeLoads
 	m.CedeTeams, m.CedeLoads = 0, 0
 }
 
 // Remove takes a member out and puts its parts into the pool.
-func (l *Ledger) Remove(id string, release uint64, balances Balances) {
+func (l *Ledger) Remove(id string, release uint64, handed Handed) {
 	m := l.Find(id)
 	if m == nil {
 		return
 	}
 	if m.Teams > 0 || m.Loads > 0 {
-		l.Deposit(Grant{Teams: m.Teams, Loads: m.Loads, Since: max(m.Since, release), Balances: balances})
+		l.Deposit(Grant{Teams: m.Teams, Loads: m.Loads, Since: max(m.Since, release), Handed: handed})
 	}
 	l.Members = slices.DeleteFunc(l.Members, func(m Member) bool { return m.ID == id })
 }
--- a/internal/team/run.go
+++ b/internal/team/run.go
@@ -27,16 +27,14 @@
 	if a.Log == nil {
 		a.Log = zap.NewNop()
 	}
-	alone := a.Store.Get == nil
-	if alone {
-		a.share.Resize(a.now(), a.now(), Claim{Teams: 1, Loads: 1})
-	}
+	a.share.Tick(a.now())
 	a.updateRates(a.now())
+	a.ownAll(a.now())
 	a.mu.Unlock()
 	changed := make(chan struct{}, 1)
 	var duties conc.WaitGroup
 	duties.Go(func() { a.tick(ctx, changed) })
-	if !alone {
+	if !a.alone() {
 		duties.Go(func() { a.keep(ctx, changed) })
 		duties.Go(func() { a.watch(ctx, changed) })
 	}
@@ -44,6 +42,24 @@
 	return nil
 }
 
+// alone says that there is no platform to share through.
+func (a *Allowances) alone() bool { return a.Store.Get == nil }
+
+// ownAll claims everything for an instance that is alone. After a pause it
+// starts empty.
+func (a *Allowances) ownAll(now time.Time) {
+	if !a.alone() || a.share.Claim().Teams > 0 {
+		return
+	}
+	first := !a.started
+	a.started = true
+	readAt := now.Add(1)
+	a.share.Resize(readAt, readAt, Claim{Teams: 1, Loads: 1, Since: a.share.Number()})
+	if first {
+		a.share.Deposit(readAt, Grant{Teams: TotalParts, Loads: TotalParts})
+	}
+}
+
 // signal wakes the keeper; a full channel means that it will wake anyway.
 func signal(changed chan<- struct{}) {
 	select {
@@ -68,6 +84,7 @@
 			a.counters.ClaimInterruption++
 		}
 		a.updateRates(a.now())
+		a.ownAll(a.now())
 		a.mu.Unlock()
 		if !running {
 			signal(changed)
@@ -79,31 +96,45 @@
 	k := a.keeper()
 	retry := minRetry
 	for ctx.Err() == nil {
-		again, err := k.Reconcile(ctx)
-		wait := reconcileInterval
-		switch {
-		case err != nil:
+		wait, err := k.Reconcile(ctx)
+		if err != nil {
 			a.Log.Debug("allowance ledger not reconciled", zap.Error(err))
 			wait = retry
 			retry = min(2*retry, maxRetry)
-		case again:
-			wait = stepInterval
+		} else {
 			retry = minRetry
 		}
-		a.pause(ctx, wait, err == nil, changed)
+		if wait == 0 {
+			a.pause(ctx, reconcileInterval, changed)
+		} else {
+			a.pause(ctx, wait, nil)
+		}
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
 	defer cancel()
-	if err := k.Leave(ctx); err != nil {
+	if err := leave(ctx, k); err != nil {
 		a.Log.Warn("allowances not handed on", zap.Error(err))
 	}
 }
 
-// pause waits for a time, or until the ledgers changed when early is set.
-func (a *Allowances) pause(ctx context.Context, wait time.Duration, early bool, changed <-chan struct{}) {
-	if !early {
-		changed = nil
+// leave hands the claim on and tries again until ctx ends.
+func leave(ctx context.Context, k *Keeper) error {
+	k.StartLeaving()
+	wait := LentTerm
+	for {
+		if err := sleep(ctx, wait); err != nil {
+			return err
+		}
+		err := k.FinishLeaving(ctx)
+		if err == nil {
+			return nil
+		}
+		wait = stepInterval
 	}
+}
+
+// pause waits for a time or until the ledgers have changed.
+func (a *Allowances) pause(ctx context.Context, wait time.Duration, changed <-chan struct{}) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
@@ -120,9 +151,8 @@
 		Epoch:      a.epoch,
 		Store:      a.Store,
 		Now:        a.now,
-		Wait:       sleep,
 		Gone:       a.gone,
-		Spend: func(readAt time.Time, claim Claim) Balances {
+		Spend: func(readAt time.Time, claim Claim) Handed {
 			a.mu.Lock()
 			defer a.mu.Unlock()
 			return a.share.Resize(a.now(), readAt, claim)
@@ -132,10 +162,15 @@
 			defer a.mu.Unlock()
 			a.share.Deposit(a.now(), g)
 		},
+		GiveUp: func() Handed {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return a.share.Release(a.now())
+		},
 		Release: func() uint64 {
 			a.mu.Lock()
 			defer a.mu.Unlock()
-			return a.share.Release()
+			return a.share.Number()
 		},
 	}
 }
--- a/internal/team/share.go
+++ b/internal/team/share.go
@@ -43,11 +43,15 @@
 	claim   Claim
 	release uint64
 	ticked  time.Time
-	rates   map[string]Rate
-	buckets map[string]*Bucket
-	permits permits
-	given   answers
-	pending map[string]ask
+	// interrupted is when the last pause was noticed; stale says that the claim
+	// was not read again since.
+	interrupted time.Time
+	stale       bool
+	rates       map[string]Rate
+	buckets     map[string]*Bucket
+	permits     permits
+	given       answers
+	pending     map[string]ask
 }
 
 func (s *Share) bucket(name string) *Bucket { return s.buckets[name] }
@@ -55,8 +59,8 @@
 // Claim returns what the instance owns now.
 func (s *Share) Claim() Claim { return s.claim }
 
-// Release returns the release whose rates are in use.
-func (s *Share) Release() uint64 { return s.release }
+// Number returns the number of the release whose rates are in use.
+func (s *Share) Number() uint64 { return s.release }
 
 // SetRates takes the rates of a release. An earlier release is ignored.
 func (s *Share) SetRates(now time.Time, release uint64, rates []Rate) {
@@ -109,10 +113,25 @@
 
 // Resize changes the claim, as read from the platform at readAt, and returns
 // the balances that no longer fit, for whoever takes the rest of the claim. A
-// larger claim brings no balance of its own.
-func (s *Share) Resize(now, readAt time.Time, claim Claim) Balances {
+// larger claim brings no balance of its own. A claim that was read before a
+// pause ended is ignored.
+func (s *Share) Resize(now, readAt time.Time, claim Claim) Handed {
+	s.Tick(now)
+	if !readAt.After(s.interrupted) {
+		return Handed{}
+	}
+	s.stale = false
+	return s.setClaim(now, claim)
+}
+
+// Release gives the claim up and returns all balances.
+func (s *Share) Release(now time.Time) Handed {
+	s.checkClaim(now)
+	return s.setClaim(now, Claim{Since: math.MaxUint64})
+}
+
+func (s *Share) setClaim(now time.Time, claim Claim) Handed {
 	s.claim = claim
-	s.ticked = readAt
 	var over Balances
 	for name, b := range s.buckets {
 		b.Advance(now)
@@ -123,49 +142,45 @@
 		}
 	}
 	s.resizePermits()
-	return over
+	return Handed{Balances: over, Release: s.release}
 }
 
-// Deposit adds the balances of a grant, as far as they fit. Parts that nobody
-// ever held start full.
+// Deposit adds the balances of a grant, as far as they fit the granted parts.
+// Balances of another release are dropped, since its bursts may differ. Parts
+// that nobody ever held start full.
 func (s *Share) Deposit(now time.Time, g Grant) {
-	for name, tokens := range g.Balances {
-		if b := s.bucket(name); b != nil && tokens > 0 {
-			b.Settle(now, tokens, 0)
-		}
-	}
-	if g.Since > 0 {
-		return
-	}
 	for name, b := range s.buckets {
 		parts := g.Teams
 		if name == LoadRate {
 			parts = g.Loads
 		}
-		b.Settle(now, float64(parts)/TotalParts*s.rates[name].BurstTokens, 0)
+		limit := float64(parts) / TotalParts * s.rates[name].BurstTokens
+		switch {
+		case g.Since == 0:
+			b.Settle(now, limit, 0)
+		case g.Release == s.release:
+			b.Settle(now, min(g.Balances[name], limit), 0)
+		}
 	}
 }
 
-// Tick says that the instance runs. It reports false when the instance was
-// paused for so long that its claim must be read again; until then the claim
-// is nothing.
+// Tick says that the instance runs. It reports false until the claim has been
+// read again after a start or a pause; until then the claim is nothing.
 func (s *Share) Tick(now time.Time) bool {
-	if !s.checkClaim(now) {
-		return false
-	}
-	s.ticked = now
-	return true
+	s.checkClaim(now)
+	s.ticked = later(s.ticked, now)
+	return !s.stale
 }
 
 // checkClaim drops the claim and all balances after a pause.
-func (s *Share) checkClaim(now time.Time) bool {
+func (s *Share) checkClaim(now time.Time) {
 	if now.Sub(s.ticked) <= PauseLimit {
-		return s.claim.Teams > 0 || s.claim.Loads > 0
-	}
-	if s.claim != (Claim{Since: s.claim.Since}) {
-		s.Resize(now, s.ticked, Claim{Since: s.claim.Since})
+		return
 	}
-	return false
+	s.stale = true
+	s.interrupted = now
+	s.ticked = now
+	s.setClaim(now, Claim{Since: math.MaxUint64})
 }
 
 // Reserve takes tokens of an allowance.
