Count outcomes over windows and report service-level burn

Cause: people on call must see which promise is used up fastest, for which team and why, without a metrics service of their own. Change: internal/burn holds an instance's metrics (bounded labels, never adapter or key), counts of good and bad events in rings over 5 m, 1 h, 6 h and 3 d, an endpoint of its own for metrics and health, and the report over all instances. 'heatherrelay report burn' finds the instances by their leases, names those that cannot be read, and prints a table, JSON or one HTML page with a plot. Entry tells how each request ended, owners tell which waited for a load. The lease carries the address of the metrics. The dispatch client dials through internal/connection, so that a silent connection is given up. Conclusion: tests compare burn rates over two instances with figures worked out by hand; not yet run against a fleet of processes.

--- a/cmd/heatherrelay/root.go
+++ b/cmd/heatherrelay/root.go
@@ -46,6 +46,7 @@
 		serveCommand(),
 		versionCommand(),
 		configCommand(),
+		reportCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/burn/burn_test.go
@@ -0,0 +1,213 @@
+package burn_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"heatherrelay/internal/burn"
+	"heatherrelay/internal/refusal"
+	"heatherrelay/pkg/release"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var goals = burn.Goals{
+	release.Interactive: {
+		FirstTokenLimit: 420 * time.Millisecond,
+		Shares: map[burn.Objective]float64{
+			burn.FirstToken: 0.95, burn.Answered: 0.99, burn.Unstalled: 0.9, burn.RightlyRefused: 0.999,
+		},
+	},
+}
+
+// instance returns metrics on a clock that the test moves.
+func instance(now *time.Time) *burn.Metrics {
+	m := &burn.Metrics{
+		Goals: goals,
+		Now:   func() time.Time { return *now },
+		Gauges: burn.Gauges{
+			Teams: func() []release.Team { return []release.Team{{Name: "regie", TokensPerSecond: 10, BurstTokens: 100}} },
+		},
+	}
+	m.Register()
+	return m
+}
+
+func answered(firstToken time.Duration) burn.Result {
+	return burn.Result{
+		Team: "regie", Kind: release.ModelRoute, Class: release.Interactive, Tokens: 100,
+		FirstToken: firstToken, Took: time.Second,
+	}
+}
+
+func refused(code refusal.Code) burn.Result {
+	r := answered(0)
+	r.Code = code
+	return r
+}
+
+// serve serves an instance's metrics and returns where.
+func serve(t *testing.T, m *burn.Metrics, name string) burn.Source {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	e := &burn.Endpoint{Listener: listener, Registry: m.Registry(), Ready: func() error { return nil }}
+	go func() { _ = e.Run(ctx) }()
+	return burn.Source{Instance: name, Zone: "lesneven", Address: netip.MustParseAddrPort(listener.Addr().String())}
+}
+
+func TestCountsLeaveTheirWindows(t *testing.T) {
+	c := burn.Counts{Started: start}
+	s := burn.Series{Team: "regie", Objective: burn.Answered, Good: true}
+	for i := range 120 {
+		c.Add(start.Add(time.Duration(i)*time.Minute), s, 1)
+	}
+	got := map[string]uint64{}
+	end := start.Add(2 * time.Hour)
+	c.Each(end, func(_ burn.Series, w burn.Window, n uint64) { got[w.Name] = n })
+	if got["5m"] != 4 || got["1h"] < 57 || got["1h"] > 60 || got["6h"] != 120 || got["3d"] != 120 {
+		t.Errorf("counts = %v", got)
+	}
+	if covered := c.Covered(end, burn.Windows[2]); covered != 2*time.Hour {
+		t.Errorf("covered = %v", covered)
+	}
+}
+
+func TestReportOverInstances(t *testing.T) {
+	now := start
+	first, second := instance(&now), instance(&now)
+	for range 90 {
+		first.Ended(answered(100 * time.Millisecond))
+		second.Ended(answered(100 * time.Millisecond))
+	}
+	for range 20 {
+		second.Ended(answered(time.Second))
+	}
+	for range 2 {
+		first.Ended(refused(refusal.CodeNoTarget))
+		first.Ended(refused(refusal.CodeInvalidRequest))
+	}
+	first.Started("regie", release.Interactive, time.Second, true)
+	first.Started("regie", release.Interactive, 0, false)
+	now = now.Add(time.Minute)
+	gone := burn.Source{Instance: "gone", Zone: "landerneau", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	collector := burn.Collector{Timeout: 10 * time.Second}
+	samples := collector.Collect(context.Background(), []burn.Source{serve(t, first, "a"), gone, serve(t, second, "b")})
+	r := burn.NewReport(now, samples)
+	if r.Instances[1].Error == "" || r.Instances[0].Error != "" || r.Instances[2].Error != "" {
+		t.Errorf("instances = %+v", r.Instances)
+	}
+	want := map[burn.Objective]float64{burn.FirstToken: 2, burn.Answered: 2.0 / 202 / 0.01, burn.Unstalled: 5}
+	for _, row := range r.Rows {
+		rate, ok := want[row.Objective]
+		if ok && fmt.Sprintf("%.6f", row.Windows[1].BurnRate) != fmt.Sprintf("%.6f", rate) {
+			t.Errorf("%s burns %v, want %v", row.Objective, row.Windows[1].BurnRate, rate)
+		}
+	}
+	if row := r.Rows[r.Fastest]; row.Objective != burn.Unstalled || row.Reasons[0].Code != "waited_for_load" || math.Abs(row.BudgetLeft-(1-5*60/(72*3600.0))) > 1e-9 {
+		t.Errorf("fastest = %+v", row)
+	}
+	writeAll(t, r)
+}
+
+// writeAll writes the report in all its forms; the page goes to BURN_PAGE if set.
+func writeAll(t *testing.T, r burn.Report) {
+	t.Helper()
+	var table, page bytes.Buffer
+	if err := burn.WriteTable(&table, r); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"2 of 3 instances read", "not read: gone (landerneau, 127.0.0.1:1)", "burns fastest: regie interactive unstalled"} {
+		if !strings.Contains(table.String(), want) {
+			t.Errorf("table lacks %q:\n%s", want, table.String())
+		}
+	}
+	if err := burn.WriteHTML(&page, r); err != nil {
+		t.Fatal(err)
+	}
+	if text := page.String(); !strings.Contains(text, "<svg") || strings.Contains(text, "http://www.w3.org/1999/xlink\" href") ||
+		strings.Contains(text, "src=") {
+		t.Error("the page has no plot, or loads something")
+	}
+	if _, err := json.Marshal(r); err != nil {
+		t.Error(err)
+	}
+	if name := os.Getenv("BURN_PAGE"); name != "" {
+		if err := os.WriteFile(name, page.Bytes(), 0o600); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func TestWrongfulRefusalsAreBoundedByWhatWasLeft(t *testing.T) {
+	cases := []struct {
+		granted, refused int
+		wrongful         float64
+	}{
+		// In a minute the team may use 10*60 + 100 tokens; each request asks for 100.
+		{granted: 7, refused: 4, wrongful: 0},
+		{granted: 5, refused: 4, wrongful: 2},
+		{granted: 0, refused: 4, wrongful: 4},
+	}
+	for _, c := range cases {
+		now := start
+		m := instance(&now)
+		for range c.granted {
+			m.Ended(answered(time.Millisecond))
+		}
+		for range c.refused {
+			m.Ended(refused(refusal.CodeRateLimited))
+		}
+		now = now.Add(time.Minute)
+		collector := burn.Collector{Timeout: 10 * time.Second}
+		r := burn.NewReport(now, collector.Collect(context.Background(), []burn.Source{serve(t, m, "a")}))
+		for _, row := range r.Rows {
+			if row.Objective != burn.RightlyRefused {
+				continue
+			}
+			if row.Windows[0].Bad != c.wrongful || !row.Windows[3].Unknown {
+				t.Errorf("%+v: windows %+v", c, row.Windows)
+			}
+		}
+	}
+}
+
+func TestMetricsPassTheLinter(t *testing.T) {
+	now := start
+	m := instance(&now)
+	m.Ended(answered(time.Millisecond))
+	m.Started("regie", release.Interactive, time.Second, true)
+	m.Loaded(time.Second, nil)
+	problems, err := testutil.GatherAndLint(m.Registry())
+	if err != nil || len(problems) > 0 {
+		t.Errorf("problems %v, error %v", problems, err)
+	}
+}
+
+func TestTeamsBeyondTheBoundShareALabel(t *testing.T) {
+	now := start
+	m := instance(&now)
+	for i := range 2000 {
+		r := answered(time.Millisecond)
+		r.Team = fmt.Sprint("team", i)
+		m.Ended(r)
+	}
+	if n := testutil.CollectAndCount(m.Registry(), "heatherrelay_requests_total"); n != 501 {
+		t.Errorf("%d series of requests, want 501", n)
+	}
+}
--- /dev/null
+++ b/internal/burn/endpoint.go
@@ -0,0 +1,44 @@
+package burn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const endpointTimeout = 10 * time.Second
+
+// Endpoint serves an instance's metrics and health on a listener of its own,
+// apart from callers. Set the exported fields before Run.
+type Endpoint struct {
+	Listener net.Listener
+	Registry *prometheus.Registry
+	// Ready fails while the instance should get no new callers.
+	Ready func() error
+}
+
+// Run serves until ctx ends.
+func (e *Endpoint) Run(ctx context.Context) error {
+	app := fiber.New(fiber.Config{ReadTimeout: endpointTimeout, WriteTimeout: endpointTimeout})
+	app.Get("/livez", func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	app.Get("/readyz", e.ready)
+	app.Get(metricsPath, adaptor.HTTPHandler(promhttp.HandlerFor(e.Registry, promhttp.HandlerOpts{})))
+	return app.Listener(e.Listener, fiber.ListenConfig{
+		DisableStartupMessage: true,
+		GracefulContext:       ctx,
+		ShutdownTimeout:       time.Second,
+	})
+}
+
+func (e *Endpoint) ready(c fiber.Ctx) error {
+	if err := e.Ready(); err != nil {
+		return c.Status(http.StatusServiceUnavailable).SendString(err.Error() + "\n")
+	}
+	return c.SendString("ok\n")
+}
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -11,11 +11,13 @@
 
 	"github.com/valyala/fasthttp"
 
+	"heatherrelay/internal/connection"
 	"heatherrelay/internal/platform"
 )
 
 const (
 	dialTimeout         = 2 * time.Second
+	ackTimeout          = 5 * time.Second
 	idleConnection      = 15 * time.Second
 	connectionsPerHost  = 4096
 	maxReplyBytes       = 64 << 20
@@ -71,17 +73,16 @@
 		MaxResponseBodySize:      maxReplyBytes,
 		NoDefaultUserAgentHeader: true,
 		DisablePathNormalizing:   true,
-		DialTimeout:              dial,
+		Dial:                     dial,
 	}
 }
 
 func neverRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
 
-func dial(address string, timeout time.Duration) (net.Conn, error) {
-	if timeout <= 0 || timeout > dialTimeout {
-		timeout = dialTimeout
-	}
-	conn, err := net.DialTimeout("tcp", address, timeout)
+var dialer = connection.Dialer{ConnectTimeout: dialTimeout, AckTimeout: ackTimeout}
+
+func dial(address string) (net.Conn, error) {
+	conn, err := dialer.Dial(address)
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err)
 	}
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -60,7 +60,11 @@
 // whole answers a caller that did not ask for a stream.
 func (s *Server) whole(c fiber.Ctx, r *caller, x execution) error {
 	a := assembly{request: x.request}
-	if err := x.run(a.add); err != nil {
+	add := func(chunk target.Chunk) error {
+		r.emitted()
+		return a.add(chunk)
+	}
+	if err := x.run(add); err != nil {
 		return err
 	}
 	body, err := a.body(r.started)
--- a/internal/entry/caller.go
+++ b/internal/entry/caller.go
@@ -29,9 +29,15 @@
 	team string
 	// token is the caller's secret, kept only to see that it goes nowhere.
 	token string
-	done  func()
-	// kept says that a stream goes on after the handler and will call done.
+	// kind and class are those of the route, once it is known.
+	kind  release.RouteKind
+	class release.Class
+	// tokens is what the request asked of its team's allowance.
+	tokens     float64
+	firstToken time.Duration
+	// kept says that a stream goes on after the handler and will end the request.
 	kept bool
+	end  func(err error)
 }
 
 // newCaller names the request and bounds how long its answer may be written.
@@ -49,10 +55,17 @@
 	}
 }
 
-// finish ends the count of a request unless a stream keeps it.
-func (r *caller) finish() {
+// finish ends a request unless a stream goes on with it.
+func (r *caller) finish(err error) {
 	if !r.kept {
-		r.done()
+		r.end(err)
+	}
+}
+
+// emitted notes the time of the first token.
+func (r *caller) emitted() {
+	if r.firstToken == 0 {
+		r.firstToken = time.Since(r.started)
 	}
 }
 
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -35,6 +35,7 @@
 		return s.checkedFirst(c, r, state, err)
 	}
 	route := state.ModelRoute(call.adapter.Name)
+	r.kind, r.class, r.tokens = release.ModelRoute, route.Class, float64(call.prompt+call.maxTokens)
 	if err := s.identify(c, r, state, route.Open); err != nil {
 		return err
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -66,6 +66,8 @@
 	Call func(ctx context.Context, c dispatch.Call) (dispatch.Reply, error)
 	// Ready fails while this instance should get no new callers.
 	Ready func() error
+	// Observe is told how each request ended; may be nil.
+	Observe func(Outcome)
 
 	// Listener is used when set, else Listen.
 	Listener net.Listener
@@ -187,8 +189,7 @@
 			s.inFlight.Add(-1)
 			return r.refuse(c, refusal.NotRun(refusal.CodeOverloaded, "this instance serves as many requests as it may").After(time.Second))
 		}
-		r.done = func() { s.inFlight.Add(-1) }
-		defer r.finish()
+		r.end = func(err error) { s.ended(r, err) }
 		if s.draining.Load() {
 			c.RequestCtx().SetConnectionClose()
 		}
@@ -196,21 +197,10 @@
 		if panicked := panics.Try(func() { err = next(c, r) }); panicked != nil {
 			err = refusal.MayHaveRun(refusal.CodeInternal, "internal error").Because(panicked.AsError())
 		}
+		r.finish(err)
 		if err != nil {
-			refused := refusal.From(err)
-			s.logRefusal(r, refused)
-			return r.refuse(c, refused)
+			return r.refuse(c, refusal.From(err))
 		}
 		return nil
 	}
 }
-
-func (s *Server) logRefusal(r *caller, e *refusal.Error) {
-	s.Log.Info("request refused",
-		zap.String("request_id", r.requestID),
-		zap.String("team", r.team),
-		zap.String("code", string(e.Code)),
-		zap.String("message", e.Message),
-		zap.Bool("not_run", e.NotRun),
-		zap.NamedError("cause", e.Cause))
-}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -35,6 +35,7 @@
 	if !ok {
 		return refusal.NotRun(refusal.CodeUnknownRoute, "no route for this service, method and path")
 	}
+	r.kind, r.class, r.tokens = release.ServiceRoute, route.Class, route.TokensPerCall
 	if err := mayCall(route, r.team); err != nil {
 		return err
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -46,16 +46,15 @@
 		}
 		return refusal.MayHaveRun(refusal.CodeBrokenStream, "the answer is empty")
 	}
+	r.emitted()
 	c.Set(fiber.HeaderContentType, "text/event-stream")
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	r.kept = true
 	return c.SendStreamWriter(func(w *bufio.Writer) {
-		defer r.done()
-		defer tasks.Wait()
-		defer close(l.gone)
-		if err := l.write(w, r.requestID, first); err != nil {
-			s.logRefusal(r, refusal.From(err))
-		}
+		err := l.write(w, r.requestID, first)
+		close(l.gone)
+		tasks.Wait()
+		r.end(err)
 	})
 }
 
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -23,11 +23,9 @@
 )
 
 const (
-	notReadyRetry    = 2 * time.Second
-	staleKeysRetry   = 5 * time.Second
-	permitPollPause  = 50 * time.Millisecond
-	intentRetention  = 7 * 24 * time.Hour
-	intentSweepEvery = time.Minute
+	notReadyRetry   = 2 * time.Second
+	staleKeysRetry  = 5 * time.Second
+	permitPollPause = 50 * time.Millisecond
 )
 
 // assemble sets the fields of all slices; nothing runs yet.
@@ -70,10 +68,11 @@
 		Store:        store,
 		Forward:      i.forwardCall,
 		StoreTimeout: i.Settings.Platform.RequestTimeout.Duration,
-		Retention:    intentRetention,
-		SweepEvery:   intentSweepEvery,
+		Retention:    i.Settings.Dispatch.Retention.Duration,
+		SweepEvery:   i.Settings.Dispatch.SweepEvery.Duration,
 	}
 	i.assemblePeerServer()
+	i.assembleMetrics()
 	return i.assembleEntry()
 }
 
@@ -151,6 +150,7 @@
 		ReportEvery:    i.Settings.Targets.ReportEvery.Duration,
 		LongestRequest: i.Settings.Limits.RequestTimeout.Duration,
 		ReportLag:      reportLag,
+		Observe:        i.targetObserver(),
 		Log:            i.Log,
 	}
 	if g.Previous != "" && g.Previous != i.Settings.Instance {
@@ -197,6 +197,7 @@
 		Execute:       i.router.Execute,
 		Call:          i.sender.Send,
 		Ready:         i.readiness,
+		Observe:       i.observe,
 		Listener:      i.listeners.callers,
 		TLS:           config,
 		Limits: entry.Limits{
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"heatherrelay/internal/burn"
 	"heatherrelay/internal/certificate"
 	"heatherrelay/internal/dispatch"
 	"heatherrelay/internal/entry"
@@ -60,17 +61,20 @@
 	entry      *entry.Server
 	peerServer *PeerServer
 	peerFiles  *certificate.Files
+	metrics    *burn.Metrics
 }
 
 // Addresses are the addresses that an instance listens on.
 type Addresses struct {
 	Callers netip.AddrPort `json:"callers"`
 	Peers   netip.AddrPort `json:"peers"`
+	Metrics netip.AddrPort `json:"metrics"`
 }
 
 type listeners struct {
 	callers net.Listener
 	peers   net.Listener
+	metrics net.Listener
 }
 
 // Run serves until ctx ends, then shuts down gracefully: it leaves the
@@ -108,11 +112,18 @@
 	if i.listeners.peers, err = listenOn(i.Settings.Listen.Peers); err != nil {
 		return err
 	}
+	if i.listeners.metrics, err = listenOn(i.Settings.Listen.Metrics); err != nil {
+		return err
+	}
 	i.addresses.Callers = boundAddress(i.listeners.callers)
 	i.addresses.Peers = boundAddress(i.listeners.peers)
+	i.addresses.Metrics = boundAddress(i.listeners.metrics)
 	if i.Settings.Advertise.Peers.Port() == 0 {
 		i.Settings.Advertise.Peers = i.addresses.Peers
 	}
+	if i.Settings.Advertise.Metrics.Port() == 0 {
+		i.Settings.Advertise.Metrics = netip.AddrPortFrom(i.Settings.Advertise.Peers.Addr(), i.addresses.Metrics.Port())
+	}
 	return nil
 }
 
@@ -142,6 +153,7 @@
 	tasks.Go(func() { i.report("allowances", i.allowances.Run(ctx)) })
 	tasks.Go(func() { i.report("intents", i.sender.Run(ctx)) })
 	tasks.Go(func() { i.report("peers", i.servePeers(ctx)) })
+	tasks.Go(func() { i.report("metrics", i.metricsEndpoint().Run(ctx)) })
 }
 
 // report logs why a duty ended, if it failed.
@@ -193,6 +205,7 @@
 		ID:                    i.Settings.Instance,
 		Zone:                  i.Settings.Zone,
 		Peer:                  i.Settings.Advertise.Peers,
+		Metrics:               i.Settings.Advertise.Metrics,
 		Incarnation:           i.incarnation,
 		StartedAt:             i.startedAt,
 		Renewals:              renewals,
--- /dev/null
+++ b/internal/instance/metrics.go
@@ -0,0 +1,73 @@
+package instance
+
+import (
+	"time"
+
+	"heatherrelay/internal/burn"
+	"heatherrelay/internal/entry"
+	"heatherrelay/internal/settings"
+	"heatherrelay/internal/target"
+	"heatherrelay/pkg/release"
+)
+
+// assembleMetrics creates the metrics that the other slices report to.
+func (i *Instance) assembleMetrics() {
+	i.metrics = &burn.Metrics{
+		Goals: goals(i.Settings.Objectives),
+		Gauges: burn.Gauges{
+			ReleaseInForce:   func() uint64 { return i.follower.State().Number },
+			KeysConfirmedAge: func() time.Duration { return time.Since(i.follower.ConfirmedAt()) },
+			OwnedTargets:     func() int { return len(i.ownership.States()) },
+			DroppedOutcomes:  i.sender.DroppedChores,
+			Teams:            func() []release.Team { return i.follower.State().Teams() },
+		},
+	}
+	i.metrics.Register()
+}
+
+func goals(o settings.Objectives) burn.Goals {
+	return burn.Goals{
+		release.Interactive: goal(o.Interactive),
+		release.Patient:     goal(o.Patient),
+	}
+}
+
+func goal(o settings.Objective) burn.Goal {
+	return burn.Goal{
+		FirstTokenLimit: o.FirstTokenLimit.Duration,
+		Shares: map[burn.Objective]float64{
+			burn.FirstToken:     o.FirstTokenShare,
+			burn.Answered:       o.AnsweredShare,
+			burn.Unstalled:      o.UnstalledShare,
+			burn.RightlyRefused: o.RightlyRefusedShare,
+		},
+	}
+}
+
+// observe counts a caller's request that ended.
+func (i *Instance) observe(o entry.Outcome) {
+	i.metrics.Ended(burn.Result{
+		Team:       o.Team,
+		Kind:       o.Kind,
+		Class:      o.Class,
+		Code:       o.Code,
+		Tokens:     o.Tokens,
+		FirstToken: o.FirstToken,
+		Took:       o.Took,
+	})
+}
+
+// targetObserver counts what an owned target does.
+func (i *Instance) targetObserver() target.Observer {
+	return target.Observer{
+		Loaded: func(took time.Duration, err error) { i.metrics.Loaded(took, err) },
+		Started: func(r *target.Request, waited time.Duration, stalled bool) {
+			i.metrics.Started(r.Team, r.Class, waited, stalled)
+		},
+	}
+}
+
+// metricsEndpoint serves metrics and health apart from callers.
+func (i *Instance) metricsEndpoint() *burn.Endpoint {
+	return &burn.Endpoint{Listener: i.listeners.metrics, Registry: i.metrics.Registry(), Ready: i.readiness}
+}
--- a/internal/platform/instance_lease.go
+++ b/internal/platform/instance_lease.go
@@ -17,6 +17,8 @@
 	ID   string         `json:"id"`
 	Zone string         `json:"zone"`
 	Peer netip.AddrPort `json:"peer"`
+	// Metrics is where the instance serves its metrics.
+	Metrics netip.AddrPort `json:"metrics"`
 	// Incarnation is unique to one run of the process.
 	Incarnation string    `json:"incarnation"`
 	StartedAt   time.Time `json:"started_at"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,7 +43,8 @@
 
 // Advertise holds the addresses that other instances are told.
 type Advertise struct {
-	Peers netip.AddrPort `toml:"peers" comment:"Address at which other instances reach this one; listen.peers if not set."`
+	Peers   netip.AddrPort `toml:"peers" comment:"Address at which other instances reach this one; listen.peers if not set."`
+	Metrics netip.AddrPort `toml:"metrics" comment:"Address at which reports read this instance's metrics; the IP of advertise.peers with the port of listen.metrics if not set."`
 }
 
 // Platform says where the object API is and how long to wait for it.
