--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -34,6 +34,7 @@
 		engineCommand(),
 		serviceCommand(),
 		loadCommand(),
+		demoCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/fleet/failure_test.go
@@ -0,0 +1,258 @@
+package fleet_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"heatherrelay/internal/key"
+	"heatherrelay/internal/settings"
+	"heatherrelay/internal/standin"
+	"heatherrelay/pkg/release"
+)
+
+// A longer or another run of the failure test is one command; see docs/TESTING.md.
+var (
+	faultPairs = flag.Int("fleet.pairs", 7, "pairs of faults that the failure test injects")
+	faultSeed  = flag.Uint64("fleet.seed", 1, "seed of the failure test")
+)
+
+// The shape of the failure test.
+const (
+	callers          = 8
+	limitedCallers   = 6
+	teamLimited      = "limited"
+	limitedRate      = 100.0
+	limitedBurst     = 300.0
+	adaptersPerTeam  = 8
+	longestAnswer    = 60
+	limitedAnswer    = 20
+	shortestFault    = time.Second
+	longestFault     = 2 * time.Second
+	pauseAfterFault  = 500 * time.Millisecond
+	leaseTerm        = 3 * time.Second
+	leaseRenewal     = 800 * time.Millisecond
+	leaseMargin      = 500 * time.Millisecond
+	silenceLimit     = 2 * time.Second
+	engineSlots      = "4"
+	engineStep       = "2ms"
+	lostAnswers      = 5
+	droppedAnswers   = 3
+	slowPlatformMS   = 150
+	slowServiceMS    = 300
+	instancesPerZone = 3
+	enginesPerZone   = 2
+)
+
+// TestFailures runs nine instances in three zones under load, injects faults one
+// after another, and judges what callers and targets saw.
+func TestFailures(t *testing.T) {
+	f := &fleet{adjust: shortLeases}
+	startFleet(t, f, instancesPerZone, enginesPerZone, "--slots", engineSlots, "--step-time", engineStep)
+	models := f.publishAdapters(t)
+	live := &liveFleet{fleet: f}
+	seen := &journal{refused: map[string]int{}}
+	ctx, stop := context.WithCancel(t.Context())
+	var workers conc.WaitGroup
+	for n := range callers + limitedCallers {
+		w := &worker{number: n, team: teamCrews, models: models, longest: longestAnswer, fleet: live, journal: seen, random: rand.New(rand.NewPCG(*faultSeed, uint64(n)))}
+		if n < callers {
+			workers.Go(func() { w.run(ctx) })
+			continue
+		}
+		w.team, w.longest = teamLimited, limitedAnswer
+		workers.Go(func() { w.runModels(ctx) })
+	}
+	random := rand.New(rand.NewPCG(*faultSeed, callers+limitedCallers))
+	injectFaults(t, live, random, *faultPairs)
+	f.checkWithdrawal(t)
+	stop()
+	workers.Wait()
+	f.checkRecovery(t, models)
+	checkJournal(t, seen)
+	checkPostings(t, seen.postings, getJSON[standin.ServiceCounts](t, f.service, "/admin/counts"))
+	checkRate(t, seen.answers, teamLimited, limitedRate, limitedBurst)
+	f.checkTargets(t)
+	weights := getJSON[standin.PlatformStats](t, f.platform, "/admin/stats").Weights
+	t.Logf("weight store: %+v", weights)
+	if weights.MaxInFlight > settings.Defaults().Loads.InFlight {
+		t.Errorf("%d loads in flight", weights.MaxInFlight)
+	}
+}
+
+// publishAdapters publishes a team with a low rate and more adapters than the
+// engines have slots, and returns the adapters.
+func (f *fleet) publishAdapters(t *testing.T) []string {
+	t.Helper()
+	f.keys[teamLimited] = key.Generate()
+	note := release.Note{
+		Title: "More adapters, and a team with a low rate",
+		Teams: []release.Team{{Name: teamLimited, TokensPerSecond: limitedRate, BurstTokens: limitedBurst}},
+		Keys:  []release.Key{{ID: f.keys[teamLimited].ID, Hash: f.keys[teamLimited].Hash(), Team: teamLimited}},
+	}
+	var models []string
+	for n := range adaptersPerTeam {
+		a := release.Adapter{Name: fmt.Sprintf("season-%d", n), Version: "1", BaseModel: "base"}
+		note.Adapters = append(note.Adapters, a)
+		models = append(models, a.ID())
+	}
+	f.awaitRelease(t, f.publish(t, note))
+	return models
+}
+
+// fault is one failure that begins and ends.
+type fault struct {
+	name       string
+	begin, end func()
+}
+
+// injectFaults injects pairs of faults, so that each kind comes once in a deck.
+func injectFaults(t *testing.T, f *liveFleet, random *rand.Rand, pairs int) {
+	t.Helper()
+	var deck []fault
+	for range pairs {
+		if len(deck) < 2 {
+			deck = append(deck, newDeck(t, f, random)...)
+		}
+		pair := deck[:2]
+		deck = deck[2:]
+		length := shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault)))
+		t.Logf("%s: %s and %s for %s", time.Now().Format(time.TimeOnly), pair[0].name, pair[1].name, length)
+		for _, one := range pair {
+			one.begin()
+		}
+		time.Sleep(length)
+		for _, one := range pair {
+			one.end()
+		}
+		time.Sleep(pauseAfterFault)
+	}
+}
+
+// newDeck returns one fault of each kind in random order, on different instances.
+func newDeck(t *testing.T, f *liveFleet, random *rand.Rand) []fault {
+	t.Helper()
+	var deck []fault
+	chosen := random.Perm(len(f.instances))
+	instances := make([]*instance, len(chosen))
+	for n, at := range chosen {
+		instances[n] = f.instances[at]
+	}
+	engines := slices.Sorted(maps.Keys(f.engines))
+	random.Shuffle(len(engines), func(a, b int) { engines[a], engines[b] = engines[b], engines[a] })
+	deck = append(deck, processFaults(t, f, instances)...)
+	deck = append(deck, linkFaults(f, instances)...)
+	deck = append(deck, targetFaults(t, f, engines)...)
+	deck = append(deck, platformFaults(t, f)...)
+	random.Shuffle(len(deck), func(a, b int) { deck[a], deck[b] = deck[b], deck[a] })
+	return deck
+}
+
+func processFaults(t *testing.T, f *liveFleet, instances []*instance) []fault {
+	t.Helper()
+	killed, frozen, thawed := instances[0], instances[1], instances[2]
+	return []fault{
+		{"kill " + killed.id, func() { killed.process.signal(syscall.SIGKILL) }, func() { f.replace(t, killed) }},
+		{"freeze " + frozen.id, func() { frozen.process.signal(syscall.SIGSTOP) }, func() { frozen.process.signal(syscall.SIGCONT) }},
+		{"freeze past the lease " + thawed.id, func() {
+			thawed.process.signal(syscall.SIGSTOP)
+			time.Sleep(leaseTerm + leaseRenewal)
+		}, func() { thawed.process.signal(syscall.SIGCONT) }},
+	}
+}
+
+func linkFaults(f *liveFleet, instances []*instance) []fault {
+	link := func(name string, set func(linkState), state linkState) fault {
+		return fault{name, func() { set(state) }, func() { set(linkUp) }}
+	}
+	zone := instances[7].zone
+	return []fault{
+		link("cut platform from "+instances[3].id, instances[3].platform.set, linkCut),
+		link("silent platform for "+instances[4].id, instances[4].platform.set, linkSilent),
+		link("cut peers of "+instances[5].id, instances[5].peers.set, linkCut),
+		link("silent peers of "+instances[6].id, instances[6].peers.set, linkSilent),
+		link("cut platform from zone "+zone, func(s linkState) { f.setZone(zone, s) }, linkCut),
+	}
+}
+
+func targetFaults(t *testing.T, f *liveFleet, engines []string) []fault {
+	t.Helper()
+	engine := func(name, id string, faults standin.EngineFaults) fault {
+		return fault{
+			name + " of " + id,
+			func() { putJSON(t, f.engines[id], "/admin/faults", faults) },
+			func() { putJSON(t, f.engines[id], "/admin/faults", standin.EngineFaults{}) },
+		}
+	}
+	return []fault{
+		engine("cold restart", engines[0], standin.EngineFaults{ColdRestart: true}),
+		engine("silent connections", engines[1], standin.EngineFaults{Silent: true}),
+		engine("failing loads", engines[2], standin.EngineFaults{FailLoads: true}),
+		{
+			"service drops answers and is slow",
+			func() {
+				putJSON(t, f.service, "/admin/faults", standin.ServiceFaults{DropAfterRun: droppedAnswers, DelayMS: slowServiceMS})
+			},
+			func() { putJSON(t, f.service, "/admin/faults", standin.ServiceFaults{}) },
+		},
+	}
+}
+
+func platformFaults(t *testing.T, f *liveFleet) []fault {
+	t.Helper()
+	platform := func(name string, faults standin.PlatformFaults) fault {
+		return fault{
+			name,
+			func() { f.put(t, "/admin/faults", faults) },
+			func() { f.put(t, "/admin/faults", standin.PlatformFaults{}) },
+		}
+	}
+	return []fault{
+		platform("platform outage", standin.PlatformFaults{Outage: true}),
+		platform("platform loses answers and is slow", standin.PlatformFaults{LoseAnswers: lostAnswers, DelayMS: slowPlatformMS}),
+	}
+}
+
+func (f *liveFleet) setZone(zone string, state linkState) {
+	for _, i := range f.instances {
+		if i.zone == zone {
+			i.platform.set(state)
+		}
+	}
+}
+
+// checkWithdrawal withdraws a key and checks that it works nowhere any more.
+func (f *fleet) checkWithdrawal(t *testing.T) {
+	t.Helper()
+	number := f.publish(t, release.Note{Title: "Withdraw a key", Withdraw: release.Withdraw{Keys: []string{f.keys[teamDesk].ID}}})
+	f.awaitRelease(t, number)
+	for _, i := range f.instances {
+		reply, err := f.caller(i, teamDesk).Complete(t.Context(), request(deskAdapter, "still there?", 1))
+		if err != nil || reply.Status != http.StatusUnauthorized || reply.Refusal == nil || !reply.Refusal.NotRun {
+			t.Errorf("%s, withdrawn key: %v, %+v", i.id, err, reply)
+		}
+	}
+}
+
+// checkRecovery checks that every instance serves again.
+func (f *fleet) checkRecovery(t *testing.T, models []string) {
+	t.Helper()
+	for _, i := range f.instances {
+		for _, model := range models {
+			eventually(t, i.id+" serves "+model+" again", func() bool {
+				r := request(model, "after the failures", 8)
+				reply, err := f.caller(i, teamCrews).Complete(t.Context(), r)
+				return err == nil && reply.Whole(r)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/demo/demo.go
@@ -0,0 +1,267 @@
+// Package demo runs everything in one process on loopback for a first try: the
+// stand-ins, three instances in three zones, and a sample release.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/instance"
+	"heatherrelay/internal/platform"
+	"heatherrelay/internal/publication"
+	"heatherrelay/internal/standin"
+)
+
+// The shape of the demo.
+const (
+	enginesPerZone = 2
+	serviceName    = "dispatch"
+	baseModel      = "base"
+	startTimeout   = time.Minute
+	lookInterval   = 100 * time.Millisecond
+	drainDelay     = 100 * time.Millisecond
+)
+
+var zones = []string{"landerneau", "lesneven", "saint-pol"}
+
+// ErrDemo is the kind of all errors of the demo itself.
+var ErrDemo = errs.Class("demo")
+
+// Demo runs a platform, engines, a service and instances. It publishes the
+// sample release, waits until it is in force on every instance, sends one
+// streamed request and one plain call, and says how to go on. Exported fields
+// are set before Run.
+type Demo struct {
+	// Out gets the answers and the lines to go on with.
+	Out io.Writer
+	// Log gets the instances' logs.
+	Log *zap.Logger
+	// Once ends the demo after the two answers.
+	Once bool
+
+	platform  standin.Platform
+	address   netip.AddrPort
+	running   []*standin.Running
+	targets   []platform.TargetEntry
+	instances []platform.InstanceEntry
+	callers   []netip.AddrPort
+	sample    sample
+}
+
+// Run runs the demo until ctx ends and then shuts everything down gracefully.
+func (d *Demo) Run(ctx context.Context) error {
+	defer d.close()
+	if err := d.startStandins(); err != nil {
+		return err
+	}
+	serving, stop := context.WithCancel(ctx)
+	ended := make(chan error, len(zones))
+	var duties conc.WaitGroup
+	defer duties.Wait()
+	defer stop()
+	for n, zone := range zones {
+		if err := d.startInstance(serving, &duties, ended, fmt.Sprintf("instance-%d", n+1), zone); err != nil {
+			return err
+		}
+	}
+	d.platform.SetInstances(d.instances)
+	if err := d.show(ctx); err != nil {
+		return err
+	}
+	if !d.Once {
+		fmt.Fprintln(d.Out, "Interrupt to end.")
+		<-ctx.Done()
+	}
+	stop()
+	duties.Wait()
+	for range zones {
+		if err := <-ended; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Demo) startStandins() error {
+	if err := d.startPlatform(); err != nil {
+		return err
+	}
+	service := &standin.Service{Name: serviceName}
+	address, err := d.start(service.Start)
+	if err != nil {
+		return err
+	}
+	for _, zone := range zones {
+		d.targets = append(d.targets, platform.TargetEntry{
+			ID: zone + "-" + serviceName, Zone: zone, Kind: platform.TargetService, Address: address, Service: serviceName,
+		})
+		for n := range enginesPerZone {
+			if err := d.startEngine(zone, n); err != nil {
+				return err
+			}
+		}
+	}
+	d.platform.SetTargets(d.targets)
+	return nil
+}
+
+func (d *Demo) startPlatform() error {
+	address, err := d.start(d.platform.Start)
+	d.address = address
+	return err
+}
+
+func (d *Demo) startEngine(zone string, n int) error {
+	e := &standin.Engine{
+		ID:            fmt.Sprintf("%s-engine-%d", zone, n),
+		BaseModel:     baseModel,
+		ChecksFencing: n == 0,
+		Weights:       standin.WeightSource{URL: "http://" + d.address.String()},
+	}
+	address, err := d.start(e.Start)
+	if err != nil {
+		return err
+	}
+	d.targets = append(d.targets, platform.TargetEntry{
+		ID: e.ID, Zone: zone, Kind: platform.TargetEngine, Address: address, BaseModel: baseModel,
+	})
+	return nil
+}
+
+// start starts a stand-in on loopback.
+func (d *Demo) start(start func(netip.AddrPort) (*standin.Running, error)) (netip.AddrPort, error) {
+	running, err := start(standin.Loopback)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	d.running = append(d.running, running)
+	return running.Address, nil
+}
+
+func (d *Demo) close() {
+	for _, r := range d.running {
+		if err := r.Close(); err != nil {
+			d.Log.Warn("standin_not_closed", zap.Error(err))
+		}
+	}
+}
+
+// startInstance starts an instance and waits until it listens.
+func (d *Demo) startInstance(ctx context.Context, duties *conc.WaitGroup, ended chan<- error, id, zone string) error {
+	listening := make(chan instance.Addresses, 1)
+	failed := make(chan error, 1)
+	i := &instance.Instance{
+		Settings:  d.settings(id, zone),
+		Log:       d.Log.With(zap.String("instance", id)),
+		Listening: func(a instance.Addresses) { listening <- a },
+	}
+	duties.Go(func() {
+		err := i.Run(ctx)
+		failed <- err
+		ended <- err
+	})
+	select {
+	case a := <-listening:
+		d.callers = append(d.callers, a.Callers)
+		d.instances = append(d.instances, platform.InstanceEntry{ID: id, Zone: zone, State: platform.InstanceLive, Peer: a.Peers})
+		return nil
+	case err := <-failed:
+		return ErrDemo.New("%s: %v", id, err)
+	}
+}
+
+// show publishes the sample release, sends the two calls and prints how to go on.
+func (d *Demo) show(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	store := (&platform.Client{Address: d.address}).Store()
+	if err := d.sample.read(); err != nil {
+		return err
+	}
+	attempt, err := (&publication.Publisher{Store: store}).Publish(ctx, d.sample.note)
+	if err != nil {
+		return err
+	}
+	if err := d.awaitRelease(ctx, publication.StatusReader{Store: store}, attempt.Number); err != nil {
+		return err
+	}
+	fmt.Fprintf(d.Out, "Release note %d is in force on %d instances in %d zones.\n\n", attempt.Number, len(d.instances), len(zones))
+	if err := d.showStream(ctx); err != nil {
+		return err
+	}
+	if err := d.showCall(ctx); err != nil {
+		return err
+	}
+	d.printNext()
+	return nil
+}
+
+func (d *Demo) awaitRelease(ctx context.Context, reader publication.StatusReader, number uint64) error {
+	for {
+		if status, err := reader.Read(ctx, number); err == nil && status.InForce {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ErrDemo.New("release note %d is not in force everywhere: %v", number, ctx.Err())
+		case <-time.After(lookInterval):
+		}
+	}
+}
+
+// caller returns a caller of one of the instances.
+func (d *Demo) caller(n int) *standin.Caller {
+	return &standin.Caller{URL: "http://" + d.callers[n].String(), Key: d.sample.crews.Text()}
+}
+
+func (d *Demo) showStream(ctx context.Context) error {
+	tokens := 24
+	request := standin.CompletionRequest{Model: sampleAdapter, Prompt: samplePrompt, MaxTokens: &tokens, Stream: true}
+	for {
+		reply, err := d.caller(0).Complete(ctx, request)
+		if err != nil {
+			return err
+		}
+		if reply.Whole(request) {
+			fmt.Fprintf(d.Out, "Streamed answer of %s to %q:\n%s\n\n", reply.Model, request.Prompt, reply.Text)
+			return nil
+		}
+		if reply.Refusal == nil || !reply.Refusal.NotRun {
+			return ErrDemo.New("status %d: %+v", reply.Status, reply.Refusal)
+		}
+		if !wait(ctx, max(lookInterval, time.Duration(reply.Refusal.RetryAfterMS)*time.Millisecond)) {
+			return ErrDemo.New("status %d: %s", reply.Status, reply.Refusal.Message)
+		}
+	}
+}
+
+func (d *Demo) showCall(ctx context.Context) error {
+	header := http.Header{"Content-Type": {"text/plain"}, "Idempotency-Key": {"round-7"}}
+	reply, err := d.caller(1).Call(ctx, http.MethodPost, "/services/dispatch/rounds/7", []byte("mow the lane"), header)
+	if err != nil {
+		return err
+	}
+	if reply.Status != http.StatusOK {
+		return ErrDemo.New("status %d: %s", reply.Status, reply.Body)
+	}
+	fmt.Fprintf(d.Out, "Answer of the service %s:\n%s\n\n", serviceName, reply.Body)
+	return nil
+}
+
+// wait waits and reports whether ctx still goes on.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
