Call nothing urgent on a handful of events

Cause: in a first run against three instances, three requests that waited for the first load of their adapter were shown as urgent ('now', burn rate 50). Change: an hour needs 10 bad events before a row is urgent. Proof: the test of urgencies fails without the bound (9 bad events give 'now').

--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -199,6 +199,35 @@
 	}
 }
 
+func TestUrgencyNeedsBothWindowsAndEnoughEvents(t *testing.T) {
+	cases := []struct {
+		bad  int
+		age  time.Duration
+		want burn.Urgency
+	}{
+		{bad: 9, want: burn.Quiet},
+		{bad: 20, want: burn.Now},
+		{bad: 20, age: 20 * time.Minute, want: burn.Today},
+		{bad: 20, age: 2 * time.Hour, want: burn.Quiet},
+	}
+	for _, c := range cases {
+		now := start
+		m := instance(&now)
+		for range c.bad {
+			m.Ended(refused(refusal.CodeNoTarget))
+		}
+		now = now.Add(c.age)
+		m.Ended(answered(time.Millisecond))
+		collector := burn.Collector{Timeout: 10 * time.Second}
+		r := burn.NewReport(now, collector.Collect(context.Background(), []burn.Source{serve(t, m, "a")}))
+		for _, row := range r.Rows {
+			if row.Objective == burn.Answered && row.Urgency != c.want {
+				t.Errorf("%+v: urgency %s in %+v", c, row.Urgency, row)
+			}
+		}
+	}
+}
+
 func TestTeamsBeyondTheBoundShareALabel(t *testing.T) {
 	now := start
 	m := instance(&now)
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -19,13 +19,15 @@
 	Now Urgency = "now"
 	// Today: the budget of 3 days is gone within 12 hours at this rate.
 	Today Urgency = "today"
-	// Quiet: within the budget.
+	// Quiet: within the budget, or too few events to tell.
 	Quiet Urgency = "quiet"
 )
 
 const (
 	nowBurnRate   = 14.4
 	todayBurnRate = 6
+	// urgentBadEvents is the bad events of an hour below which nothing is urgent.
+	urgentBadEvents = 10
 )
 
 // Report is how fast each team's objectives are used up over all instances.
@@ -247,11 +249,13 @@
 }
 
 func urgency(windows []WindowBurn) Urgency {
-	rates := map[string]float64{}
+	rates, bad := map[string]float64{}, map[string]float64{}
 	for _, w := range windows {
-		rates[w.Window] = w.BurnRate
+		rates[w.Window], bad[w.Window] = w.BurnRate, w.Bad
 	}
 	switch {
+	case bad["1h"] < urgentBadEvents:
+		return Quiet
 	case rates["5m"] > nowBurnRate && rates["1h"] > nowBurnRate:
 		return Now
 	case rates["1h"] > todayBurnRate && rates["6h"] > todayBurnRate:
