Log one short line an event, sampled where it repeats

Cause: an instance without its platform wrote a stack trace with each line, and a storm of refusals would write a line each. Change: internal/eventlog writes errors without traces, and of lines with the same message only the first 200 a second and then each 100th. Conclusion: shown by its tests; sampling can hide a request's line in a storm, the metrics still count it.

--- a/cmd/heatherrelay/serve.go
+++ b/cmd/heatherrelay/serve.go
@@ -2,14 +2,12 @@
 
 import (
 	"encoding/json"
-	"io"
 	"os/signal"
 	"syscall"
 
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
+	"heatherrelay/internal/eventlog"
 	"heatherrelay/internal/instance"
 	"heatherrelay/internal/settings"
 )
@@ -37,7 +35,7 @@
 }
 
 func serve(cmd *cobra.Command, s settings.Settings) error {
-	log, err := newLog(s.Log.Level, cmd.ErrOrStderr())
+	log, err := eventlog.New(s.Log.Level, cmd.ErrOrStderr())
 	if err != nil {
 		return invalid(err)
 	}
@@ -52,17 +50,3 @@
 	}
 	return i.Run(ctx)
 }
-
-// newLog returns a logger of JSON lines.
-func newLog(level string, out io.Writer) (*zap.Logger, error) {
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, err
-	}
-	config := zap.NewProductionEncoderConfig()
-	config.TimeKey = "time"
-	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.EncodeDuration = zapcore.StringDurationEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.Lock(zapcore.AddSync(out)), parsed)
-	return zap.New(core), nil
-}
