--- a/internal/publication/follower.go
+++ b/internal/publication/follower.go
@@ -85,30 +85,42 @@
 // due or a note is missing.
 func (f *Follower) watch(ctx context.Context, version uint64) error {
 	due := f.now().Add(f.Recheck)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.Gap() {
 		left := due.Sub(f.now())
-		if left <= 0 || f.Gap() {
+		if left <= 0 {
 			return nil
 		}
-		changes, err := f.Store.Watch(ctx, NotePrefix, version, left)
+		next, err := f.WatchOnce(ctx, version, left)
 		if err != nil {
 			return err
 		}
-		version = changes.Version
-		for _, e := range changes.Events {
-			if e.Deleted {
-				continue
-			}
-			stored, err := Decode(e.Key, e.Value)
-			if err != nil {
-				return err
-			}
-			f.Offer([]Stored{stored})
-		}
+		version = next
 	}
 	return nil
 }
 
+// WatchOnce waits for notes after a version of the store, applies them, and
+// returns the version to go on from.
+func (f *Follower) WatchOnce(ctx context.Context, version uint64, wait time.Duration) (uint64, error) {
+	changes, err := f.Store.Watch(ctx, NotePrefix, version, wait)
+	if err != nil {
+		return 0, err
+	}
+	var notes []Stored
+	for _, e := range changes.Events {
+		if e.Deleted {
+			continue
+		}
+		stored, err := Decode(e.Key, e.Value)
+		if err != nil {
+			return 0, err
+		}
+		notes = append(notes, stored)
+	}
+	f.Offer(notes)
+	return changes.Version, nil
+}
+
 // CatchUp reads all that the platform has and this replica has not. It returns
 // a version of the store from which a watch misses nothing.
 func (f *Follower) CatchUp(ctx context.Context) (uint64, error) {
@@ -137,8 +149,7 @@
 			return 0, err
 		}
 		f.Offer(notes)
-		reached := f.State().Number
-		if reached+1 == next || (reached+1)%blockNotes != 0 {
+		if blockPrefix(f.State().Number+1) == blockPrefix(next) {
 			// Whatever was accepted before the question has been applied.
 			if !f.Gap() {
 				f.Confirm(asked)
--- a/internal/publication/publisher.go
+++ b/internal/publication/publisher.go
@@ -131,13 +131,13 @@
 		if err != nil {
 			return 0, err
 		}
-		before := last
+		block := blockPrefix(last + 1)
 		for _, object := range listing.Objects {
 			if object.Key == NoteKey(last+1) {
 				last++
 			}
 		}
-		if last == before || (last+1)%blockNotes != 0 {
+		if blockPrefix(last+1) == block {
 			return last, nil
 		}
 	}
--- a/internal/publication/replica.go
+++ b/internal/publication/replica.go
@@ -1,6 +1,7 @@
 package publication
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -11,8 +12,8 @@
 
 // The bounds of what a replica keeps.
 const (
-	// maxRecentNotes bounds the notes kept for peers that are a little behind.
-	maxRecentNotes = 1000
+	// DefaultRecentNotes are kept for peers that are a little behind.
+	DefaultRecentNotes = 1000
 	// maxPendingNotes bounds the notes kept until the ones before them come.
 	maxPendingNotes = 1000
 )
@@ -22,6 +23,10 @@
 // is in force never reverts. It is safe for concurrent use, and the zero value
 // is the empty state.
 type Replica struct {
+	// RecentNotes bounds the notes kept for peers, up to twice; zero is
+	// DefaultRecentNotes. A peer that is further behind is given a snapshot.
+	RecentNotes int
+
 	state atomic.Pointer[release.State]
 
 	mu sync.Mutex
@@ -83,8 +88,9 @@
 
 // trim bounds recent. It copies now and then, so that dropped notes are freed.
 func (r *Replica) trim() {
-	if len(r.recent) > 2*maxRecentNotes {
-		r.recent = slices.Clone(r.recent[len(r.recent)-maxRecentNotes:])
+	bound := cmp.Or(r.RecentNotes, DefaultRecentNotes)
+	if len(r.recent) > 2*bound {
+		r.recent = slices.Clone(r.recent[len(r.recent)-bound:])
 	}
 }
 
--- a/internal/publication/snapshot.go
+++ b/internal/publication/snapshot.go
@@ -9,8 +9,13 @@
 	"heatherrelay/pkg/release"
 )
 
-// SnapshotHeadKey is the object that names the newest whole snapshot.
-const SnapshotHeadKey = "snapshot/head"
+// The keys of snapshots.
+const (
+	// SnapshotHeadKey is the object that names the newest whole snapshot.
+	SnapshotHeadKey = "snapshot/head"
+	// shardPrefix starts the keys of shards; the snapshot's number follows.
+	shardPrefix = "snapshot/"
+)
 
 // Head names a snapshot: the state after note Number, in Shards objects.
 type Head struct {
@@ -18,6 +23,9 @@
 	Shards int    `json:"shards"`
 	// SnapshotID is part of the shards' keys, so that two writers never mix.
 	SnapshotID string `json:"snapshot_id"`
+	// PreviousNumber is the number of the snapshot before, which is kept for
+	// those who are reading it still.
+	PreviousNumber uint64 `json:"previous_number"`
 }
 
 // readHead returns the snapshot head and its version, both zero when there is none.
@@ -63,7 +71,7 @@
 
 // shardKey returns the key of one shard of a snapshot.
 func (h Head) shardKey(shard int) string {
-	return fmt.Sprintf("snapshot/%0*d-%s/%04d", numberDigits, h.Number, h.SnapshotID, shard)
+	return fmt.Sprintf("%s%0*d-%s/%04d", shardPrefix, numberDigits, h.Number, h.SnapshotID, shard)
 }
 
 // readShards reads the snapshot that head names.
--- a/internal/publication/stored.go
+++ b/internal/publication/stored.go
@@ -20,7 +20,6 @@
 	numberDigits = 12
 	// blockDigits of a number share a prefix of 100 notes, read in one listing.
 	blockDigits = numberDigits - 2
-	blockNotes  = 100
 )
 
 // Stored is the form in which a note lies in the platform and travels between peers.
