--- a/internal/publication/publication_test.go
+++ b/internal/publication/publication_test.go
@@ -80,7 +80,7 @@
 			},
 			"delayed writes": func(*rapid.T) { w.flush() },
 		})
-		w.heal(ctx)
+		w.heal()
 	})
 }
 
@@ -126,7 +126,7 @@
 // heal ends all failures and checks that everything comes into force everywhere,
 // in a zone without the platform through peers alone, and that what operators
 // were told holds for good.
-func (w *world) heal(ctx context.Context) {
+func (w *world) heal() {
 	w.loseAnswers, w.delayWrites, w.staleAllowed, w.peersCut = 0, 0, false, false
 	w.platformCut = [zoneCount]bool{false, true}
 	w.nested = true
--- a/internal/publication/world_test.go
+++ b/internal/publication/world_test.go
@@ -250,7 +250,7 @@
 }
 
 // start adds an instance that has yet to become ready.
-func (w *world) start(zone int) *instance {
+func (w *world) start(zone int) {
 	w.started++
 	n := &instance{id: fmt.Sprintf("i%d", w.started), zone: zone}
 	n.Follower = &publication.Follower{Store: w.store(zone, n), Now: w.tick}
@@ -271,7 +271,7 @@
 		return publication.Pulled{}, platform.ErrUnavailable.New("cut")
 	}
 	w.instances = append(w.instances, n)
-	return n
+
 }
 
 // overWire sends an answer through the peer protocol's message.
