--- a/internal/publication/world_test.go
+++ b/internal/publication/world_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"pgregory.net/rapid"
@@ -24,9 +25,11 @@
 type world struct {
 	t      *rapid.T
 	memory platform.Memory
-	now    time.Time
 	keys   []key.Key
 
+	// clock guards now, since peers are asked at the same time.
+	clock sync.Mutex
+	now   time.Time
 	// platformCut and peersCut are the network partitions now.
 	platformCut [zoneCount]bool
 	peersCut    bool
@@ -73,6 +76,8 @@
 
 // tick returns a time later than all before it.
 func (w *world) tick() time.Time {
+	w.clock.Lock()
+	defer w.clock.Unlock()
 	w.now = w.now.Add(time.Millisecond)
 	return w.now
 }
