Mend four ways in which an owner evicted an adapter in use

Change: loads and evictions under way are kept by adapter and respected by adoption, load choice and room making; the previous owner's use is followed until it uses nothing.

--- a/internal/target/owner.go
+++ b/internal/target/owner.go
@@ -201,6 +201,9 @@
 		o.done = make(chan struct{})
 		o.waiting = map[adapter.ID]int{}
 		o.inUse = map[adapter.ID]int{}
+		o.loading.failures = map[adapter.ID]int{}
+		o.loading.coming = map[adapter.ID]bool{}
+		o.loading.evicting = map[adapter.ID]bool{}
 		o.queue.MaxItems = o.QueueItems
 	})
 }
--- a/internal/target/owner_engine.go
+++ b/internal/target/owner_engine.go
@@ -41,7 +41,10 @@
 	until  time.Time
 	// firstReport is the issue time of the first report after the takeover.
 	firstReport time.Time
-	foreign     []adapter.ID
+	// foreign are the adapters pinned for the previous owner.
+	foreign []adapter.ID
+	// settled says that the previous owner uses nothing any more.
+	settled bool
 }
 
 // mayStart reports whether a request may go to the engine.
@@ -150,7 +153,9 @@
 			o.Log.Warn("resident_unreadable", zap.String("target", o.TargetID), zap.Error(err))
 			continue
 		}
-		o.table.Add(id, now)
+		if !o.loading.evicting[id] {
+			o.table.Add(id, now)
+		}
 	}
 	if !o.ready && o.Inherited {
 		o.takeover = takeoverState{frozen: true, until: now.Add(o.LongestRequest), firstReport: report.IssuedAt}
@@ -176,7 +181,7 @@
 	if o.takeover.frozen && !now.Before(o.takeover.until) {
 		o.unfreeze()
 	}
-	if o.PreviousInUse == nil || (!o.takeover.frozen && o.takeover.foreign == nil) {
+	if o.PreviousInUse == nil || o.takeover.settled {
 		return
 	}
 	inUse, known := o.PreviousInUse()
@@ -192,6 +197,7 @@
 			o.takeover.foreign = append(o.takeover.foreign, id)
 		}
 	}
+	o.takeover.settled = len(inUse) == 0
 	o.unfreeze()
 }
 
--- a/internal/target/owner_loads.go
+++ b/internal/target/owner_loads.go
@@ -27,6 +27,10 @@
 	// inFlight counts permits asked for or used.
 	inFlight int
 	failures map[adapter.ID]int
+	// coming are the adapters with a load under way.
+	coming map[adapter.ID]bool
+	// evicting are the adapters with an eviction under way, whatever a report says.
+	evicting map[adapter.ID]bool
 	pausedTo time.Time
 }
 
@@ -37,11 +41,13 @@
 // wantLoad sees to it that a waiting request's adapter gets loaded.
 func (o *Owner) wantLoad(s *submission, now time.Time) {
 	id := s.request.Adapter
-	if o.ready && (o.table.Resident(id) || o.table.Reserved(id)) {
-		s.stalled = s.stalled || o.table.Reserved(id)
+	if o.ready && o.table.Resident(id) {
 		return
 	}
 	s.stalled = s.stalled || o.ready
+	if o.loading.coming[id] || o.loading.evicting[id] {
+		return
+	}
 	o.order.Add(o.load(id), s.request.TeamWeight, s.request.Class, now)
 }
 
@@ -133,6 +139,7 @@
 		finish()
 		return
 	}
+	o.loading.coming[load.Adapter] = true
 	o.tasks.Go(func() {
 		defer finish()
 		started := time.Now()
@@ -155,9 +162,10 @@
 	}
 }
 
-// useful reports whether a request waits for an adapter that is not on its way.
+// useful reports whether a request waits for an adapter that is neither here nor
+// on its way, in or out.
 func (o *Owner) useful(id adapter.ID) bool {
-	return o.waiting[id] > 0 && !o.table.Resident(id) && !o.table.Reserved(id)
+	return o.waiting[id] > 0 && !o.table.Resident(id) && !o.loading.coming[id] && !o.loading.evicting[id]
 }
 
 // makeRoom reserves a slot for a load, if need be that of the least useful adapter.
@@ -169,6 +177,7 @@
 	if !ok || !o.table.BeginEvict(victim, now) {
 		return adapter.ID{}, false, false
 	}
+	o.loading.evicting[victim] = true
 	o.engine.changed = true
 	return victim, true, true
 }
@@ -193,6 +202,7 @@
 // loaded takes the outcome of the orders.
 func (o *Owner) loaded(id, victim adapter.ID, evicted bool, took time.Duration, err error, now time.Time) {
 	o.loading.inFlight--
+	delete(o.loading.coming, id)
 	o.engine.changed = true
 	if o.Observe.Loaded != nil {
 		o.Observe.Loaded(took, err)
@@ -218,19 +228,20 @@
 // an eviction whose answer was lost the adapter counts as gone: a request for it
 // is refused by the engine if it is, and a load is answered at once if it is not.
 func (o *Owner) settleVictim(victim adapter.ID, evicted bool, err error, now time.Time) {
-	if evicted || ErrBroken.Has(err) {
-		o.table.Remove(victim)
+	delete(o.loading.evicting, victim)
+	if !evicted && !ErrBroken.Has(err) {
+		o.table.Add(victim, now)
 		return
 	}
-	o.table.Add(victim, now)
+	o.table.Remove(victim)
+	if o.waiting[victim] > 0 {
+		o.order.Add(o.load(victim), 1, release.Interactive, now)
+	}
 }
 
 // loadFailed tries again, and after some failures refuses the requests that
 // cannot wait longer.
 func (o *Owner) loadFailed(id adapter.ID, now time.Time) {
-	if o.loading.failures == nil {
-		o.loading.failures = map[adapter.ID]int{}
-	}
 	o.loading.failures[id]++
 	o.loading.pausedTo = now.Add(loadFailurePause)
 	if o.loading.failures[id] >= maxLoadFailures {
--- a/internal/target/owner_test.go
+++ b/internal/target/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,6 +22,7 @@
 	scenarioTime   = 40 * time.Second
 	longestRequest = 15 * time.Second
 	reportLag      = time.Second
+	traceLines     = 30
 )
 
 // fakeEngine is an engine in memory. It does what it is told, as an engine
@@ -39,9 +41,19 @@
 	running       map[string]int
 	seen          map[string]int
 	reports       []target.Report
+	trace         []string
 	violations    []string
 }
 
+// note keeps the last events for the report of a violation. The caller holds mu.
+func (e *fakeEngine) note(format string, args ...any) {
+	line := fmt.Sprintf("%s "+format, append([]any{time.Now().Format("05.000")}, args...)...)
+	e.trace = append(e.trace, line)
+	if len(e.trace) > traceLines {
+		e.trace = e.trace[1:]
+	}
+}
+
 // delay is the drawn latency of the next call.
 func (e *fakeEngine) delay() {
 	e.mu.Lock()
@@ -72,6 +84,7 @@
 		e.mu.Unlock()
 		return target.Usage{}, target.ErrNotLoaded.New("%s", id)
 	}
+	e.note("stream %s %s fencing %d", r.ID, id, fencing)
 	e.seen[r.ID]++
 	e.running[id]++
 	started := e.startedAt
@@ -79,6 +92,7 @@
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
+		e.note("end %s %s", r.ID, id)
 		if e.startedAt.Equal(started) {
 			e.running[id]--
 		}
@@ -108,6 +122,7 @@
 	if err := e.check(fencing); err != nil {
 		return err
 	}
+	e.note("load %s fencing %d", id, fencing)
 	if e.failLoads > 0 {
 		e.failLoads--
 		return target.ErrLoadFailed.New("%s", id)
@@ -126,8 +141,9 @@
 	if err := e.check(fencing); err != nil {
 		return err
 	}
+	e.note("evict %s fencing %d", id, fencing)
 	if e.running[id.String()] > 0 {
-		e.violations = append(e.violations, fmt.Sprintf("%s evicted while in use, fencing %d", id, fencing))
+		e.violations = append(e.violations, fmt.Sprintf("%s evicted while in use, fencing %d\n%s", id, fencing, strings.Join(e.trace, "\n")))
 	}
 	delete(e.resident, id.String())
 	return nil
@@ -163,6 +179,7 @@
 func (e *fakeEngine) restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.note("restart")
 	e.startedAt = time.Now()
 	e.resident = map[string]bool{}
 	e.running = map[string]int{}
