Write the operators' pages: settings, refusals, failures, metrics, invariants 1 to 3

Cause: who starts heatherrelay needs every setting with its default, what each refusal means and what to do when something fails. Change: docs/OPERATORS.md, METRICS.md, rows 1 to 3 of INVARIANTS.md, design notes 030 to 032. Intents are kept from the call's deadline on, so that a long call cannot outlive its intent.

--- a/cmd/heatherrelay/config.go
+++ b/cmd/heatherrelay/config.go
@@ -14,7 +14,7 @@
 		Use:   "config",
 		Short: "Check an instance's settings",
 	}
-	c.AddCommand(configCheckCommand(), configShowDefaultsCommand())
+	c.AddCommand(configCheckCommand(), configShowDefaultsCommand(), configReferenceCommand())
 	return c
 }
 
@@ -53,6 +53,20 @@
 	}
 }
 
+// configReferenceCommand prints the table of all settings.
+func configReferenceCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "reference",
+		Short:   "Print all settings with their defaults and meanings, as a Markdown table",
+		Example: "  heatherrelay config reference",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprint(cmd.OutOrStdout(), settings.Markdown())
+			return err
+		},
+	}
+}
+
 func exactlyOneFile(cmd *cobra.Command, args []string) error {
 	if err := cobra.ExactArgs(1)(cmd, args); err != nil {
 		return invalid(err)
--- /dev/null
+++ b/internal/burn/page_test.go
@@ -0,0 +1,51 @@
+package burn_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"heatherrelay/internal/burn"
+	"heatherrelay/pkg/release"
+)
+
+func TestTheMetricsPageListsEveryMetric(t *testing.T) {
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &burn.Metrics{
+		Goals: goals,
+		Gauges: burn.Gauges{
+			ReleaseInForce:   func() uint64 { return 1 },
+			KeysConfirmedAge: func() time.Duration { return 0 },
+			OwnedTargets:     func() int { return 1 },
+			QueuedTokens:     func() int { return 1 },
+			DroppedOutcomes:  func() uint64 { return 1 },
+			Teams:            func() []release.Team { return []release.Team{{Name: "regie"}} },
+		},
+	}
+	m.Register()
+	m.Ended(answered(time.Millisecond))
+	m.Started("regie", release.Interactive, 0, true)
+	m.Loaded(time.Second, nil)
+	families, err := m.Registry().Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := 0
+	for _, f := range families {
+		name, own := strings.CutPrefix(f.GetName(), "heatherrelay_")
+		if !own {
+			continue
+		}
+		seen++
+		if !strings.Contains(string(page), "| `"+name+"` |") {
+			t.Errorf("docs/METRICS.md lacks %s", name)
+		}
+	}
+	if rows := strings.Count(string(page), "\n| `"); rows != seen {
+		t.Errorf("docs/METRICS.md has %d rows for %d metrics", rows, seen)
+	}
+}
--- a/internal/dispatch/intent.go
+++ b/internal/dispatch/intent.go
@@ -91,8 +91,9 @@
 	}
 }
 
+// expired reports whether the call's deadline is more than retention ago.
 func (in intent) expired(now time.Time, retention time.Duration) bool {
-	return now.Sub(time.UnixMilli(in.CreatedUnixMS)) > retention
+	return now.Sub(time.UnixMilli(in.DeadlineUnixMS)) > retention
 }
 
 func (in intent) encode() ([]byte, error) { return json.Marshal(in) }
--- a/internal/dispatch/sender.go
+++ b/internal/dispatch/sender.go
@@ -42,7 +42,8 @@
 	Pause func(ctx context.Context, d time.Duration)
 	// StoreTimeout bounds one call to the platform.
 	StoreTimeout time.Duration
-	// Retention is how long an intent is kept at least; zero is for ever.
+	// Retention is how long an intent is kept after its call's deadline at
+	// least; zero is for ever.
 	Retention time.Duration
 	// SweepEvery is the time between looks at a part of the intents for ones
 	// past Retention.
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -17,7 +17,8 @@
 		Gauges: burn.Gauges{
 			ReleaseInForce:   func() uint64 { return i.follower.State().Number },
 			KeysConfirmedAge: func() time.Duration { return time.Since(i.follower.ConfirmedAt()) },
-			OwnedTargets:     func() int { return len(i.ownership.States()) },
+			OwnedTargets:     i.ownedTargets,
+			QueuedTokens:     i.queuedTokens,
 			DroppedOutcomes:  i.sender.DroppedChores,
 			Teams:            func() []release.Team { return i.follower.State().Teams() },
 		},
@@ -25,6 +26,24 @@
 	i.metrics.Register()
 }
 
+func (i *Instance) ownedTargets() int {
+	owned := 0
+	for _, s := range i.ownership.States() {
+		if s.Owned {
+			owned++
+		}
+	}
+	return owned
+}
+
+func (i *Instance) queuedTokens() int {
+	tokens := 0
+	for _, s := range i.ownership.States() {
+		tokens += s.Snapshot.QueuedTokens
+	}
+	return tokens
+}
+
 func goals(o settings.Objectives) burn.Goals {
 	return burn.Goals{
 		release.Interactive: goal(o.Interactive),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -94,7 +94,7 @@
 
 // Dispatch says how long outcomes of calls that may not be repeated are kept.
 type Dispatch struct {
-	Retention  Duration `toml:"retention" comment:"How long an idempotency key is remembered at least; 0s: for ever." validate:"min=0s,max=87600h"`
+	Retention  Duration `toml:"retention" comment:"How long an idempotency key is remembered after the call's deadline at least; 0s: for ever." validate:"min=0s,max=87600h"`
 	SweepEvery Duration `toml:"sweep_every" comment:"Time between looks at a part of the kept outcomes for ones past retention." validate:"min=1s,max=24h"`
 }
 
