Cut zones from each other in the fleet tests

Cause: the forwarder before an instance could not tell who calls it, so a zone could be cut from the platform but not from the other zones. Change: a forwarder learns the caller's zone from the process that holds the other end of the connection; TestZoneCut, and two more faults in TestFailures. Ruled out: a source address for each zone, which needs a setting in the product.

--- a/internal/fleet/failure_test.go
+++ b/internal/fleet/failure_test.go
@@ -122,6 +122,7 @@
 	for range pairs {
 		if len(deck) < 2 {
 			deck = append(deck, newDeck(t, f, random)...)
+			cutZones(t, f, random)
 		}
 		pair := deck[:2]
 		deck = deck[2:]
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -44,6 +44,8 @@
 	keys      map[string]key.Key
 	// adjust changes an instance's settings before it starts.
 	adjust func(*settings.Settings)
+	// registry holds the zones of the instances by process.
+	registry registry
 }
 
 // instance is one instance and the connections that lead to and from it.
@@ -119,6 +121,7 @@
 func (f *fleet) newInstance(t testing.TB, id, zone string) *instance {
 	t.Helper()
 	i := &instance{id: id, zone: zone, platform: startForwarder(t), peers: startForwarder(t)}
+	i.peers.zoneOf = f.registry.zoneOf
 	i.platform.point(f.platform)
 	return i
 }
@@ -155,6 +158,7 @@
 		t.Fatal(err)
 	}
 	i.process = startProcess(t, i.id, "heatherrelay", "serve", "--config", file)
+	f.registry.add(i.process, i.zone)
 	started := line(t, i.process, func(l startedLine) bool { return l.Callers.IsValid() && l.Peers.IsValid() })
 	i.listening = started.Callers
 	i.peers.point(started.Peers)
--- a/internal/fleet/forwarder_test.go
+++ b/internal/fleet/forwarder_test.go
@@ -32,12 +32,20 @@
 	state    linkState
 	links    map[*link]struct{}
 	duties   conc.WaitGroup
+	// zoneOf tells the zone that a connection comes from; nil if nothing depends on it.
+	zoneOf func(near net.Conn) string
+	// blocked says whether connections from a zone are cut; nil cuts none.
+	blocked func(zone string) bool
+	// refused counts the connections that were cut because of their zone.
+	refused int
 }
 
 // link is one connection through a forwarder; once silent it stays so.
 type link struct {
 	near, far net.Conn
 	silent    bool
+	// zone is where the connection comes from.
+	zone string
 }
 
 func startForwarder(t testing.TB) *forwarder {
@@ -100,15 +108,21 @@
 	if state == linkCut || !upstream.IsValid() {
 		return
 	}
+	zone := f.sourceZone(near)
+	if f.refuses(zone) {
+		return
+	}
 	far, err := net.Dial("tcp", upstream.String())
 	if err != nil {
 		return
 	}
 	defer far.Close() //nolint:errcheck // the other end has gone
 	l := &link{near: near, far: far}
+	l.zone = zone
 	f.mu.Lock()
 	l.silent = f.state == linkSilent
 	cut := f.state == linkCut
+	cut = cut || f.blocked != nil && f.blocked(zone)
 	f.links[l] = struct{}{}
 	f.mu.Unlock()
 	if cut {
