--- a/internal/team/allowances.go
+++ b/internal/team/allowances.go
@@ -15,11 +15,12 @@
 	"heatherrelay/pkg/release"
 )
 
-// The bounds of one admission.
+// The bounds of one admission: the time that it may wait for transfers, the
+// time for one transfer, and the number of peers that it asks.
 const (
-	admitWait = 100 * time.Millisecond
-	askWait   = 40 * time.Millisecond
-	maxAsks   = 16
+	AdmitWait = 100 * time.Millisecond
+	AskWait   = 40 * time.Millisecond
+	MaxAsks   = 16
 )
 
 // The defaults of the weight store's allowances.
@@ -129,7 +130,7 @@
 // take reserves tokens, asking peers for what is missing.
 func (a *Allowances) take(ctx context.Context, name string, tokens float64) (Reservation, error) {
 	now := a.now()
-	deadline := now.Add(admitWait)
+	deadline := now.Add(AdmitWait)
 	tried := map[string]bool(nil)
 	for {
 		outcome, missing := a.reserve(now, name, tokens)
@@ -171,14 +172,29 @@
 
 // askNext asks one more peer and reports whether another try is worth while.
 func (a *Allowances) askNext(ctx context.Context, now time.Time, name string, missing float64, tried map[string]bool) bool {
-	if a.Ask == nil || a.Peers == nil || len(tried) >= maxAsks {
+	if a.Ask == nil || a.Peers == nil || len(tried) >= MaxAsks {
 		return false
 	}
 	peers := a.Peers()
-	request := TransferRequest{ID: a.transferID(), Allowance: name, Tokens: missing, FromInstance: a.InstanceID}
 	a.mu.Lock()
-	peer, ok := a.hints.Next(now, a.Zone, peers, a.share.rates[name], missing, tried)
-	ok = ok && a.share.Ask(now, request)
+	rate := a.share.rates[name]
+	peer, ok := a.hints.Next(now, a.Zone, peers, rate, missing, tried)
+	estimate := a.hints.Estimate(now, peer.ID, rate, len(peers)+1)
+	tokens := a.share.Fill(now, name).Amount(missing, estimate)
+	a.mu.Unlock()
+	if !ok {
+		return false
+	}
+	tried[peer.ID] = true
+	return a.askPeer(ctx, now, peer, name, tokens)
+}
+
+// askPeer asks a peer for tokens and takes what it gives. It reports false if
+// the request could not be sent.
+func (a *Allowances) askPeer(ctx context.Context, now time.Time, peer Peer, name string, tokens float64) bool {
+	request := TransferRequest{ID: a.transferID(), Allowance: name, Tokens: tokens, FromInstance: a.InstanceID}
+	a.mu.Lock()
+	ok := a.share.Ask(now, request)
 	if ok {
 		a.counters.TransfersAsked++
 	}
@@ -186,8 +202,7 @@
 	if !ok {
 		return false
 	}
-	tried[peer.ID] = true
-	ctx, cancel := context.WithTimeout(ctx, askWait)
+	ctx, cancel := context.WithTimeout(ctx, AskWait)
 	defer cancel()
 	reply, err := a.Ask(ctx, peer.ID, request)
 	now = a.now()
--- a/internal/team/bucket.go
+++ b/internal/team/bucket.go
@@ -16,6 +16,8 @@
 	// Burst is in tokens.
 	Burst   float64
 	Balance float64
+	// Outstanding is what was taken and is not settled yet.
+	Outstanding float64
 
 	updated  time.Time
 	lent     holds
@@ -133,20 +135,28 @@
 		return false
 	}
 	b.Balance -= tokens
+	b.Outstanding += tokens
 	return true
 }
 
 // Settle corrects an earlier Take: what was not used comes back up to the
 // limit, and what was used beyond it becomes debt.
 func (b *Bucket) Settle(now time.Time, reserved, used float64) {
+	b.Outstanding = max(0, b.Outstanding-reserved)
+	b.Credit(now, reserved-used)
+}
+
+// Credit adds tokens up to the limit.
+func (b *Bucket) Credit(now time.Time, tokens float64) {
 	b.Advance(now)
-	b.Balance = min(b.Balance+reserved-used, b.Limit())
+	b.Balance = min(b.Balance+tokens, b.Limit())
 }
 
-// Lend deducts up to tokens for another bucket and returns what it deducted.
+// Lend deducts up to tokens for another bucket and returns what it deducted. It
+// lends no burst that is itself borrowed, which would be back too late.
 func (b *Bucket) Lend(now time.Time, tokens float64) float64 {
 	b.Advance(now)
-	given := min(tokens, b.Balance)
+	given := min(tokens, b.Balance, b.Burst-b.lent.total)
 	if given <= 0 {
 		return 0
 	}
--- a/internal/team/hints.go
+++ b/internal/team/hints.go
@@ -45,7 +45,7 @@
 	if !ok || age > hintTerm {
 		return rate.BurstTokens * part
 	}
-	return k.remaining + rate.TokensPerSecond*part*age.Seconds()
+	return min(rate.BurstTokens*part, k.remaining+rate.TokensPerSecond*part*age.Seconds())
 }
 
 // Next returns the peer to ask for what is missing, or false if the peers that
@@ -73,3 +73,39 @@
 
 // ownZonePreference weighs peers of the own zone, whose answers come sooner.
 const ownZonePreference = 1.2
+
+// Amount returns how much to ask of a peer that may hold estimate: what is
+// missing, or more if that evens out the two, as far as the own slice has room
+// beside what may come back to it.
+func (f Fill) Amount(missing, estimate float64) float64 {
+	held := f.Balance + f.Outstanding
+	return max(missing, min((estimate-held)/2, f.Limit-held))
+}
+
+// The parts of a slice that decide on levelling: below lowPart an instance asks
+// a peer that is fuller by gapPart, so that no slice runs over while another
+// has room.
+const (
+	lowPart = 0.5
+	gapPart = 0.25
+)
+
+// Level returns the peer to ask, and for how much, to even out slices before
+// one runs short; false if none is worth a message.
+func (h *Hints) Level(now time.Time, peers []Peer, rate Rate, own Fill) (Peer, float64, bool) {
+	held := own.Balance + own.Outstanding
+	if own.Limit <= 0 || held >= lowPart*own.Limit {
+		return Peer{}, 0, false
+	}
+	var best Peer
+	fullest := 0.0
+	for _, p := range peers {
+		if estimate := h.Estimate(now, p.ID, rate, len(peers)+1); estimate > fullest {
+			best, fullest = p, estimate
+		}
+	}
+	if fullest-held < gapPart*own.Limit {
+		return Peer{}, 0, false
+	}
+	return best, own.Amount(0, fullest), true
+}
--- a/internal/team/load.go
+++ b/internal/team/load.go
@@ -21,9 +21,9 @@
 		return Reservation{}, noPermit()
 	}
 	now := a.now()
-	deadline := now.Add(admitWait)
+	deadline := now.Add(AdmitWait)
 	tried := map[string]bool{}
-	for len(tried) < maxAsks && now.Before(deadline) && ctx.Err() == nil {
+	for len(tried) < MaxAsks && now.Before(deadline) && ctx.Err() == nil {
 		peer, ok := a.nextPermitPeer(now, tried)
 		if !ok {
 			break
@@ -58,7 +58,7 @@
 
 // askPermit asks a peer for a permit, or returns one.
 func (a *Allowances) askPermit(ctx context.Context, peerID string, request TransferRequest) bool {
-	ctx, cancel := context.WithTimeout(ctx, askWait)
+	ctx, cancel := context.WithTimeout(ctx, AskWait)
 	defer cancel()
 	reply, err := a.Ask(ctx, peerID, request)
 	a.mu.Lock()
--- a/internal/team/rate.go
+++ b/internal/team/rate.go
@@ -27,6 +27,6 @@
 // BorrowedTerm after it asked. The asker's time begins first and is shorter, so
 // that the two together never hold more than the burst.
 const (
-	LentTerm     = 200 * time.Millisecond
-	BorrowedTerm = 150 * time.Millisecond
+	LentTerm     = 100 * time.Millisecond
+	BorrowedTerm = 80 * time.Millisecond
 )
--- a/internal/team/run.go
+++ b/internal/team/run.go
@@ -8,9 +8,11 @@
 	"go.uber.org/zap"
 )
 
-// The times of the duties.
+// The times of the duties. LevelInterval is the time between looks at slices
+// that run low.
 const (
 	tickInterval      = 250 * time.Millisecond
+	LevelInterval     = 250 * time.Millisecond
 	reconcileInterval = 20 * time.Second
 	stepInterval      = 20 * time.Millisecond
 	minRetry          = 200 * time.Millisecond
@@ -34,6 +36,7 @@
 	changed := make(chan struct{}, 1)
 	var duties conc.WaitGroup
 	duties.Go(func() { a.tick(ctx, changed) })
+	duties.Go(func() { a.level(ctx) })
 	if !a.alone() {
 		duties.Go(func() { a.keep(ctx, changed) })
 		duties.Go(func() { a.watch(ctx, changed) })
--- a/internal/team/share.go
+++ b/internal/team/share.go
@@ -157,9 +157,9 @@
 		limit := float64(parts) / TotalParts * s.rates[name].BurstTokens
 		switch {
 		case g.Since == 0:
-			b.Settle(now, limit, 0)
+			b.Credit(now, limit)
 		case g.Release == s.release:
-			b.Settle(now, min(g.Balances[name], limit), 0)
+			b.Credit(now, min(g.Balances[name], limit))
 		}
 	}
 }
@@ -217,6 +217,26 @@
 	return b.Balance
 }
 
+// Fill is how full a slice is.
+type Fill struct {
+	Balance float64
+	// Outstanding is what is reserved and may come back.
+	Outstanding float64
+	// Limit is the most that the slice may hold now.
+	Limit float64
+}
+
+// Fill returns how full the instance's slice of an allowance is.
+func (s *Share) Fill(now time.Time, name string) Fill {
+	s.checkClaim(now)
+	b := s.bucket(name)
+	if b == nil {
+		return Fill{}
+	}
+	b.Advance(now)
+	return Fill{Balance: b.Balance, Outstanding: b.Outstanding, Limit: b.Limit()}
+}
+
 // RetryAfter estimates when the fleet's bucket holds the tokens again.
 func (s *Share) RetryAfter(name string, missing float64) time.Duration {
 	r := s.rates[name]
