Scale the router's costs to engine steps, and add the isolation measure

The most popular adapter alone asks for more than one engine gives, and a second copy was made only at a wait of 600 tokens per batch place, some 17 s.

Change: a load counts as 200 tokens per place, a full batch as 25, the bound's slack is 40 (zones 60), a cached prefix saves 2. The measuring tool gets the workload "noisy team, admitted", which keeps the team to a token bucket at 1.25 times what it sends on average, and -isolation reports both.

--- a/internal/adapter/router.go
+++ b/internal/adapter/router.go
@@ -11,16 +11,16 @@
 // The scale on which targets are compared, in tokens that a request waits behind.
 const (
 	// fullBatchTokens is what joining a full batch costs beyond joining an empty one.
-	fullBatchTokens = 200
+	fullBatchTokens = 25
 	// prefixHitTokens is what a cached prompt prefix saves.
-	prefixHitTokens = 100.0
+	prefixHitTokens = 2.0
 	// loadTokens is what a load costs, above which a further copy pays.
-	loadTokens = 600.0
+	loadTokens = 200.0
 	// boundedLoadFactor is how far above the mean a target may be loaded and
 	// still be chosen by hash.
 	boundedLoadFactor = 1.25
 	// boundedLoadSlackTokens is the load at which a target always counts as free.
-	boundedLoadSlackTokens = 100.0
+	boundedLoadSlackTokens = 40.0
 )
 
 // mixMultiplier is odd, with its bits spread evenly.
--- a/internal/adapter/zone.go
+++ b/internal/adapter/zone.go
@@ -9,7 +9,7 @@
 // The bound on a home zone's load, as for targets.
 const (
 	boundedZoneFactor      = 1.5
-	boundedZoneSlackTokens = 400
+	boundedZoneSlackTokens = 60
 )
 
 // ZoneInfo is what an instance knows of a zone's targets for one base model.
--- a/internal/measure/fleet/workload.go
+++ b/internal/measure/fleet/workload.go
@@ -68,6 +68,8 @@
 	// Burst is when team BurstTeam sends five times its rate.
 	Burst     Span
 	BurstTeam int
+	// Admitted keeps the bursting team to a token bucket, as admission does.
+	Admitted bool
 	// Alone, when set, leaves only the requests of team AloneTeam.
 	Alone     bool
 	AloneTeam int
@@ -89,8 +91,29 @@
 	meanOutput     = 180
 	meanExtra      = 100
 	patientStretch = 1.5
+
+	// A team's rate in tokens, above what it sends on average, and its burst.
+	meanRequestTokens = 510
+	admittedHeadroom  = 1.25
+	admittedBurst     = 30 * time.Second
 )
 
+// bucket is an exact token bucket.
+type bucket struct {
+	rate, burst, spent float64
+	refilled           time.Duration
+}
+
+func (b *bucket) take(at time.Duration, tokens float64) bool {
+	b.spent = max(0, b.spent-(at-b.refilled).Seconds()*b.rate)
+	b.refilled = at
+	if b.spent+tokens > b.burst {
+		return false
+	}
+	b.spent += tokens
+	return true
+}
+
 // Workloads returns all workloads.
 func Workloads() []Workload {
 	base := Workload{
@@ -107,6 +130,9 @@
 		named("steady", func(*Workload) {}),
 		named("shift", func(w *Workload) { w.ShiftEvery = 5 * time.Minute }),
 		named("noisy team", func(w *Workload) { w.Burst, w.BurstTeam = Span{From: w.Warmup, To: w.Duration}, 0 }),
+		named("noisy team, admitted", func(w *Workload) {
+			w.Burst, w.BurstTeam, w.Admitted = Span{From: w.Warmup, To: w.Duration}, 0, true
+		}),
 		named("skewed balancer", func(w *Workload) { w.SkewedShare = 0.7 }),
 		named("restarts", func(w *Workload) {
 			for at := 12 * time.Minute; at < w.Duration; at += 4 * time.Minute {
@@ -141,16 +167,21 @@
 	popularity := newPopularity(w, team, r)
 	var out []request
 	at := time.Duration(0)
+	rate := w.RequestsPerSecond * teamShares[team] * meanRequestTokens * admittedHeadroom
+	bucket := &bucket{rate: rate, burst: rate * admittedBurst.Seconds()}
 	for {
-		rate := w.RequestsPerSecond * teamShares[team]
+		arrivals := w.RequestsPerSecond * teamShares[team]
 		if team == w.BurstTeam && w.Burst.contains(at) {
-			rate *= burstFactor
+			arrivals *= burstFactor
 		}
-		at += time.Duration(r.ExpFloat64() / rate * float64(time.Second))
+		at += time.Duration(r.ExpFloat64() / arrivals * float64(time.Second))
 		if at >= w.Duration {
 			return out
 		}
-		out = append(out, w.draw(team, at, popularity, r))
+		q := w.draw(team, at, popularity, r)
+		if team != w.BurstTeam || !w.Admitted || bucket.take(at, float64(q.prompt+q.output)) {
+			out = append(out, q)
+		}
 	}
 }
 
--- a/internal/measure/isolation.go
+++ b/internal/measure/isolation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"heatherrelay/internal/measure/fleet"
 )
@@ -9,29 +10,34 @@
 // printIsolation compares each team's first-token time beside a team at five
 // times its rate with that beside the same team at its rate, and with the team
 // alone on the fleet. A team's requests are the same in all three.
-func printIsolation(seeds int) {
-	noisy, calm := fleet.Workload{}, fleet.Workload{}
+func printIsolation(seeds int, policy string) {
+	byName := map[string]fleet.Workload{}
 	for _, w := range fleet.Workloads() {
-		switch w.Name {
-		case "noisy team":
-			noisy = w
-		case "steady":
-			calm = w
-		}
+		byName[w.Name] = w
 	}
-	queueInOrder := fleet.Policy{Name: "queue FIFO", QueueInOrder: true}
-	for _, p := range []fleet.Policy{fleet.Product(), queueInOrder} {
-		fmt.Printf("\n## %s\n\n", p.Name)
-		fmt.Println("| team | p95 beside noisy s | p95 beside calm s | p95 alone s | noisy / calm | noisy / alone |")
-		fmt.Println("|---|---|---|---|---|---|")
-		beside, without := measure(noisy, p, seeds), measure(calm, p, seeds)
+	calm := byName["steady"]
+	for _, p := range []fleet.Policy{fleet.Product(), {Name: "queue FIFO", QueueInOrder: true}} {
+		if !strings.Contains(p.Name, policy) {
+			continue
+		}
+		var alone [fleet.Teams][]fleet.Result
 		for team := range fleet.Teams {
-			if team == noisy.BurstTeam {
-				continue
+			w := calm
+			w.Alone, w.AloneTeam = true, team
+			alone[team] = measure(w, p, seeds)
+		}
+		without := measure(calm, p, seeds)
+		for _, name := range []string{"noisy team, admitted", "noisy team"} {
+			noisy := byName[name]
+			fmt.Printf("\n## %s, %s\n\n", p.Name, name)
+			fmt.Println("| team | p95 beside noisy s | p95 beside calm s | p95 alone s | noisy / calm | noisy / alone |")
+			fmt.Println("|---|---|---|---|---|---|")
+			beside := measure(noisy, p, seeds)
+			for team := range fleet.Teams {
+				if team != noisy.BurstTeam {
+					fmt.Println(isolationRow(team, beside, without, alone[team]))
+				}
 			}
-			alone := calm
-			alone.Alone, alone.AloneTeam = true, team
-			fmt.Println(isolationRow(team, beside, without, measure(alone, p, seeds)))
 		}
 	}
 }
--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -22,7 +22,7 @@
 	isolation := flag.Bool("isolation", false, "compare the teams beside a noisy one with their figures without it")
 	flag.Parse()
 	if *isolation {
-		printIsolation(*seeds)
+		printIsolation(*seeds, *policy)
 		return
 	}
 	policies := append([]fleet.Policy{fleet.Product()}, fleet.Baselines()...)
