Share loads between teams by weighted fair queueing

Cause: loads went by waiting time alone, so a team with many waiting requests took the store.

Change: LoadOrder.AddFor names the team that waits; teams take turns by loads per weight, and waiting time decides within a team. Add without a team stays as it was. New property test: two teams with loads pending all the time are apart by at most one load each.

--- a/internal/adapter/load_order.go
+++ b/internal/adapter/load_order.go
@@ -1,17 +1,16 @@
 package adapter
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"heatherrelay/pkg/release"
 )
 
-// The weight of a waiting second by class. Patient work ages more slowly, but
-// it does age, so that no load waits without end.
-const (
-	interactiveLoadWeight = 1.0
-	patientLoadWeight     = 0.1
-)
+// patientLoadWeight is what a waiting second of patient work counts beside one
+// of interactive work. It does count, so that no load waits without end.
+const patientLoadWeight = 0.1
 
 // Load names one load: an adapter onto a target.
 type Load struct {
@@ -19,24 +18,45 @@
 	Adapter  ID
 }
 
+// Waiter is what a load order needs to know of a request that waits for a load.
+type Waiter struct {
+	Team string
+	// Weight is the team's share; zero or less counts as one.
+	Weight float64
+	Class  release.Class
+}
+
 // LoadOrder holds the pending loads of one owner, one for each target and
-// adapter however many requests wait on it. The load whose requests have waited
-// longest in sum, weighted by team and class, goes first. A load's weight grows
-// without bound while a new load starts at zero, so each one gets its turn.
+// adapter however many requests wait on it. Teams share the loads by weighted
+// fair queueing: of the teams with a pending load, the one with the fewest loads
+// per weight goes next. Among a team's loads, the one whose requests have waited
+// longest in sum, weighted by class, goes first. A load's weight grows without
+// bound while a new load starts at zero, so each one gets its turn.
 // It is not safe for concurrent use. The zero value is ready for use.
 type LoadOrder struct {
 	pending map[Load]*pendingLoad
 	added   uint64
+	// starts are the teams' virtual start times; those not above virtualTime are
+	// left out.
+	starts      map[string]float64
+	virtualTime float64
 }
 
 // pendingLoad keeps the weighted waiting time as a line in time:
 // weight * (now - since) is the sum over all waiting requests.
 type pendingLoad struct {
+	teams  []loadTeam
 	weight float64
 	since  time.Time
 	order  uint64
 }
 
+// loadTeam is a team that waits for a load.
+type loadTeam struct {
+	name   string
+	weight float64
+}
+
 func (p *pendingLoad) waited(now time.Time) float64 {
 	return p.weight * now.Sub(p.since).Seconds()
 }
@@ -47,25 +67,45 @@
 	p.since = now.Add(-time.Duration(waited / p.weight * float64(time.Second)))
 }
 
-// Add counts one more request that waits for a load. A team weight of zero or
-// less counts as one.
-func (o *LoadOrder) Add(load Load, teamWeight float64, class release.Class, now time.Time) {
-	if teamWeight <= 0 {
-		teamWeight = 1
+func (p *pendingLoad) addTeam(w Waiter) {
+	if !slices.ContainsFunc(p.teams, func(t loadTeam) bool { return t.name == w.Team }) {
+		p.teams = append(p.teams, loadTeam{name: w.Team, weight: w.Weight})
 	}
-	weight := teamWeight * interactiveLoadWeight
-	if class == release.Patient {
-		weight = teamWeight * patientLoadWeight
+}
+
+// Add counts one more request that waits for a load, of no team in particular.
+// The weight scales its waiting time. A weight of zero or less counts as one.
+func (o *LoadOrder) Add(load Load, weight float64, class release.Class, now time.Time) {
+	if weight <= 0 {
+		weight = 1
 	}
-	if p, ok := o.pending[load]; ok {
-		p.add(weight, now)
-		return
+	o.add(load, Waiter{Weight: 1, Class: class}, weight, now)
+}
+
+// AddFor counts one more request of a team that waits for a load.
+func (o *LoadOrder) AddFor(load Load, waiter Waiter, now time.Time) {
+	if waiter.Weight <= 0 {
+		waiter.Weight = 1
+	}
+	o.add(load, waiter, 1, now)
+}
+
+func (o *LoadOrder) add(load Load, waiter Waiter, weight float64, now time.Time) {
+	if waiter.Class == release.Patient {
+		weight *= patientLoadWeight
 	}
 	if o.pending == nil {
 		o.pending = map[Load]*pendingLoad{}
+		o.starts = map[string]float64{}
+	}
+	p, ok := o.pending[load]
+	if !ok {
+		o.added++
+		p = &pendingLoad{since: now, order: o.added}
+		o.pending[load] = p
 	}
-	o.added++
-	o.pending[load] = &pendingLoad{weight: weight, since: now, order: o.added}
+	p.add(weight, now)
+	p.addTeam(waiter)
 }
 
 // Next removes and returns the load to start now. Loads that ready refuses stay
@@ -74,7 +114,7 @@
 	var first *pendingLoad
 	var next Load
 	for load, p := range o.pending {
-		if first != nil && !before(p, first, now) {
+		if first != nil && !o.before(p, first, now) {
 			continue
 		}
 		if ready != nil && !ready(load) {
@@ -86,9 +126,34 @@
 		return Load{}, false
 	}
 	delete(o.pending, next)
+	o.charge(first)
 	return next, true
 }
 
+// start returns the least virtual start of the teams that wait for a load, and
+// that team.
+func (o *LoadOrder) start(p *pendingLoad) (float64, loadTeam) {
+	least, team := math.Inf(1), loadTeam{}
+	for _, t := range p.teams {
+		if start := max(o.starts[t.name], o.virtualTime); start < least {
+			least, team = start, t
+		}
+	}
+	return least, team
+}
+
+// charge moves on the team that a load is started for.
+func (o *LoadOrder) charge(p *pendingLoad) {
+	start, team := o.start(p)
+	o.starts[team.name] = start + 1/team.weight
+	o.virtualTime = start
+	for name, s := range o.starts {
+		if s <= o.virtualTime {
+			delete(o.starts, name)
+		}
+	}
+}
+
 // Remove forgets a load that nobody waits for any more.
 func (o *LoadOrder) Remove(load Load) { delete(o.pending, load) }
 
@@ -110,10 +175,15 @@
 // Len returns the number of pending loads.
 func (o *LoadOrder) Len() int { return len(o.pending) }
 
-func before(a, b *pendingLoad, now time.Time) bool {
-	wa, wb := a.waited(now), b.waited(now)
-	if wa != wb {
-		return wa > wb
+func (o *LoadOrder) before(a, b *pendingLoad, now time.Time) bool {
+	startA, _ := o.start(a)
+	startB, _ := o.start(b)
+	if startA != startB {
+		return startA < startB
+	}
+	waitedA, waitedB := a.waited(now), b.waited(now)
+	if waitedA != waitedB {
+		return waitedA > waitedB
 	}
 	return a.order < b.order
 }
--- a/internal/adapter/load_order_test.go
+++ b/internal/adapter/load_order_test.go
@@ -39,6 +39,42 @@
 	})
 }
 
+// Two teams with loads pending all the time: the loads that each is given per
+// weight differ by no more than one load of each.
+func TestLoadOrderSharesBetweenTeams(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		order := &adapter.LoadOrder{}
+		weights := map[string]float64{
+			"x": rapid.Float64Range(0.5, 4).Draw(t, "x"),
+			"y": rapid.Float64Range(0.5, 4).Draw(t, "y"),
+		}
+		given := map[string]float64{}
+		now := start
+		next := 0
+		add := func(team string) {
+			next++
+			waiter := adapter.Waiter{Team: team, Weight: weights[team], Class: release.Interactive}
+			for range rapid.IntRange(1, 20).Draw(t, "waiters") {
+				order.AddFor(adapter.Load{TargetID: team, Adapter: numbered(next)}, waiter, now)
+			}
+		}
+		for range 3 {
+			add("x")
+			add("y")
+		}
+		bound := 1/weights["x"] + 1/weights["y"] + 1e-9
+		for range 50 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			load, _ := order.Next(now, nil)
+			given[load.TargetID] += 1 / weights[load.TargetID]
+			if apart := given["x"] - given["y"]; apart > bound || apart < -bound {
+				t.Fatalf("given per weight apart by %v, bound %v", apart, bound)
+			}
+			add(load.TargetID)
+		}
+	})
+}
+
 func ExampleLoadOrder() {
 	order := &adapter.LoadOrder{}
 	one := adapter.Load{TargetID: "e001", Adapter: numbered(1)}
--- a/internal/measure/fleet/engine.go
+++ b/internal/measure/fleet/engine.go
@@ -39,19 +39,21 @@
 	running  []*job
 	stepping bool
 	// waiting counts the queued jobs of each adapter.
-	waiting  map[adapter.ID]int
-	lastUse  map[adapter.ID]time.Duration
-	uses     map[adapter.ID]int
-	prefixes map[uint64]time.Duration
-	steps    int
-	tokens   int
+	waiting map[adapter.ID]int
+	// waiterTeam is the team that last asked for an adapter.
+	waiterTeam map[adapter.ID]int
+	lastUse    map[adapter.ID]time.Duration
+	uses       map[adapter.ID]int
+	prefixes   map[uint64]time.Duration
+	steps      int
+	tokens     int
 }
 
 func newEngine(index int) *engine {
 	return &engine{
 		index: index, id: fmt.Sprintf("engine-%02d", index), zone: index / EnginesPerZone,
 		table:   adapter.Table{Slots: slotsPerEngine},
-		waiting: map[adapter.ID]int{}, lastUse: map[adapter.ID]time.Duration{},
+		waiting: map[adapter.ID]int{}, waiterTeam: map[adapter.ID]int{}, lastUse: map[adapter.ID]time.Duration{},
 		uses: map[adapter.ID]int{}, prefixes: map[uint64]time.Duration{},
 	}
 }
--- a/internal/measure/fleet/loads.go
+++ b/internal/measure/fleet/loads.go
@@ -44,11 +44,12 @@
 	if !order.Pending(load) {
 		r.loads.inOrder = append(r.loads.inOrder, load)
 	}
-	team, class := 0, release.Interactive
+	team, class := e.waiterTeam[id], release.Interactive
 	if j != nil {
 		team, class = j.team, j.class
 	}
-	order.Add(load, teamWeight(team), class, r.time())
+	waiter := adapter.Waiter{Team: teamName(team), Weight: teamWeight(team), Class: class}
+	order.AddFor(load, waiter, r.time())
 	r.askPermit(e)
 }
 
--- a/internal/measure/fleet/owner.go
+++ b/internal/measure/fleet/owner.go
@@ -31,6 +31,7 @@
 		return
 	}
 	e.waiting[id]++
+	e.waiterTeam[id] = j.team
 	if !e.table.Resident(id) {
 		j.stalled = true
 		r.wantLoad(e, id, j)
--- a/internal/measure/isolation.go
+++ b/internal/measure/isolation.go
@@ -16,7 +16,7 @@
 		byName[w.Name] = w
 	}
 	calm := byName["steady"]
-	for _, p := range []fleet.Policy{fleet.Product(), {Name: "queue FIFO", QueueInOrder: true}} {
+	for _, p := range []fleet.Policy{fleet.Product(), {Name: "queue FIFO", QueueInOrder: true}, {Name: "loads shared order", SharedLoadOrder: true}} {
 		if !strings.Contains(p.Name, policy) {
 			continue
 		}
