Never evict an adapter loaded for a request that is still queued

Cause: with a full batch, an adapter loaded for a queued request was the least popular one and was evicted again before the request ran.

Change: Table.Wanted tells which adapters queued requests wait for. Victim takes unwanted ones first, and never one that was loaded and not yet used while it is wanted, so each load serves at least one request.

--- a/internal/adapter/table.go
+++ b/internal/adapter/table.go
@@ -26,6 +26,9 @@
 	Slots int
 	// HalfLife decays popularity; zero takes PopularityHalfLife.
 	HalfLife time.Duration
+	// Wanted reports whether a queued request waits for an adapter; nil means
+	// that none does.
+	Wanted func(ID) bool
 
 	entries     map[ID]*entry
 	slotted     []*entry
@@ -47,6 +50,8 @@
 	pins       int
 	popularity decayed
 	used       time.Time
+	// unused is true from a load until the first request runs on it.
+	unused bool
 }
 
 // Touch counts a request for an adapter at now, whether it is resident or not.
@@ -77,6 +82,7 @@
 		return false
 	}
 	e.pins++
+	e.unused = false
 	return true
 }
 
@@ -108,6 +114,7 @@
 		}
 		t.slotted = append(t.slotted, e)
 	}
+	e.unused = e.state == stateReserved
 	e.state = stateResident
 	e.used = now
 	return true
@@ -185,22 +192,31 @@
 // Free returns the slots that are neither resident, reserved nor evicting.
 func (t *Table) Free() int { return t.Slots - len(t.slotted) }
 
-// Victim returns the adapter whose eviction costs least: the least popular one
-// that nobody uses, the longest unused of equals. It returns false when there is
-// none, and until the time given to PinAllUntil.
+// Victim returns the adapter whose eviction costs least: of those that nobody
+// uses, first one that no queued request waits for, then the least popular, then
+// the longest unused. An adapter that was loaded for a request still queued is
+// never the victim, so each load serves at least one request. It returns false
+// when there is none, and until the time given to PinAllUntil.
 func (t *Table) Victim(now time.Time) (ID, bool) {
 	if now.Before(t.frozenUntil) {
 		return ID{}, false
 	}
 	var victim *entry
-	var lowest float64
+	var lowest evictionCost
 	for _, e := range t.slotted {
 		if e.state != stateResident || e.pins > 0 {
 			continue
 		}
-		value := e.popularity.at(now, t.halfLife())
-		if victim == nil || value < lowest || value == lowest && e.used.Before(victim.used) {
-			victim, lowest = e, value
+		cost := evictionCost{
+			wanted:     t.Wanted != nil && t.Wanted(e.id),
+			popularity: e.popularity.at(now, t.halfLife()),
+			used:       e.used,
+		}
+		if cost.wanted && e.unused {
+			continue
+		}
+		if victim == nil || cost.less(lowest) {
+			victim, lowest = e, cost
 		}
 	}
 	if victim == nil {
@@ -209,6 +225,23 @@
 	return victim.id, true
 }
 
+// evictionCost orders the candidates of an eviction.
+type evictionCost struct {
+	wanted     bool
+	popularity float64
+	used       time.Time
+}
+
+func (c evictionCost) less(other evictionCost) bool {
+	if c.wanted != other.wanted {
+		return !c.wanted
+	}
+	if c.popularity != other.popularity {
+		return c.popularity < other.popularity
+	}
+	return c.used.Before(other.used)
+}
+
 // PinAllUntil forbids every eviction before a time. A new owner of a target that
 // does not check fencing numbers calls it, since requests of the earlier owner
 // may still run there.
--- a/internal/measure/fleet/engine.go
+++ b/internal/measure/fleet/engine.go
@@ -50,12 +50,13 @@
 }
 
 func newEngine(index int) *engine {
-	return &engine{
+	e := &engine{
 		index: index, id: fmt.Sprintf("engine-%02d", index), zone: index / EnginesPerZone,
-		table:   adapter.Table{Slots: slotsPerEngine},
 		waiting: map[adapter.ID]int{}, waiterTeam: map[adapter.ID]int{}, lastUse: map[adapter.ID]time.Duration{},
 		uses: map[adapter.ID]int{}, prefixes: map[uint64]time.Duration{},
 	}
+	e.table = adapter.Table{Slots: slotsPerEngine, Wanted: func(id adapter.ID) bool { return e.waiting[id] > 0 }}
+	return e
 }
 
 func (e *engine) info(usable bool) adapter.TargetInfo {
--- a/internal/measure/fleet/loads.go
+++ b/internal/measure/fleet/loads.go
@@ -65,6 +65,10 @@
 func (r *run) startLoads() {
 	for i := 0; i < len(r.loads.asking) && r.store.mayStart(r.now); {
 		e := r.loads.asking[i]
+		if !r.policy.SharedLoadOrder && !r.hasRoom(e) {
+			i++
+			continue
+		}
 		load, ok := r.nextLoad(e)
 		if !ok && r.orderOf(e).Len() > 0 {
 			// Everything is in use there; it stays in line.
@@ -81,7 +85,7 @@
 		}
 		i = 0
 	}
-	if len(r.loads.asking) > 0 && r.store.inFlight < maxLoadsAtOnce && !r.loads.woken {
+	if len(r.loads.asking) > 0 && r.store.permits < 1 && !r.loads.woken {
 		r.loads.woken = true
 		r.after(r.store.nextPermit(r.now), func() {
 			r.loads.woken = false
@@ -94,10 +98,10 @@
 func (r *run) nextLoad(e *engine) (adapter.Load, bool) {
 	order := r.orderOf(e)
 	if !r.policy.LoadsInOrder {
-		return order.Next(r.time(), r.hasRoom)
+		return order.Next(r.time(), func(load adapter.Load) bool { return r.hasRoom(r.byID[load.TargetID]) })
 	}
 	for i, load := range r.loads.inOrder {
-		if order.Pending(load) && r.hasRoom(load) {
+		if order.Pending(load) && r.hasRoom(r.byID[load.TargetID]) {
 			r.loads.inOrder = slices.Delete(r.loads.inOrder, i, i+1)
 			order.Remove(load)
 			return load, true
@@ -106,8 +110,7 @@
 	return adapter.Load{}, false
 }
 
-func (r *run) hasRoom(load adapter.Load) bool {
-	e := r.byID[load.TargetID]
+func (r *run) hasRoom(e *engine) bool {
 	if e.table.Free() > 0 {
 		return true
 	}
