Make a further copy only where the wait is less than half

Cause: when all targets are busy, a difference of a few places made further copies, each of them a load.

Change: a copy's wait may be twice that at a target without one, plus a load.

Tried and reverted: counting requests of a team far over its share per weight less in the slots' popularity.

--- a/internal/adapter/router.go
+++ b/internal/adapter/router.go
@@ -16,6 +16,9 @@
 	prefixHitTokens = 2.0
 	// loadTokens is what a load costs, above which a further copy pays.
 	loadTokens = 200.0
+	// copyWaitFactor is how many times as long the wait for a copy may be as that
+	// at a target without one: when all targets are busy, copies help little.
+	copyWaitFactor = 2.0
 	// boundedLoadFactor is how far above the mean a target may be loaded and
 	// still be chosen by hash.
 	boundedLoadFactor = 1.25
@@ -56,7 +59,7 @@
 	switch {
 	case homeIndex < 0 && copyIndex < 0:
 		return "", false
-	case homeIndex < 0, copyIndex >= 0 && copyWait <= homeWait+loadTokens:
+	case homeIndex < 0, copyIndex >= 0 && copyWait <= copyWaitFactor*homeWait+loadTokens:
 		return view.targets[copyIndex].ID, true
 	}
 	return view.targets[homeIndex].ID, true
--- a/internal/measure/fleet/result.go
+++ b/internal/measure/fleet/result.go
@@ -15,6 +15,8 @@
 	FirstP50, FirstP95 float64
 	// TeamFirstP95 is the same for each team, of interactive requests.
 	TeamFirstP95 [Teams]float64
+	// TeamStalled is the load-stalled requests of each team, per 1,000.
+	TeamStalled [Teams]float64
 	// WorstTeam is the highest of TeamFirstP95 over their median.
 	WorstTeam float64
 	// WorstShare is the least of the teams' finished tokens over what they asked.
@@ -36,7 +38,7 @@
 	out := Result{Loads: r.store.loads, MostAtOne: r.store.mostAtOne, WorstShare: math.Inf(1)}
 	var stalls, firsts []float64
 	var teams [Teams][]float64
-	var asked, served [Teams]float64
+	var asked, served, count [Teams]float64
 	for _, j := range r.jobs {
 		if j.at < r.workload.Warmup {
 			continue
@@ -61,7 +63,9 @@
 		} else {
 			teams[j.team] = append(teams[j.team], first)
 		}
+		count[j.team]++
 		if j.stalled {
+			out.TeamStalled[j.team]++
 			out.Stalled++
 			stalls = append(stalls, (j.loadedAt - j.at).Seconds())
 		}
@@ -69,6 +73,7 @@
 	out.StallP50, out.StallP95, out.StallP99 = quantile(stalls, 0.5), quantile(stalls, 0.95), quantile(stalls, 0.99)
 	out.FirstP50, out.FirstP95 = quantile(firsts, 0.5), quantile(firsts, 0.95)
 	for i, t := range teams {
+		out.TeamStalled[i] *= 1000 / max(count[i], 1)
 		out.TeamFirstP95[i] = quantile(t, 0.95)
 		out.WorstShare = min(out.WorstShare, served[i]/max(asked[i], 1))
 	}
--- a/internal/measure/isolation.go
+++ b/internal/measure/isolation.go
@@ -30,8 +30,8 @@
 		for _, name := range []string{"noisy team, admitted", "noisy team"} {
 			noisy := byName[name]
 			fmt.Printf("\n## %s, %s\n\n", p.Name, name)
-			fmt.Println("| team | p95 beside noisy s | p95 beside calm s | p95 alone s | noisy / calm | noisy / alone |")
-			fmt.Println("|---|---|---|---|---|---|")
+			fmt.Println("| team | p95 beside noisy s | p95 beside calm s | p95 alone s | noisy / calm | noisy / alone | stalled beside noisy | beside calm |")
+			fmt.Println("|---|---|---|---|---|---|---|---|")
 			beside := measure(noisy, p, seeds)
 			for team := range fleet.Teams {
 				if team != noisy.BurstTeam {
@@ -43,15 +43,18 @@
 }
 
 func isolationRow(team int, noisy, calm, alone []fleet.Result) string {
-	var n, c, a, besideCalm, besideAlone []float64
+	var n, c, a, besideCalm, besideAlone, stalled, stalledCalm []float64
 	for i := range noisy {
 		n = append(n, noisy[i].TeamFirstP95[team])
 		c = append(c, calm[i].TeamFirstP95[team])
 		a = append(a, alone[i].TeamFirstP95[team])
+		stalled = append(stalled, noisy[i].TeamStalled[team])
+		stalledCalm = append(stalledCalm, calm[i].TeamStalled[team])
 		besideCalm = append(besideCalm, n[i]/c[i])
 		besideAlone = append(besideAlone, n[i]/a[i])
 	}
-	return fmt.Sprintf("| %d | %s | %s | %s | %s | %s |", team,
+	return fmt.Sprintf("| %d | %s | %s | %s | %s | %s | %s | %s |", team,
 		spread(n, "%.3f"), spread(c, "%.3f"), spread(a, "%.3f"),
-		spread(besideCalm, "%.2f"), spread(besideAlone, "%.2f"))
+		spread(besideCalm, "%.2f"), spread(besideAlone, "%.2f"),
+		spread(stalled, "%.0f"), spread(stalledCalm, "%.0f"))
 }
