Let all teams count alike in the load order

Cause: by weight, a small team's share of the loads is below what its rare adapters need: loads follow the number of adapters, not tokens.

Change: AddFor takes no weight; teams take turns load by load.

--- a/internal/adapter/load_order.go
+++ b/internal/adapter/load_order.go
@@ -20,16 +20,15 @@
 
 // Waiter is what a load order needs to know of a request that waits for a load.
 type Waiter struct {
-	Team string
-	// Weight is the team's share; zero or less counts as one.
-	Weight float64
-	Class  release.Class
+	Team  string
+	Class release.Class
 }
 
 // LoadOrder holds the pending loads of one owner, one for each target and
-// adapter however many requests wait on it. Teams share the loads by weighted
-// fair queueing: of the teams with a pending load, the one with the fewest loads
-// per weight goes next. Among a team's loads, the one whose requests have waited
+// adapter however many requests wait on it. Teams share the loads by fair
+// queueing: of the teams with a pending load, the one with the fewest loads goes
+// next. All teams count alike, since a small team with as many rare adapters needs
+// about as many loads as a large one. Among a team's loads, the one whose requests have waited
 // longest in sum, weighted by class, goes first. A load's weight grows without
 // bound while a new load starts at zero, so each one gets its turn.
 // It is not safe for concurrent use. The zero value is ready for use.
@@ -45,18 +44,12 @@
 // pendingLoad keeps the weighted waiting time as a line in time:
 // weight * (now - since) is the sum over all waiting requests.
 type pendingLoad struct {
-	teams  []loadTeam
+	teams  []string
 	weight float64
 	since  time.Time
 	order  uint64
 }
 
-// loadTeam is a team that waits for a load.
-type loadTeam struct {
-	name   string
-	weight float64
-}
-
 func (p *pendingLoad) waited(now time.Time) float64 {
 	return p.weight * now.Sub(p.since).Seconds()
 }
@@ -67,9 +60,9 @@
 	p.since = now.Add(-time.Duration(waited / p.weight * float64(time.Second)))
 }
 
-func (p *pendingLoad) addTeam(w Waiter) {
-	if !slices.ContainsFunc(p.teams, func(t loadTeam) bool { return t.name == w.Team }) {
-		p.teams = append(p.teams, loadTeam{name: w.Team, weight: w.Weight})
+func (p *pendingLoad) addTeam(team string) {
+	if !slices.Contains(p.teams, team) {
+		p.teams = append(p.teams, team)
 	}
 }
 
@@ -79,14 +72,11 @@
 	if weight <= 0 {
 		weight = 1
 	}
-	o.add(load, Waiter{Weight: 1, Class: class}, weight, now)
+	o.add(load, Waiter{Class: class}, weight, now)
 }
 
 // AddFor counts one more request of a team that waits for a load.
 func (o *LoadOrder) AddFor(load Load, waiter Waiter, now time.Time) {
-	if waiter.Weight <= 0 {
-		waiter.Weight = 1
-	}
 	o.add(load, waiter, 1, now)
 }
 
@@ -105,7 +95,7 @@
 		o.pending[load] = p
 	}
 	p.add(weight, now)
-	p.addTeam(waiter)
+	p.addTeam(waiter.Team)
 }
 
 // Next removes and returns the load to start now. Loads that ready refuses stay
@@ -132,11 +122,11 @@
 
 // start returns the least virtual start of the teams that wait for a load, and
 // that team.
-func (o *LoadOrder) start(p *pendingLoad) (float64, loadTeam) {
-	least, team := math.Inf(1), loadTeam{}
-	for _, t := range p.teams {
-		if start := max(o.starts[t.name], o.virtualTime); start < least {
-			least, team = start, t
+func (o *LoadOrder) start(p *pendingLoad) (float64, string) {
+	least, team := math.Inf(1), ""
+	for _, name := range p.teams {
+		if start := max(o.starts[name], o.virtualTime); start < least {
+			least, team = start, name
 		}
 	}
 	return least, team
@@ -145,7 +135,7 @@
 // charge moves on the team that a load is started for.
 func (o *LoadOrder) charge(p *pendingLoad) {
 	start, team := o.start(p)
-	o.starts[team.name] = start + 1/team.weight
+	o.starts[team] = start + 1
 	o.virtualTime = start
 	for name, s := range o.starts {
 		if s <= o.virtualTime {
--- a/internal/adapter/router_test.go
+++ b/internal/adapter/router_test.go
@@ -187,6 +187,32 @@
 	}
 }
 
+// A busy copy gets a second one, and equally busy targets get none.
+func TestRouterMakesACopyOnlyWhereTheWaitIsMuchShorter(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		busy, elsewhere  int
+		wantAnotherPlace bool
+	}{
+		{"all idle", 0, 0, false},
+		{"copy busy, others idle", 50_000, 0, true},
+		{"all busy alike", 50_000, 50_000, false},
+		{"copy a little busier", 60_000, 50_000, false},
+	} {
+		view := &adapter.View{}
+		for i := range 4 {
+			view.Set(engine(i))
+			view.SetLoad(engine(i).ID, adapter.TargetLoad{QueuedTokens: test.elsewhere})
+		}
+		view.AddResident("e000", numbered(1))
+		view.SetLoad("e000", adapter.TargetLoad{QueuedTokens: test.busy})
+		got, _ := (&adapter.Router{}).Choose(&adapter.Want{Adapter: numbered(1), BaseModel: "m"}, view, start)
+		if (got != "e000") != test.wantAnotherPlace {
+			t.Errorf("%s: Choose() = %s", test.name, got)
+		}
+	}
+}
+
 func ExampleRouter() {
 	view := &adapter.View{}
 	view.Set(engine(1))
--- a/internal/adapter/table_test.go
+++ b/internal/adapter/table_test.go
@@ -156,3 +156,40 @@
 	// a00002@1
 	// a00001@1
 }
+
+func TestVictimSparesAnAdapterLoadedForAQueuedRequest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		wanted, used := map[adapter.ID]bool{}, map[adapter.ID]bool{}
+		slots := rapid.IntRange(1, 5).Draw(t, "slots")
+		table := &adapter.Table{Slots: slots, Wanted: func(id adapter.ID) bool { return wanted[id] }}
+		for i := range slots {
+			id := numbered(i)
+			table.Touch(id, start, rapid.IntRange(0, 1000).Draw(t, "tokens"))
+			table.Reserve(id)
+			table.Add(id, start)
+			wanted[id] = rapid.Bool().Draw(t, "wanted")
+			if used[id] = rapid.Bool().Draw(t, "used"); used[id] {
+				table.Pin(id)
+				table.Unpin(id, start)
+			}
+		}
+		unwanted, spared := 0, 0
+		for i := range slots {
+			switch id := numbered(i); {
+			case !wanted[id]:
+				unwanted++
+			case !used[id]:
+				spared++
+			}
+		}
+		victim, ok := table.Victim(start)
+		switch {
+		case ok != (spared < slots):
+			t.Fatalf("Victim() = %v with %d of %d spared", ok, spared, slots)
+		case ok && wanted[victim] && !used[victim]:
+			t.Fatalf("Victim() = %v, loaded for a queued request and not yet used", victim)
+		case ok && wanted[victim] && unwanted > 0:
+			t.Fatalf("Victim() = %v, which is wanted, with %d unwanted", victim, unwanted)
+		}
+	})
+}
--- a/internal/measure/fleet/loads.go
+++ b/internal/measure/fleet/loads.go
@@ -48,7 +48,7 @@
 	if j != nil {
 		team, class = j.team, j.class
 	}
-	waiter := adapter.Waiter{Team: teamName(team), Weight: teamWeight(team), Class: class}
+	waiter := adapter.Waiter{Team: teamName(team), Class: class}
 	order.AddFor(load, waiter, r.time())
 	r.askPermit(e)
 }
