Ask for one note rather than a block; wait for peers to be known before ready

Cause: a look at the platform read up to 100 notes; an instance whose directory was not yet loaded took itself for the first and was ready from an older copy alone. Change: CatchUp gets the next note and lists its block only when it is there; Follower.PeersKnown, wired to the directory.

--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -48,7 +48,9 @@
 		Store:    store,
 		Peers:    i.peerIDs,
 		PullPeer: i.pullPeer,
-		Failed:   func(err error) { i.Log.Debug("release_pull_failed", zap.Error(err)) },
+		// Without the directory an instance that starts would take itself for the first.
+		PeersKnown: i.directory.Loaded,
+		Failed:     func(err error) { i.Log.Debug("release_pull_failed", zap.Error(err)) },
 	}
 	i.allowances = &team.Allowances{
 		Zone:           i.Settings.Zone,
--- a/internal/publication/follower.go
+++ b/internal/publication/follower.go
@@ -16,6 +16,7 @@
 	DefaultRecheck      = 8 * time.Second
 	DefaultPeerInterval = time.Second
 	DefaultCallTimeout  = 3 * time.Second
+	startPause          = 50 * time.Millisecond
 )
 
 // Follower keeps a replica up to date from the platform and from peers. The
@@ -29,6 +30,9 @@
 	Peers func() []string
 	// PullPeer asks one peer for the notes after a number.
 	PullPeer func(ctx context.Context, peer string, after uint64) (Pulled, error)
+	// PeersKnown reports whether Peers can be relied on: until then an empty
+	// answer does not say that there are none. Nil means always.
+	PeersKnown func() bool
 	// Recheck is the time between listings; zero is DefaultRecheck.
 	Recheck time.Duration
 	// PeerInterval is the time between questions to a peer; zero is DefaultPeerInterval.
@@ -140,23 +144,38 @@
 	for {
 		asked := f.now()
 		next := f.State().Number + 1
-		listing, err := f.Store.List(ctx, blockPrefix(next))
-		if err != nil {
-			return 0, err
-		}
-		notes, err := decodeFrom(listing, next)
-		if err != nil {
-			return 0, err
-		}
-		f.Offer(notes)
-		if blockPrefix(f.State().Number+1) == blockPrefix(next) {
-			// Whatever was accepted before the question has been applied.
+		object, err := f.Store.Get(ctx, NoteKey(next))
+		if platform.ErrNotFound.Has(err) {
+			// Whatever was accepted before the question has been applied, unless
+			// the answer is older than a note that waits for this one.
 			if !f.Gap() {
 				f.Confirm(asked)
 			}
 			return version, nil
 		}
+		if err != nil {
+			return 0, err
+		}
+		if err := f.readBlock(ctx, object, next); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// readBlock applies the note in first and those after it in its block, which
+// take one listing.
+func (f *Follower) readBlock(ctx context.Context, first platform.Object, next uint64) error {
+	listing, err := f.Store.List(ctx, blockPrefix(next))
+	if err != nil {
+		return err
 	}
+	listing.Objects = append(listing.Objects, first)
+	notes, err := decodeFrom(listing, next)
+	if err != nil {
+		return err
+	}
+	f.Offer(notes)
+	return nil
 }
 
 // decodeFrom returns the notes of a listing from number next on.
@@ -179,6 +198,9 @@
 	f.AskAllPeers(ctx)
 	for ctx.Err() == nil {
 		pause := f.PeerInterval/2 + rand.N(f.PeerInterval)
+		if !f.peersTried.Load() {
+			pause = startPause
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -190,6 +212,7 @@
 
 // AskAllPeers asks each peer once, at the same time, and waits for the answers.
 func (f *Follower) AskAllPeers(ctx context.Context) {
+	known := f.PeersKnown == nil || f.PeersKnown()
 	var asking conc.WaitGroup
 	var answers atomic.Int64
 	for _, peer := range f.peers() {
@@ -203,7 +226,7 @@
 	if answers.Load() > 0 {
 		f.peerAnswered.Store(true)
 	}
-	f.peersTried.Store(true)
+	f.peersTried.Store(known || f.peersTried.Load())
 }
 
 // AskPeer asks one peer picked at random, or all while none has answered yet
--- a/internal/publication/publication_test.go
+++ b/internal/publication/publication_test.go
@@ -221,3 +221,36 @@
 		t.Errorf("did not adopt 9, now at %d", r.State().Number)
 	}
 }
+
+// TestNotReadyBeforePeersAreKnown checks that an instance which has read an
+// older copy of the platform waits until it can ask its peers.
+func TestNotReadyBeforePeersAreKnown(t *testing.T) {
+	ctx := context.Background()
+	var memory platform.Memory
+	known := false
+	f := &publication.Follower{
+		Store:      memory.Store(),
+		PeersKnown: func() bool { return known },
+		Peers: func() []string {
+			if !known {
+				return nil
+			}
+			return []string{"peer"}
+		},
+		PullPeer: func(context.Context, string, uint64) (publication.Pulled, error) {
+			return publication.Pulled{Latest: 1, Notes: []publication.Stored{{Number: 1}}}, nil
+		},
+	}
+	if _, err := f.CatchUp(ctx); err != nil {
+		t.Fatal(err)
+	}
+	f.AskAllPeers(ctx)
+	if f.Ready() {
+		t.Error("ready before the peers are known")
+	}
+	known = true
+	f.AskAllPeers(ctx)
+	if !f.Ready() || f.State().Number != 1 {
+		t.Errorf("ready %v at %d", f.Ready(), f.State().Number)
+	}
+}
