Have a lapsed lease re-read what hangs on it before it counts again

Cause: by reading: a holder that was cut off for longer than its term renewed and counted on groups that others had taken, until its watch was back. Ruled out for now: re-claiming the groups with a higher fencing number, and verdicts newer than the record, which would close the rest (a taker's write that is under way); that is the ownership's to do, noted to its keeper.

--- a/internal/platform/instance_lease.go
+++ b/internal/platform/instance_lease.go
@@ -52,9 +52,15 @@
 	Value func(renewals uint64) ([]byte, error)
 	// Failed hears of renewals that failed; may be nil.
 	Failed func(error)
+	// Regain is called when a renewal succeeds after the lease had ended, since
+	// what hangs on it may be another's by now: it reads that anew. Until it
+	// succeeds the lease does not count. May be nil.
+	Regain func(ctx context.Context) error
 	// Now is the clock; nil is time.Now.
 	Now func() time.Time
 
+	// renewing is held for a whole renewal, so that two never overlap.
+	renewing sync.Mutex
 	mu       sync.Mutex
 	version  uint64
 	renewals uint64
@@ -85,10 +91,12 @@
 	}
 }
 
-// Renew writes the object once. A write whose answer was lost is settled by
+// Renew writes the object once, and waits for a renewal under way. A write whose answer was lost is settled by
 // reading back. ErrConflict says that the object is another's: the lease counts
 // as lost until a later renewal succeeds.
 func (r *Renewer) Renew(ctx context.Context) error {
+	r.renewing.Lock()
+	defer r.renewing.Unlock()
 	r.mu.Lock()
 	version, renewals := r.version, r.renewals+1
 	r.renewals = renewals
@@ -102,13 +110,29 @@
 	if ErrConflict.Has(err) || ErrUnavailable.Has(err) {
 		written, err = r.settle(ctx, value, err)
 	}
+	if err != nil {
+		return err
+	}
+	if err := r.regain(ctx, written); err != nil {
+		return err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err == nil {
-		r.version = written
-		r.Holding.Renewed(sent)
+	r.Holding.Renewed(sent)
+	return nil
+}
+
+// regain notes the version of a renewal that took effect and, if the lease had
+// ended before its answer came, has what hangs on it read anew.
+func (r *Renewer) regain(ctx context.Context, version uint64) error {
+	r.mu.Lock()
+	r.version = version
+	ended := r.Holding.Ended(r.now())
+	r.mu.Unlock()
+	if !ended || r.Regain == nil {
+		return nil
 	}
-	return err
+	return r.Regain(ctx)
 }
 
 // settle reads the object back after a write with cause as its outcome, and
--- a/internal/platform/lease.go
+++ b/internal/platform/lease.go
@@ -13,12 +13,15 @@
 	Margin time.Duration
 
 	until time.Time
+	// held says that the lease was held once.
+	held bool
 }
 
 // Renewed notes that a renewal sent at sent took effect.
 func (h *Holding) Renewed(sent time.Time) {
 	if until := sent.Add(h.Term - h.Margin); until.After(h.until) {
 		h.until = until
+		h.held = true
 	}
 }
 
@@ -28,6 +31,9 @@
 // Valid reports whether the lease is held at now.
 func (h *Holding) Valid(now time.Time) bool { return now.Before(h.until) }
 
+// Ended reports whether the lease was held once and is not at now.
+func (h *Holding) Ended(now time.Time) bool { return h.held && !h.Valid(now) }
+
 // Until returns when the lease ends unless it is renewed.
 func (h *Holding) Until() time.Time { return h.until }
 
