--- a/internal/publication/world_test.go
+++ b/internal/publication/world_test.go
@@ -60,20 +60,13 @@
 	zone    int
 	version uint64
 	highest uint64
-	// fresh says that the platform's last answer on a note was no older copy.
+	// fresh says that the platform's last listing was no older copy.
 	fresh bool
 	// informed says that it has read a fresh listing or could ask an informed
 	// peer when it started; without either nobody could know of the latest notes.
 	informed bool
 }
 
-// read notes that the platform answered from its present state.
-func (n *instance) read(key string) {
-	if n != nil && strings.HasPrefix(key, publication.NotePrefix) {
-		n.fresh = true
-	}
-}
-
 // attempt is one act of publishing and what the operator was told last.
 type attempt struct {
 	publication.Attempt
@@ -99,15 +92,7 @@
 		if away() {
 			return platform.Object{}, platform.ErrUnavailable.New("cut")
 		}
-		if w.staleAllowed && caller != nil && strings.HasPrefix(key, publication.NotePrefix) {
-			if caller.fresh = rapid.Bool().Draw(w.t, "fresh"); !caller.fresh {
-				return platform.Object{}, platform.ErrNotFound.New("an older copy")
-			}
-		}
-		o, err := real.Get(ctx, key)
-		caller.read(key)
-		w.intrude("after get", caller)
-		return o, err
+		return real.Get(ctx, key)
 	}
 	store.List = func(ctx context.Context, prefix string) (platform.Listing, error) {
 		w.intrude("before list", caller)
@@ -119,6 +104,9 @@
 			cut := rapid.Uint64Range(0, listing.Version).Draw(w.t, "version")
 			listing.Version = cut
 			listing.Objects = slices.DeleteFunc(listing.Objects, func(o platform.Object) bool { return o.Version > cut })
+			caller.fresh = false
+		} else if caller != nil {
+			caller.fresh = true
 		}
 		w.intrude("after list", caller)
 		return listing, err
@@ -151,9 +139,28 @@
 		}
 		return version, err
 	}
+	store.Get = w.agedGet(store.Get, caller)
 	return store
 }
 
+// agedGet lets an instance's question for a note be answered from an older copy,
+// and others act in between.
+func (w *world) agedGet(get func(context.Context, string) (platform.Object, error), caller *instance) func(context.Context, string) (platform.Object, error) {
+	return func(ctx context.Context, key string) (platform.Object, error) {
+		if caller == nil || !strings.HasPrefix(key, publication.NotePrefix) {
+			return get(ctx, key)
+		}
+		caller.fresh = !w.staleAllowed || rapid.Bool().Draw(w.t, "fresh")
+		if !caller.fresh {
+			return platform.Object{}, platform.ErrNotFound.New("an older copy")
+		}
+		o, err := get(ctx, key)
+		caller.fresh = err == nil || platform.ErrNotFound.Has(err)
+		w.intrude("after get", caller)
+		return o, err
+	}
+}
+
 // intrude lets another operator, another snapshot writer or the caller's other
 // duty act in the middle of a call, sometimes.
 func (w *world) intrude(where string, caller *instance) {
