Give patient requests a longer time, and no request more than owners reckon with

Cause: patient work may wait but must arrive, yet had the 2 minutes of interactive work; and a route's timeout could exceed the time for which a new owner keeps the previous owner's adapters pinned (limits.request_timeout), so that an adapter in use could be evicted after a takeover. Change: setting limits.patient_timeout (30 m); a route's timeout is cut to the longer of the two, and owners of targets reckon with that.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -100,9 +100,15 @@
 	}
 }
 
+// timeout returns how long a request of a route may take. Owners of targets rely
+// on the longest of all, so a route's own timeout is cut to it.
 func (s *Server) timeout(route release.Route) time.Duration {
-	if route.Timeout.Duration > 0 {
-		return route.Timeout.Duration
+	longest := max(s.Limits.RequestTimeout, s.Limits.PatientTimeout)
+	switch {
+	case route.Timeout.Duration > 0:
+		return min(route.Timeout.Duration, longest)
+	case route.Kind == release.ModelRoute && route.Class == release.Patient:
+		return longest
 	}
 	return s.Limits.RequestTimeout
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -40,6 +40,9 @@
 	BytesPerToken float64
 	// RequestTimeout bounds a request whose route states no timeout.
 	RequestTimeout time.Duration
+	// PatientTimeout bounds a model request of class patient whose route states
+	// none. No request may take longer than the longer of the two.
+	PatientTimeout time.Duration
 	// RequestsInFlight bounds the requests that are served at once.
 	RequestsInFlight int
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,12 +67,18 @@
 	DefaultMaxTokens int      `toml:"default_max_tokens" comment:"max_tokens of a request that states none." validate:"min=1,max=1000000"`
 	MaxTokens        int      `toml:"max_tokens" comment:"Largest max_tokens that a request may state." validate:"min=1,max=1000000"`
 	BytesPerToken    float64  `toml:"bytes_per_token" comment:"Bytes of prompt counted as one token before a request runs." validate:"min=0.5,max=64"`
-	RequestTimeout   Duration `toml:"request_timeout" comment:"Longest time for one request, unless its route states another." validate:"min=100ms,max=24h"`
+	RequestTimeout   Duration `toml:"request_timeout" comment:"Longest time for one request of class interactive or to a plain service, unless its route states another." validate:"min=100ms,max=24h"`
+	PatientTimeout   Duration `toml:"patient_timeout" comment:"Longest time for one model request of class patient, unless its route states another. No route's timeout goes beyond the longer of the two." validate:"min=100ms,max=24h"`
 	QueueItems       int      `toml:"queue_items" comment:"Most requests waiting for one target." validate:"min=1,max=1000000"`
 	QueueTokens      int      `toml:"queue_tokens" comment:"Most tokens waiting for one target." validate:"min=1,max=1000000000"`
 	RequestsInFlight int      `toml:"requests_in_flight" comment:"Most callers' requests in this instance at once." validate:"min=1,max=1000000"`
 }
 
+// LongestRequest bounds how long any request may take.
+func (l Limits) LongestRequest() time.Duration {
+	return max(l.RequestTimeout.Duration, l.PatientTimeout.Duration)
+}
+
 // Targets says how targets are split into groups and watched.
 type Targets struct {
 	GroupsPerZone int      `toml:"groups_per_zone" comment:"Groups that a zone's targets are split into; the same on all instances." validate:"min=1,max=4096"`
@@ -162,6 +168,7 @@
 			MaxTokens:        32_768,
 			BytesPerToken:    4,
 			RequestTimeout:   seconds(120),
+			PatientTimeout:   seconds(1800),
 			QueueItems:       1_000,
 			QueueTokens:      2_000_000,
 			RequestsInFlight: 10_000,
