Let owners order loads by team and spare what they loaded

Cause: the owner still gave its load order weights in place of teams, and its slot table did not know which adapters queued requests wait for.

Change: two lines of wiring in the owner: AddFor with the request's team, and Table.Wanted from the owner's count of waiting requests.

--- a/internal/measure/fleet/loads.go
+++ b/internal/measure/fleet/loads.go
@@ -13,7 +13,7 @@
 // the most urgent load of all engines takes the next permit.
 type loads struct {
 	orders  map[*engine]*adapter.LoadOrder
-	inOrder []adapter.Load
+	inOrder map[*engine][]adapter.Load
 	asking  []*engine
 	woken   bool
 }
@@ -24,6 +24,7 @@
 	}
 	if r.loads.orders == nil {
 		r.loads.orders = map[*engine]*adapter.LoadOrder{}
+		r.loads.inOrder = map[*engine][]adapter.Load{}
 	}
 	o, ok := r.loads.orders[e]
 	if !ok {
@@ -42,7 +43,7 @@
 	load := adapter.Load{TargetID: e.id, Adapter: id}
 	order := r.orderOf(e)
 	if !order.Pending(load) {
-		r.loads.inOrder = append(r.loads.inOrder, load)
+		r.loads.inOrder[e] = append(r.loads.inOrder[e], load)
 	}
 	team, class := e.waiterTeam[id], release.Interactive
 	if j != nil {
@@ -94,15 +95,20 @@
 	}
 }
 
-// nextLoad takes the load of an engine that a permit goes to.
+// nextLoad takes the load of an engine that a permit goes to; the engine has
+// room, but with one shared order others may have none.
 func (r *run) nextLoad(e *engine) (adapter.Load, bool) {
 	order := r.orderOf(e)
-	if !r.policy.LoadsInOrder {
+	switch {
+	case r.policy.SharedLoadOrder:
 		return order.Next(r.time(), func(load adapter.Load) bool { return r.hasRoom(r.byID[load.TargetID]) })
+	case !r.policy.LoadsInOrder:
+		return order.Next(r.time(), nil)
 	}
-	for i, load := range r.loads.inOrder {
-		if order.Pending(load) && r.hasRoom(r.byID[load.TargetID]) {
-			r.loads.inOrder = slices.Delete(r.loads.inOrder, i, i+1)
+	for len(r.loads.inOrder[e]) > 0 {
+		load := r.loads.inOrder[e][0]
+		r.loads.inOrder[e] = r.loads.inOrder[e][1:]
+		if order.Pending(load) {
 			order.Remove(load)
 			return load, true
 		}
--- a/internal/measure/fleet/owner.go
+++ b/internal/measure/fleet/owner.go
@@ -71,6 +71,10 @@
 		}
 		e.running = append(e.running, j)
 	}
+	r.keepStepping(e)
+}
+
+func (r *run) keepStepping(e *engine) {
 	if len(e.running) > 0 && !e.stepping {
 		e.stepping = true
 		r.after(e.stepTime(r.now), func() { r.finishStep(e) })
@@ -84,8 +88,10 @@
 		e.table.Unpin(r.ids[j.adapter], r.time())
 		r.reportLoad(r.views[j.router], e)
 	}
-	if len(done) > 0 {
-		r.askPermit(e)
+	if len(done) == 0 {
+		r.keepStepping(e)
+		return
 	}
+	r.askPermit(e)
 	r.pump(e)
 }
--- a/internal/target/owner.go
+++ b/internal/target/owner.go
@@ -205,6 +205,7 @@
 		o.loading.coming = map[adapter.ID]bool{}
 		o.loading.evicting = map[adapter.ID]bool{}
 		o.queue.MaxItems = o.QueueItems
+		o.table.Wanted = func(id adapter.ID) bool { return o.waiting[id] > 0 }
 	})
 }
 
--- a/internal/target/owner_loads.go
+++ b/internal/target/owner_loads.go
@@ -48,7 +48,7 @@
 	if o.loading.coming[id] || o.loading.evicting[id] {
 		return
 	}
-	o.order.Add(o.load(id), s.request.TeamWeight, s.request.Class, now)
+	o.order.AddFor(o.load(id), adapter.Waiter{Team: s.request.Team, Class: s.request.Class}, now)
 }
 
 // startLoads asks for a permit when a load could be ordered now.
