--- a/internal/team/measure/main.go
+++ b/internal/team/measure/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -15,8 +16,23 @@
 var seeds = []uint64{1, 2, 3, 4, 5}
 
 func main() {
+	flag.IntVar(&instances, "instances", instances, "number of instances")
+	flag.IntVar(&zones, "zones", zones, "number of zones")
+	flag.DurationVar(&runTime, "time", runTime, "virtual time of a run")
+	teams := flag.Int("teams", 0, "number of teams that grow with the fleet; 0 takes the five of today")
+	runs := flag.Int("seeds", len(seeds), "number of seeds")
+	only := flag.String("only", "", "name of the only workload; transfers alone are measured then")
+	flag.Parse()
+	if *teams > 0 {
+		growTeams(*teams)
+	}
+	seeds = seeds[:*runs]
+	if *only != "" {
+		policies = policies[:1]
+		workloads = slices.DeleteFunc(workloads, func(w workload) bool { return w.name != *only })
+	}
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, "workload\tpolicy\twrongful %\tlowest\thighest\twithin rate %\tworst team %\tover tokens\ttransfers/s\tplatform calls/s")
+	fmt.Fprintln(out, "workload\tpolicy\twrongful %\tlowest\thighest\twithin rate %\tworst team %\tover tokens\ttransfers/s\tper request\tplatform calls/s")
 	for _, w := range workloads {
 		for _, p := range policies {
 			printRow(out, w, p, measure(w, p))
@@ -42,9 +58,10 @@
 	worst := column(results, func(r result) float64 { return 100 * r.worstTeam() })
 	over := column(results, func(r result) float64 { return r.over })
 	transfers := column(results, func(r result) float64 { return r.perSecond(r.transfers) })
+	perRequest := column(results, func(r result) float64 { return r.transfers / r.requests })
 	calls := column(results, func(r result) float64 { return r.perSecond(r.platformCalls) })
-	fmt.Fprintf(out, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\n", w.name, p.name,
-		median(wrongful), wrongful[0], wrongful[len(wrongful)-1], median(within), median(worst), over[len(over)-1], median(transfers), median(calls))
+	fmt.Fprintf(out, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.1f\t%.1f\t%.1f\t%.3f\t%.1f\n", w.name, p.name,
+		median(wrongful), wrongful[0], wrongful[len(wrongful)-1], median(within), median(worst), over[len(over)-1], median(transfers), median(perRequest), median(calls))
 }
 
 // column returns one figure of all results, sorted.
--- a/internal/team/measure/resizing.go
+++ b/internal/team/measure/resizing.go
@@ -85,7 +85,7 @@
 func resizing(s *simulation) func(r request) {
 	z := &resizer{simulation: s, budget: team.Bucket{Rate: budgetPerSecond, Burst: budgetBurst, Balance: budgetBurst}}
 	for range instances {
-		z.buckets = append(z.buckets, fullBuckets(1.0/instances))
+		z.buckets = append(z.buckets, fullBuckets(1/float64(instances)))
 		z.demands = append(z.demands, make([]demand, len(rates)))
 	}
 	for at := sampleInterval; at < runTime; at += sampleInterval {
@@ -118,10 +118,10 @@
 // resize shrinks what has too much at once and grows the others later. Each
 // instance's report is a write, and each zone's new slices are another.
 func (z *resizer) resize() {
-	if !z.budget.Take(z.now(), zones) {
+	if !z.budget.Take(z.now(), float64(zones)) {
 		return
 	}
-	z.result.platformCalls += instances + 2*zones
+	z.result.platformCalls += float64(instances + 2*zones)
 	for t := range rates {
 		z.resizeTeam(t)
 	}
--- a/internal/team/measure/simulation.go
+++ b/internal/team/measure/simulation.go
@@ -170,7 +170,7 @@
 	for i := range instances {
 		n := &node{id: "i" + strconv.Itoa(i), zone: "z" + strconv.Itoa(i%zones)}
 		n.share.Tick(epoch.Add(-1))
-		n.share.Resize(epoch, epoch, team.Claim{Teams: 1.0 / instances})
+		n.share.Resize(epoch, epoch, team.Claim{Teams: 1 / float64(instances)})
 		n.share.SetRates(epoch, 1, rates)
 		s.nodes = append(s.nodes, n)
 	}
--- a/internal/team/measure/workload.go
+++ b/internal/team/measure/workload.go
@@ -2,18 +2,24 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"time"
 
 	"heatherrelay/internal/team"
 )
 
 // The size of the fleet and the length of a run.
-const (
+var (
 	instances = 9
 	zones     = 3
 	runTime   = 300 * time.Second
-	cutStart  = 100 * time.Second
-	cutEnd    = 160 * time.Second
+)
+
+// The times between which the first zone is cut off.
+const (
+	cutStart = 100 * time.Second
+	cutEnd   = 160 * time.Second
 )
 
 // meanTokens is the mean cost of a request as it is reserved.
@@ -48,6 +54,32 @@
 	{Name: team.Name("e"), TokensPerSecond: 500, BurstTokens: 5000},
 }
 
+// tokensPerInstance is the rate of a large fleet, per instance.
+const tokensPerInstance = 6800
+
+// growTeams replaces the teams by a number of teams whose rates follow Zipf's
+// law and together grow with the fleet.
+func growTeams(count int) {
+	weights := 0.0
+	for i := range count {
+		weights += 1 / float64(i+1)
+	}
+	rates = nil
+	for i := range count {
+		r := tokensPerInstance * float64(instances) / (float64(i+1) * weights)
+		rates = append(rates, team.Rate{Name: team.Name(strconv.Itoa(i)), TokensPerSecond: r, BurstTokens: max(2*maxTokens, burstTime.Seconds()*r)})
+	}
+	for i := range workloads {
+		workloads[i].load = slices.Repeat([]float64{0.9}, count)
+	}
+}
+
+// The largest request, and the time in which a grown team's burst fills.
+const (
+	maxTokens = 900
+	burstTime = 5 * time.Second
+)
+
 // request is one request of a team, sent to an instance.
 type request struct {
 	at       time.Duration
