--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/certificate"
@@ -329,7 +330,7 @@
 }
 
 func (i *Instance) servePeers(ctx context.Context) error {
-	_, handler := heatherrelayv1connect.NewPeerServiceHandler(i.peerServer)
+	_, handler := heatherrelayv1connect.NewPeerServiceHandler(i.peerServer, connect.WithCompressMinBytes(peerCompressMinBytes))
 	return servePeers(ctx, i.listeners.peers, handler, i.peerServerTLS(), lastActsTime)
 }
 
--- a/internal/instance/transport.go
+++ b/internal/instance/transport.go
@@ -18,6 +18,8 @@
 	peerStreamsPerConn  = 10_000
 	peerReadHeaderLimit = 5 * time.Second
 	peerIdleConnTimeout = time.Minute
+	// peerCompressMinBytes keeps compression from the events of a stream.
+	peerCompressMinBytes = 16 << 10
 )
 
 // peerProtocols is HTTP/2, in plain text when there is no TLS.
