--- a/internal/team/keeper.go
+++ b/internal/team/keeper.go
@@ -58,7 +58,9 @@
 }
 
 // memberID returns the name of this process in its zone's ledger.
-func (k *Keeper) memberID() string { return k.InstanceID + memberSeparator + k.Epoch }
+func (k *Keeper) memberID() string { return memberID(k.InstanceID, k.Epoch) }
+
+func memberID(instanceID, epoch string) string { return instanceID + memberSeparator + epoch }
 
 // memberSeparator stands between an instance's id and its epoch.
 const memberSeparator = "#"
--- a/internal/team/ledger.go
+++ b/internal/team/ledger.go
@@ -210,6 +210,17 @@
 	return TotalParts
 }
 
+// Concerns reports whether the member has a step to take: it is missing, asked to
+// cede, or the one to take what is free.
+func (l *Ledger) Concerns(id string) bool {
+	m := l.Find(id)
+	if m == nil || m.CedeTeams > 0 || m.CedeLoads > 0 {
+		return true
+	}
+	n := int64(len(l.Members))
+	return l.Free.Teams > 0 && m.Teams <= l.TotalTeams()/n || l.Free.Loads > 0 && m.Loads <= l.TotalLoads()/n
+}
+
 // Ask marks the richest members to cede what the member lacks for a fair part,
 // and reports whether it marked any.
 func (l *Ledger) Ask(id string, whole bool) bool {
--- a/internal/team/run.go
+++ b/internal/team/run.go
@@ -6,6 +6,8 @@
 
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
+
+	"heatherrelay/internal/platform"
 )
 
 // The times of the duties. LevelInterval is the time between looks at slices
@@ -210,9 +212,24 @@
 		}
 		after = changes.Version
 		for _, e := range changes.Events {
-			if e.Key == rootKey || e.Key == ledgerPrefix+a.Zone {
+			if a.concerns(e) {
 				signal(changed)
 			}
 		}
 	}
 }
+
+// concerns reports whether a changed ledger leaves this instance a step to
+// take. Deleted and unreadable ledgers do.
+func (a *Allowances) concerns(e platform.Event) bool {
+	id := a.Zone
+	switch e.Key {
+	case rootKey:
+	case ledgerPrefix + a.Zone:
+		id = memberID(a.InstanceID, a.epoch)
+	default:
+		return false
+	}
+	l, err := ParseLedger(e.Value)
+	return e.Deleted || err != nil || l.Concerns(id)
+}
