--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -147,6 +147,8 @@
 func (i *Instance) start(ctx context.Context, tasks *conc.WaitGroup) {
 	tasks.Go(func() { i.renewer.Run(ctx) })
 	tasks.Go(func() { i.directory.Run(ctx) })
+	tasks.Go(func() { i.sweeper().Run(ctx) })
+	tasks.Go(func() { i.snapshots().Run(ctx) })
 	tasks.Go(func() { i.follower.Run(ctx) })
 	tasks.Go(func() { i.ownership.Run(ctx) })
 	tasks.Go(func() { i.syncer.Run(ctx) })
--- /dev/null
+++ b/internal/platform/lease_sweeper_test.go
@@ -0,0 +1,51 @@
+package platform_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"heatherrelay/internal/platform"
+)
+
+// TestSweeperRemovesOnlyWhatIsGone checks that of four leases only that of the
+// instance which neither renews nor stands in the platform's list goes.
+func TestSweeperRemovesOnlyWhatIsGone(t *testing.T) {
+	ctx := context.Background()
+	var memory platform.Memory
+	store := memory.Store()
+	memory.SetInstances([]platform.InstanceEntry{{ID: "cut"}, {ID: "leaving", State: platform.InstanceLeaving}})
+	versions := map[string]uint64{}
+	renew := func(id string) {
+		version, err := store.Put(ctx, platform.InstanceLeaseKey(id), []byte("{}"), versions[id])
+		if err != nil {
+			t.Fatal(err)
+		}
+		versions[id] = version
+	}
+	for _, id := range []string{"crashed", "cut", "leaving", "unlisted"} {
+		renew(id)
+	}
+	now := time.Unix(1_000_000, 0)
+	var swept []string
+	sweeper := platform.LeaseSweeper{
+		Store: store,
+		After: time.Minute,
+		Swept: func(id string) { swept = append(swept, id) },
+		Now:   func() time.Time { return now },
+	}
+	for range 4 {
+		if err := sweeper.Sweep(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if now.Before(time.Unix(1_000_000+60, 0)) && len(swept) > 0 {
+			t.Errorf("swept %v at %v", swept, now)
+		}
+		now = now.Add(30 * time.Second)
+		renew("unlisted")
+	}
+	if !slices.Equal(swept, []string{"crashed"}) {
+		t.Errorf("swept %v", swept)
+	}
+}
--- a/internal/publication/status.go
+++ b/internal/publication/status.go
@@ -112,7 +112,7 @@
 		lease, ok := leases[id]
 		byZone[name].count(id, number, lease, ok)
 	}
-	var sorted []ZoneStatus
+	sorted := []ZoneStatus{}
 	for _, name := range slices.Sorted(maps.Keys(byZone)) {
 		sorted = append(sorted, *byZone[name])
 	}
