Serve nothing before the releases have been read

Cause: an instance that had just started refused a valid key with 401; entry asks for no state only when there is none, and the follower always has one, be it empty or half read, in which a withdrawn key would still count. Change: entry gets no state until the follower is ready, so that such a request is refused not_ready and not run. TestPath starts an instance that reaches nothing; TestRollingReplacement waits for readiness before it sends callers. Ruled out: checking readiness at each request, which would refuse callers that a leaving instance still has to answer.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -46,6 +46,8 @@
 	adjust func(*settings.Settings)
 	// registry holds the zones of the instances by process.
 	registry registry
+	// awaitsReady makes start wait until the instance is ready.
+	awaitsReady bool
 }
 
 // instance is one instance and the connections that lead to and from it.
@@ -161,6 +163,9 @@
 	f.registry.add(i.process, i.zone)
 	started := line(t, i.process, func(l startedLine) bool { return l.Callers.IsValid() && l.Peers.IsValid() })
 	i.listening = started.Callers
+	if f.awaitsReady {
+		f.awaitReady(t, i)
+	}
 	i.peers.point(started.Peers)
 }
 
--- a/internal/fleet/path_test.go
+++ b/internal/fleet/path_test.go
@@ -20,6 +20,7 @@
 	t.Run("large bodies", func(t *testing.T) { testLargeBodies(t, f) })
 	t.Run("services", func(t *testing.T) { testServices(t, f) })
 	t.Run("planted keys", func(t *testing.T) { testPlantedKeys(t, f) })
+	t.Run("starting instance", func(t *testing.T) { testStartingInstance(t, f) })
 	t.Run("shutdown", func(t *testing.T) { testShutdown(t, f) })
 	f.checkTargets(t)
 }
@@ -145,6 +146,38 @@
 	}
 }
 
+// testStartingInstance starts an instance that reaches neither the platform nor
+// peers: it knows no releases and says so.
+func testStartingInstance(t *testing.T, f *fleet) {
+	late := f.newInstance(t, "instance-late", zones[0])
+	late.platform.set(linkSilent)
+	f.start(t, late)
+	late.callers = late.listening
+	reply, err := f.caller(late, teamCrews).Complete(t.Context(), request(crewsAdapter, "too early", 1))
+	if err != nil || reply.Status != http.StatusServiceUnavailable || reply.Refusal == nil || reply.Refusal.Code != "not_ready" || !reply.Refusal.NotRun {
+		t.Errorf("before it knows the releases: %v, %+v, %+v", err, reply, reply.Refusal)
+	}
+	late.platform.set(linkUp)
+	late.platform.set(linkCut)
+	late.platform.set(linkUp)
+	f.awaitReady(t, late)
+	f.mustAnswer(t, late, "in time")
+	late.process.signal(syscall.SIGTERM)
+	if code := late.process.exit(t); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// awaitReady waits until an instance is ready for callers.
+func (f *fleet) awaitReady(t testing.TB, i *instance) {
+	t.Helper()
+	eventually(t, i.id+" is ready", func() bool {
+		ready := standin.Caller{URL: "http://" + i.listening.String()}
+		reply, err := ready.Call(t.Context(), http.MethodGet, "/readyz", nil, nil)
+		return err == nil && reply.Status == http.StatusOK
+	})
+}
+
 // testShutdown ends each instance in turn while it streams.
 func testShutdown(t *testing.T, f *fleet) {
 	for _, i := range f.instances {
--- a/internal/fleet/replacement_test.go
+++ b/internal/fleet/replacement_test.go
@@ -21,6 +21,7 @@
 	t.Parallel()
 	f := &fleet{adjust: shortLeases}
 	startFleet(t, f, 2, 1, "--step-time", engineStep, "--slots", "8")
+	f.awaitsReady = true
 	models := f.publishAdapters(t)
 	live := &liveFleet{fleet: f}
 	seen := &journal{refused: map[string]int{}}
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -194,7 +194,7 @@
 	}
 	limits := i.Settings.Limits
 	i.entry = &entry.Server{
-		State:         i.follower.State,
+		State:         i.servedState,
 		Authenticate:  authenticate,
 		KeysConfirmed: i.keysConfirmed,
 		Admit:         i.allowances.Admit,
@@ -237,6 +237,15 @@
 	return a.BaseModel, ok
 }
 
+// servedState returns the releases in force, or nil before they have been read:
+// an older state could still hold keys that were withdrawn.
+func (i *Instance) servedState() *release.State {
+	if !i.follower.Ready() {
+		return nil
+	}
+	return i.follower.State()
+}
+
 // readiness says why the instance should get no new callers.
 func (i *Instance) readiness() error {
 	switch {
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -79,6 +79,7 @@
 	if !d.Once {
 		fmt.Fprintln(d.Out, "Interrupt to end.")
 		<-ctx.Done()
+		fmt.Fprintln(d.Out, "Shutting down.")
 	}
 	stop()
 	duties.Wait()
