Serve the administration API from an instance

Run: a stand-in platform and one instance; publish, status, lint, targets, teams, readiness answered as docs/ADMINISTRATION.md shows, 401 without a key and with a caller's key; the operator's secret is in no log line. Not tested: /v1/targets with targets (none in that run).

--- a/cmd/heatherrelay/key.go
+++ b/cmd/heatherrelay/key.go
@@ -28,16 +28,23 @@
 // keyNewCommand makes a key for a team.
 func keyNewCommand() *cobra.Command {
 	var team, output string
+	var operator bool
 	cmd := &cobra.Command{
-		Use:   "new --team TEAM",
-		Short: "Make a key for a team",
+		Use:   "new {--team TEAM | --operator}",
+		Short: "Make a key for a team or an operator",
 		Long: `Make a random key. The key itself is shown this once and kept nowhere: give it to
-the team. The entry below it goes into a release note and holds only a hash.`,
+its owner. What stands below it holds only a hash: for a team the entry of a release
+note, for an operator the text for administration.keys in the settings.`,
 		Example: `  heatherrelay key new --team crews
+  heatherrelay key new --operator
   heatherrelay key new --team crews --output json`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			k := key.Generate()
+			if operator {
+				_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s\n\n%s:%s\n", k.Text(), k.ID, k.Hash())
+				return err
+			}
 			entry := release.Key{ID: k.ID, Hash: k.Hash(), Team: team}
 			if err := (release.Note{Keys: []release.Key{entry}}).Check(); err != nil {
 				return invalid(errUsage.New("--team: %w", err))
@@ -51,8 +58,8 @@
 	}
 	cmd.Flags().StringVar(&team, "team", "", "the team that the key belongs to")
 	cmd.Flags().StringVar(&output, "output", outputText, "form of the result: text or json")
-	if err := cmd.MarkFlagRequired("team"); err != nil {
-		panic(err)
-	}
+	cmd.Flags().BoolVar(&operator, "operator", false, "make a key of an operator, for the administration API")
+	cmd.MarkFlagsOneRequired("team", "operator")
+	cmd.MarkFlagsMutuallyExclusive("team", "operator")
 	return cmd
 }
--- a/internal/administration/releases.go
+++ b/internal/administration/releases.go
@@ -38,12 +38,7 @@
 	if err != nil {
 		return refused.Because(err)
 	}
-	granted := false
-	for _, operator := range s.Keys {
-		same := k.Matches(operator.Hash)
-		granted = granted || same && operator.ID == k.ID
-	}
-	if !granted {
+	if !k.IsOperator(s.Keys) {
 		return refused.Because(key.ErrUnknown.New("%s", k.ID))
 	}
 	return c.Next()
--- a/internal/administration/server.go
+++ b/internal/administration/server.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"heatherrelay/internal/key"
 	"heatherrelay/internal/publication"
 	"heatherrelay/pkg/release"
 )
@@ -25,12 +26,8 @@
 	closeTimeout   = 5 * time.Second
 )
 
-// OperatorKey is a key of an operator, as the settings hold it.
-type OperatorKey struct {
-	ID string `toml:"id" json:"id" validate:"name"`
-	// Hash is the SHA-256 of the secret in lower-case hex.
-	Hash string `toml:"hash" json:"hash" validate:"len=64,hexadecimal,lowercase"`
-}
+// OperatorKey is a key of an operator.
+type OperatorKey = key.Operator
 
 // Target is a target as this instance knows it.
 type Target struct {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -69,12 +69,16 @@
 	Callers netip.AddrPort `json:"callers"`
 	Peers   netip.AddrPort `json:"peers"`
 	Metrics netip.AddrPort `json:"metrics"`
+	// Administration is not set while the API is not served.
+	Administration netip.AddrPort `json:"administration,omitzero"`
 }
 
 type listeners struct {
 	callers net.Listener
 	peers   net.Listener
 	metrics net.Listener
+	// administration is nil while the API is not served.
+	administration net.Listener
 }
 
 // Run serves until ctx ends, then shuts down gracefully: it leaves the
@@ -115,6 +119,9 @@
 	if i.listeners.metrics, err = listenOn(i.Settings.Listen.Metrics); err != nil {
 		return err
 	}
+	if err := i.listenAdministration(); err != nil {
+		return err
+	}
 	i.addresses.Callers = boundAddress(i.listeners.callers)
 	i.addresses.Peers = boundAddress(i.listeners.peers)
 	i.addresses.Metrics = boundAddress(i.listeners.metrics)
@@ -154,6 +161,9 @@
 	tasks.Go(func() { i.syncer.Run(ctx) })
 	tasks.Go(func() { i.report("allowances", i.allowances.Run(ctx)) })
 	tasks.Go(func() { i.report("intents", i.sender.Run(ctx)) })
+	if i.listeners.administration != nil {
+		tasks.Go(func() { i.report("administration", i.serveAdministration(ctx)) })
+	}
 	tasks.Go(func() { i.report("peers", i.servePeers(ctx)) })
 	tasks.Go(func() { i.report("metrics", i.metricsEndpoint().Run(ctx)) })
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/go-playground/validator/v10"
+
+	"heatherrelay/internal/key"
 )
 
 var fieldChecks = sync.OnceValue(newFieldChecks)
@@ -57,6 +59,9 @@
 	problems = append(problems, checkLimits(s.Limits)...)
 	problems = append(problems, checkAdvertise(s)...)
 	problems = append(problems, checkTLS(s.TLS)...)
+	if _, err := key.ParseOperators(s.Administration.Keys); err != nil {
+		problems = append(problems, Problem{Path: "administration.keys", Reason: err.Error()})
+	}
 	return problems
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,21 +16,22 @@
 // while the instance runs. Values from Load and Parse have been checked. What
 // operators change while traffic runs is in release notes.
 type Settings struct {
-	Instance   string     `toml:"instance" comment:"Name of this instance, unique over the fleet. Required." validate:"required,max=100,excludesall=/ "`
-	Zone       string     `toml:"zone" comment:"Availability zone of this instance. Required." validate:"required,max=100,excludesall=/ "`
-	Listen     Listen     `toml:"listen" comment:"Addresses to listen on, IP:PORT; port 0 lets the kernel choose."`
-	Advertise  Advertise  `toml:"advertise" comment:"Addresses that others are told."`
-	Platform   Platform   `toml:"platform" comment:"The platform's object API."`
-	Lease      Lease      `toml:"lease" comment:"Lease of this instance, which its target groups and allowances hang on."`
-	Limits     Limits     `toml:"limits" comment:"Limits on callers' requests."`
-	Targets    Targets    `toml:"targets" comment:"Targets and their groups."`
-	Loads      Loads      `toml:"loads" comment:"What the weight store allows over the whole fleet."`
-	Keys       Keys       `toml:"keys" comment:"Callers' keys."`
-	Dispatch   Dispatch   `toml:"dispatch" comment:"Calls to plain services that may not be repeated."`
-	Shutdown   Shutdown   `toml:"shutdown" comment:"Graceful shutdown."`
-	TLS        TLS        `toml:"tls" comment:"Certificates, as PEM files."`
-	Log        Log        `toml:"log" comment:"Logs, as JSON lines on standard error."`
-	Objectives Objectives `toml:"objectives" comment:"Service-level objectives of the burn report, by route class."`
+	Instance       string         `toml:"instance" comment:"Name of this instance, unique over the fleet. Required." validate:"required,max=100,excludesall=/ "`
+	Zone           string         `toml:"zone" comment:"Availability zone of this instance. Required." validate:"required,max=100,excludesall=/ "`
+	Listen         Listen         `toml:"listen" comment:"Addresses to listen on, IP:PORT; port 0 lets the kernel choose."`
+	Advertise      Advertise      `toml:"advertise" comment:"Addresses that others are told."`
+	Platform       Platform       `toml:"platform" comment:"The platform's object API."`
+	Lease          Lease          `toml:"lease" comment:"Lease of this instance, which its target groups and allowances hang on."`
+	Limits         Limits         `toml:"limits" comment:"Limits on callers' requests."`
+	Targets        Targets        `toml:"targets" comment:"Targets and their groups."`
+	Loads          Loads          `toml:"loads" comment:"What the weight store allows over the whole fleet."`
+	Keys           Keys           `toml:"keys" comment:"Callers' keys."`
+	Administration Administration `toml:"administration" comment:"Administration API."`
+	Dispatch       Dispatch       `toml:"dispatch" comment:"Calls to plain services that may not be repeated."`
+	Shutdown       Shutdown       `toml:"shutdown" comment:"Graceful shutdown."`
+	TLS            TLS            `toml:"tls" comment:"Certificates, as PEM files."`
+	Log            Log            `toml:"log" comment:"Logs, as JSON lines on standard error."`
+	Objectives     Objectives     `toml:"objectives" comment:"Service-level objectives of the burn report, by route class."`
 }
 
 // Listen holds the addresses that the instance listens on.
@@ -98,6 +99,11 @@
 	StaleKeyLimit Duration `toml:"stale_key_limit" comment:"How long keys go on counting while neither the platform nor a peer confirms them; 0s: without end." validate:"min=0s,max=720h"`
 }
 
+// Administration says who may use the administration API.
+type Administration struct {
+	Keys string `toml:"keys" comment:"Operators' keys as ID:HASH, separated by spaces, as printed by key new --operator; with none the API is not served."`
+}
+
 // Dispatch says how long outcomes of calls that may not be repeated are kept.
 type Dispatch struct {
 	Retention  Duration `toml:"retention" comment:"How long an idempotency key is remembered after the call's deadline at least; 0s: for ever." validate:"min=0s,max=87600h"`
