Compare popularity by a rank that does not change with time

Cause: Victim computed a power of two for each resident: 2,200 to 3,800 ns at 64 slots, over the 2 us aimed at.

Change: each entry keeps log2(value) + time/half-life, computed when it is touched. All sums decay alike, so this orders them at any one time.

--- a/internal/adapter/decayed.go
+++ b/internal/adapter/decayed.go
@@ -26,3 +26,9 @@
 	}
 	return d.value * math.Exp2(-float64(elapsed)/float64(halfLife))
 }
+
+// rank orders sums as at does for any one time: all decay alike, so the order
+// of two sums never changes between additions.
+func (d *decayed) rank(base time.Time, halfLife time.Duration) float64 {
+	return math.Log2(d.value) + float64(d.since.Sub(base))/float64(halfLife)
+}
--- a/internal/adapter/table.go
+++ b/internal/adapter/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -33,6 +34,8 @@
 	entries     map[ID]*entry
 	slotted     []*entry
 	frozenUntil time.Time
+	// base is the time to which ranks relate.
+	base time.Time
 }
 
 type slotState uint8
@@ -49,7 +52,9 @@
 	state      slotState
 	pins       int
 	popularity decayed
-	used       time.Time
+	// rank orders entries as their popularity does at any one time.
+	rank float64
+	used time.Time
 	// unused is true from a load until the first request runs on it.
 	unused bool
 }
@@ -58,10 +63,14 @@
 // A load stalls requests and not tokens, so tokens count little.
 func (t *Table) Touch(id ID, now time.Time, tokens int) {
 	e := t.entry(id)
+	if t.base.IsZero() {
+		t.base = now
+	}
 	e.popularity.add(1+popularityPerToken*float64(tokens), now, t.halfLife())
+	e.rank = e.popularity.rank(t.base, t.halfLife())
 	e.used = now
 	if len(t.entries) > maxTrackedAdapters+t.Slots {
-		t.forgetUnpopular(now)
+		t.forgetUnpopular()
 	}
 }
 
@@ -208,9 +217,9 @@
 			continue
 		}
 		cost := evictionCost{
-			wanted:     t.Wanted != nil && t.Wanted(e.id),
-			popularity: e.popularity.at(now, t.halfLife()),
-			used:       e.used,
+			wanted: t.Wanted != nil && t.Wanted(e.id),
+			rank:   e.rank,
+			used:   e.used,
 		}
 		if cost.wanted && e.unused {
 			continue
@@ -227,17 +236,17 @@
 
 // evictionCost orders the candidates of an eviction.
 type evictionCost struct {
-	wanted     bool
-	popularity float64
-	used       time.Time
+	wanted bool
+	rank   float64
+	used   time.Time
 }
 
 func (c evictionCost) less(other evictionCost) bool {
 	if c.wanted != other.wanted {
 		return !c.wanted
 	}
-	if c.popularity != other.popularity {
-		return c.popularity < other.popularity
+	if c.rank != other.rank {
+		return c.rank < other.rank
 	}
 	return c.used.Before(other.used)
 }
@@ -257,7 +266,7 @@
 	if t.entries == nil {
 		t.entries = map[ID]*entry{}
 	}
-	e := &entry{id: id}
+	e := &entry{id: id, rank: math.Inf(-1)}
 	t.entries[id] = e
 	return e
 }
@@ -270,19 +279,15 @@
 }
 
 // forgetUnpopular drops the less popular half of the adapters without a slot.
-func (t *Table) forgetUnpopular(now time.Time) {
+func (t *Table) forgetUnpopular() {
 	var absent []*entry
 	for _, e := range t.entries {
 		if e.state == stateAbsent && e.pins == 0 {
 			absent = append(absent, e)
 		}
 	}
-	half := t.halfLife()
 	slices.SortFunc(absent, func(a, b *entry) int {
-		return cmp.Or(
-			cmp.Compare(a.popularity.at(now, half), b.popularity.at(now, half)),
-			compareIDs(a.id, b.id),
-		)
+		return cmp.Or(cmp.Compare(a.rank, b.rank), compareIDs(a.id, b.id))
 	})
 	for _, e := range absent[:len(absent)/2] {
 		delete(t.entries, e.id)
