--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -157,6 +157,15 @@
 	d.instances[id] = s
 }
 
+// Released reports whether an instance gave its lease back, which it does only
+// when all its requests are finished.
+func (d *Directory) Released(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, ok := d.instances[id]
+	return ok && s.released
+}
+
 // Gone reports whether an instance's lease has lapsed and the platform's list
 // does not name it as live.
 func (d *Directory) Gone(id string) bool {
--- a/internal/instance/errors.go
+++ b/internal/instance/errors.go
@@ -10,4 +10,6 @@
 	ErrListen = errs.Class("cannot listen")
 	// ErrNoPeer is a call to an instance whose address is not known.
 	ErrNoPeer = errs.Class("unknown peer")
+	// ErrNoEndMarker is a peer's answer that ended without its end marker.
+	ErrNoEndMarker = errs.New("answer without end marker")
 )
--- a/internal/instance/group.go
+++ b/internal/instance/group.go
@@ -63,6 +63,9 @@
 	Members []Member
 	// Groups are all groups of the zone, also those that nobody ever held.
 	Groups []Group
+	// Settled reports whether a group has not moved since the members were read.
+	// Only then is it handed over.
+	Settled func(group string) bool
 	// Dead reports whether a holder's lease has lapsed.
 	Dead func(holder, incarnation string) bool
 }
@@ -89,7 +92,7 @@
 			continue
 		case vacant && to == in.Self:
 			moves = append(moves, Move{Group: g, To: to})
-		case mine && to != in.Self:
+		case mine && to != in.Self && in.Settled(g.Name):
 			moves = append(moves, Move{Group: g, To: to})
 		}
 	}
--- a/internal/instance/ownership.go
+++ b/internal/instance/ownership.go
@@ -17,6 +17,9 @@
 const (
 	groupUpdateRing = 16
 	planEvery       = 250 * time.Millisecond
+	// settleTime is how long a group stays before it moves for balance: by then
+	// the members' leases were read again.
+	settleTime = 3 * time.Second
 )
 
 // Ownership holds this instance's target groups: it takes and hands over
@@ -48,6 +51,8 @@
 	groups     map[string]Group
 	synced     bool
 	unsettled  map[string]bool
+	movedAt    map[string]time.Time
+	leavingAt  time.Time
 	owners     map[string]*ownedTarget
 	former     map[string][]*ownedTarget
 	ownerTasks conc.WaitGroup
@@ -68,6 +73,7 @@
 		w.owners = map[string]*ownedTarget{}
 		w.former = map[string][]*ownedTarget{}
 		w.unsettled = map[string]bool{}
+		w.movedAt = map[string]time.Time{}
 		w.ownerCtx, w.stopOwners = context.WithCancel(context.Background())
 	})
 }
@@ -145,10 +151,21 @@
 		Self:    w.Self,
 		Members: w.members(),
 		Groups:  w.allGroups(),
+		Settled: w.settled,
 		Dead:    w.Directory.Dead,
 	})
 }
 
+// settled reports whether a group has not moved within settleTime, or, when this
+// instance leaves, since then. The caller holds mu.
+func (w *Ownership) settled(group string) bool {
+	moved := w.movedAt[group]
+	if w.Leaving() && w.leavingAt.IsZero() {
+		w.leavingAt = time.Now()
+	}
+	return time.Since(moved) >= settleTime || moved.Before(w.leavingAt)
+}
+
 // members returns the instances that may hold groups; this one by its own
 // state, since its lease object lags.
 func (w *Ownership) members() []Member {
--- a/internal/instance/ownership_groups.go
+++ b/internal/instance/ownership_groups.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -42,6 +43,9 @@
 	if ok && known.FencingNumber == g.FencingNumber && known.Version >= g.Version {
 		return
 	}
+	if known.FencingNumber != g.FencingNumber {
+		w.movedAt[g.Name] = time.Now()
+	}
 	w.groups[g.Name] = g
 }
 
--- a/internal/instance/peer_client.go
+++ b/internal/instance/peer_client.go
@@ -22,6 +22,9 @@
 // peerCallTimeout bounds the short calls between instances.
 const peerCallTimeout = 2 * time.Second
 
+// suspectTime is how long a peer that could not be reached is passed over.
+const suspectTime = 3 * time.Second
+
 // Peers holds one connection pool to the other instances, and a client for each
 // address. It is safe for concurrent use.
 type Peers struct {
@@ -30,10 +33,34 @@
 	// TLS is the mutual TLS configuration; nil means plain text.
 	TLS *tls.Config
 
-	once    sync.Once
-	client  *http.Client
-	mu      sync.Mutex
-	clients map[netip.AddrPort]heatherrelayv1connect.PeerServiceClient
+	once     sync.Once
+	client   *http.Client
+	mu       sync.Mutex
+	clients  map[netip.AddrPort]heatherrelayv1connect.PeerServiceClient
+	suspects map[netip.AddrPort]time.Time
+}
+
+// Suspect reports whether a connection to the address failed within suspectTime,
+// so that another peer should be preferred.
+func (p *Peers) Suspect(address netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.suspects[address])
+}
+
+// note remembers whether a peer could be reached.
+func (p *Peers) note(ctx context.Context, address netip.AddrPort, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err == nil:
+		delete(p.suspects, address)
+	case ctx.Err() == nil:
+		if p.suspects == nil {
+			p.suspects = map[netip.AddrPort]time.Time{}
+		}
+		p.suspects[address] = time.Now().Add(suspectTime)
+	}
 }
 
 // Execute runs a model request through a peer and emits its answer.
@@ -42,15 +69,18 @@
 	defer cancel()
 	stream, err := p.to(address).Execute(ctx, requestToMessage(&r))
 	if err != nil {
+		p.note(ctx, address, err)
 		return target.Usage{}, callFailed(err, !connection.ErrDial.Has(err))
 	}
 	defer func() { _ = stream.Close() }()
 	for stream.Receive() {
 		usage, done, err := peerEvent(r.ID, stream.Msg(), emit)
 		if done || err != nil {
+			p.note(ctx, address, nil)
 			return usage, err
 		}
 	}
+	p.note(ctx, address, ErrNoEndMarker)
 	return target.Usage{}, callFailed(stream.Err(), !connection.ErrDial.Has(stream.Err()))
 }
 
@@ -69,6 +99,9 @@
 			Data:   event.Chunk.GetData(),
 		})
 	case *v1.ExecuteResponse_Refused:
+		if err := checkEcho(id, event.Refused.GetRequestId()); err != nil {
+			return target.Usage{}, true, err
+		}
 		return target.Usage{}, true, refusalFromMessage(event.Refused)
 	case *v1.ExecuteResponse_Finished:
 		usage := target.Usage{
@@ -90,6 +123,7 @@
 // Call sends a plain service call through a peer.
 func (p *Peers) Call(ctx context.Context, address netip.AddrPort, c dispatch.Call) (dispatch.Reply, error) {
 	m, err := p.to(address).CallService(ctx, callToMessage(&c))
+	p.note(ctx, address, err)
 	if err != nil {
 		failed := callFailed(err, !connection.ErrDial.Has(err))
 		if !failed.NotRun {
@@ -97,12 +131,12 @@
 		}
 		return dispatch.Reply{}, failed
 	}
-	if m.GetRefused() != nil {
-		return dispatch.Reply{}, refusalFromMessage(m.GetRefused())
-	}
 	if m.GetRequestId() != c.RequestID {
 		return dispatch.Reply{}, refusal.MayHaveRun(refusal.CodeMayHaveRun, "the answer belongs to another request")
 	}
+	if m.GetRefused() != nil {
+		return dispatch.Reply{}, refusalFromMessage(m.GetRefused())
+	}
 	return dispatch.Reply{
 		Status:      int(m.GetStatus()),
 		Header:      headersFromMessage(m.GetHeaders()),
--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -22,8 +20,6 @@
 	noTargetWait     = 3 * time.Second
 	noTargetPoll     = 100 * time.Millisecond
 	noTargetRetry    = 2 * time.Second
-	// resumeWait bounds how long a broken stream looks for the target's next owner.
-	resumeWait = 20 * time.Second
 )
 
 // Router finds a target for each model request and sees the request through: it
@@ -45,19 +41,6 @@
 	choice adapter.Router
 }
 
-// trip is one request's way through the router.
-type trip struct {
-	request  target.Request
-	model    string
-	emit     target.Emit
-	next     int
-	excluded []string
-	// mayHaveRun stays true once any attempt may have reached a target.
-	mayHaveRun bool
-	forwarded  bool
-	brokenAt   time.Time
-}
-
 // Execute runs a request on a target of this zone, or through an instance of
 // another zone when this one has none.
 func (r *Router) Execute(ctx context.Context, request target.Request, emit target.Emit) (target.Usage, error) {
@@ -84,9 +67,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	t := &trip{request: request, model: model, emit: emit, next: request.Offset, forwarded: !mayForward}
+	t := &trip{request: request, model: model, emit: emit, next: request.Offset, mayForward: mayForward}
 	var last error
-	for attempt := 0; attempt < maxRouteAttempts || !t.brokenAt.IsZero(); attempt++ {
+	for ; t.attempts < maxRouteAttempts || !t.brokenAt.IsZero(); t.attempts++ {
 		usage, err := r.attempt(ctx, t)
 		if err == nil {
 			return usage, nil
@@ -99,23 +82,24 @@
 	return target.Usage{}, last
 }
 
-// attempt sends the request once.
+// attempt sends the request once: to where its stream was, to the adapter's
+// home zone, or to a target of this zone, in turn with other zones.
 func (r *Router) attempt(ctx context.Context, t *trip) (target.Usage, error) {
 	request := t.request
 	request.Offset = t.next
 	emit := func(c target.Chunk) error { return t.pass(c) }
-	if request.TargetID != "" && request.Resume {
+	if request.Resume {
 		return r.send(ctx, request, emit)
 	}
-	id, ok := r.choose(ctx, t)
-	if ok {
-		t.request.TargetID, request.TargetID = id, id
-		return r.send(ctx, request, emit)
+	if zone, ok := r.otherZone(t); ok {
+		return r.forward(ctx, zone, request, t, emit)
 	}
-	if !t.forwarded {
-		return r.forward(ctx, request, t, emit)
+	id, ok := r.choose(ctx, t)
+	if !ok {
+		return target.Usage{}, refusal.NotRun(refusal.CodeNoTarget, "no target can take the request now").After(noTargetRetry)
 	}
-	return target.Usage{}, refusal.NotRun(refusal.CodeNoTarget, "no target can take the request now").After(noTargetRetry)
+	t.request.TargetID, request.TargetID = id, id
+	return r.send(ctx, request, emit)
 }
 
 // choose picks a target; without one it waits a little if this zone should have
@@ -180,97 +164,6 @@
 	return r.Peers.Execute(ctx, address, request, emit)
 }
 
-// forward sends the request to an instance of another zone that has targets for it.
-func (r *Router) forward(ctx context.Context, request target.Request, t *trip, emit target.Emit) (target.Usage, error) {
-	var addresses []netip.AddrPort
-	for _, l := range r.Directory.Live("") {
-		if l.Zone != r.Zone && l.Ready && !l.Leaving && r.hasTargets(t.model, l.Zone) {
-			addresses = append(addresses, l.Peer)
-		}
-	}
-	if len(addresses) == 0 {
-		return target.Usage{}, refusal.NotRun(refusal.CodeNoTarget, "no target can take the request now").After(noTargetRetry)
-	}
-	request.TargetID = ""
-	return r.Peers.Execute(ctx, addresses[rand.IntN(len(addresses))], request, emit)
-}
-
-// lastExcluded returns the target that refused last; empty if none did.
-func (t *trip) lastExcluded() string {
-	if len(t.excluded) == 0 {
-		return ""
-	}
-	return t.excluded[len(t.excluded)-1]
-}
-
-// pass emits a chunk once; a stream that was taken up again may repeat some.
-func (t *trip) pass(c target.Chunk) error {
-	if c.Tokens > 0 && c.Offset+c.Tokens <= t.next {
-		return nil
-	}
-	if err := t.emit(c); err != nil {
-		return refusal.MayHaveRun(refusal.CodeCallerGone, "the caller went away").Because(err)
-	}
-	t.next = max(t.next, c.Offset+c.Tokens)
-	return nil
-}
-
-// failed notes an attempt's outcome and returns the refusal as the caller may
-// see it: one attempt that may have run outweighs all later ones that did not.
-func (t *trip) failed(err error) *refusal.Error {
-	e := *refusal.From(err)
-	t.mayHaveRun = t.mayHaveRun || !e.NotRun
-	e.NotRun = !t.mayHaveRun
-	return &e
-}
-
-// again decides whether and how the request is tried once more.
-func (t *trip) again(err error) bool {
-	e := refusal.From(err)
-	switch {
-	case errors.Is(e.Cause, context.Canceled):
-		return false
-	case e.NotRun && !t.request.Resume:
-		t.excluded = append(t.excluded, t.request.TargetID)
-		return retryable[e.Code]
-	case e.NotRun, e.Code == refusal.CodeBrokenStream:
-		return t.takeUp(e)
-	}
-	return false
-}
-
-// takeUp prepares a broken stream to go on: at the same target while that may
-// still hold it, or from the start elsewhere if no token has been emitted.
-func (t *trip) takeUp(e *refusal.Error) bool {
-	now := time.Now()
-	if t.brokenAt.IsZero() {
-		t.brokenAt = now
-	}
-	if now.Sub(t.brokenAt) > resumeWait {
-		return false
-	}
-	lost := target.ErrUnknownStream.Has(e.Cause) || e.Code == refusal.CodeTargetUnreached || t.request.TargetID == ""
-	if !lost || t.next > 0 {
-		t.request.Resume = t.request.TargetID != ""
-		return !lost
-	}
-	t.request.Resume = false
-	t.excluded = append(t.excluded, t.request.TargetID)
-	t.request.TargetID = ""
-	return true
-}
-
-// retryable are the reasons for which another target, or the same a little
-// later, may take a request that has not run.
-var retryable = map[refusal.Code]bool{
-	refusal.CodeNotOwner:        true,
-	refusal.CodeTargetUnreached: true,
-	refusal.CodeShuttingDown:    true,
-	refusal.CodeNoTarget:        true,
-	refusal.CodeOverloaded:      true,
-	refusal.CodeLoadFailed:      true,
-}
-
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
 }
--- a/internal/instance/syncer.go
+++ b/internal/instance/syncer.go
@@ -208,6 +208,9 @@
 	var since time.Time
 	return func() ([]adapter.ID, bool) {
 		once.Do(func() { since = time.Now() })
+		if s.Directory.Released(peer) {
+			return nil, true
+		}
 		return s.inUse(peer, targetID, since)
 	}
 }
--- /dev/null
+++ b/internal/instance/trip.go
@@ -0,0 +1,110 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"heatherrelay/internal/refusal"
+	"heatherrelay/internal/target"
+)
+
+const (
+	// resumeWait bounds how long a broken stream looks for the target's next owner.
+	resumeWait = 20 * time.Second
+	// startOverAfter is when a broken request without a token yet is run elsewhere.
+	startOverAfter = 2 * time.Second
+)
+
+// trip is one request's way through the router.
+type trip struct {
+	request  target.Request
+	model    string
+	emit     target.Emit
+	next     int
+	excluded []string
+	// mayHaveRun stays true once any attempt may have reached a target.
+	mayHaveRun bool
+	mayForward bool
+	attempts   int
+	brokenAt   time.Time
+}
+
+// lastExcluded returns the target that refused last; empty if none did.
+func (t *trip) lastExcluded() string {
+	if len(t.excluded) == 0 {
+		return ""
+	}
+	return t.excluded[len(t.excluded)-1]
+}
+
+// pass emits a chunk once; a stream that was taken up again may repeat some.
+func (t *trip) pass(c target.Chunk) error {
+	if c.Tokens > 0 && c.Offset+c.Tokens <= t.next {
+		return nil
+	}
+	if err := t.emit(c); err != nil {
+		return refusal.MayHaveRun(refusal.CodeCallerGone, "the caller went away").Because(err)
+	}
+	t.next = max(t.next, c.Offset+c.Tokens)
+	return nil
+}
+
+// failed notes an attempt's outcome and returns the refusal as the caller may
+// see it: one attempt that may have run outweighs all later ones that did not.
+func (t *trip) failed(err error) *refusal.Error {
+	e := *refusal.From(err)
+	t.mayHaveRun = t.mayHaveRun || !e.NotRun
+	e.NotRun = !t.mayHaveRun
+	return &e
+}
+
+// again decides whether and how the request is tried once more.
+func (t *trip) again(err error) bool {
+	e := refusal.From(err)
+	switch {
+	case errors.Is(e.Cause, context.Canceled):
+		return false
+	case e.NotRun && !t.request.Resume:
+		t.excluded = append(t.excluded, t.request.TargetID)
+		return retryable[e.Code]
+	case e.NotRun, e.Code == refusal.CodeBrokenStream, e.Code == refusal.CodeStreamGone:
+		return t.takeUp(e)
+	}
+	return false
+}
+
+// takeUp prepares a broken stream to go on: at the same target while that may
+// still hold it, or from the start elsewhere if no token has been emitted.
+func (t *trip) takeUp(e *refusal.Error) bool {
+	now := time.Now()
+	if t.brokenAt.IsZero() {
+		t.brokenAt = now
+	}
+	broken := now.Sub(t.brokenAt)
+	gone := e.Code == refusal.CodeStreamGone || t.request.TargetID == ""
+	switch {
+	case broken > resumeWait:
+		return false
+	case t.next == 0 && (gone || broken > startOverAfter):
+		t.excluded = append(t.excluded, t.request.TargetID)
+		t.request.Resume = false
+		t.request.TargetID = ""
+		return true
+	case gone:
+		return false
+	}
+	t.request.Resume = true
+	return true
+}
+
+// retryable are the reasons for which another target, or the same a little
+// later, may take a request that has not run.
+var retryable = map[refusal.Code]bool{
+	refusal.CodeNotOwner:        true,
+	refusal.CodeTargetUnreached: true,
+	refusal.CodeShuttingDown:    true,
+	refusal.CodeNoTarget:        true,
+	refusal.CodeOverloaded:      true,
+	refusal.CodeLoadFailed:      true,
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -34,6 +34,7 @@
 	CodeKeyReused       Code = "idempotency_key_reused"
 	CodeBrokenStream    Code = "broken_stream"
 	CodeWrongAnswer     Code = "wrong_answer"
+	CodeStreamGone      Code = "stream_gone"
 	CodeNotOwner        Code = "not_owner"
 	CodeTargetUnreached Code = "target_unreachable"
 	CodeNotReady        Code = "not_ready"
@@ -62,6 +63,7 @@
 	CodeKeyReused:       http.StatusUnprocessableEntity,
 	CodeBrokenStream:    http.StatusBadGateway,
 	CodeWrongAnswer:     http.StatusBadGateway,
+	CodeStreamGone:      http.StatusBadGateway,
 	CodeNotOwner:        http.StatusServiceUnavailable,
 	CodeTargetUnreached: http.StatusServiceUnavailable,
 	CodeNotReady:        http.StatusServiceUnavailable,
--- a/internal/target/errors.go
+++ b/internal/target/errors.go
@@ -20,6 +20,9 @@
 	ErrUnreached = errs.Class("engine not reached")
 	// ErrWrongAnswer is an answer that is not to this request or not by this adapter.
 	ErrWrongAnswer = errs.Class("wrong answer")
+	// ErrSent marks a failure after an earlier attempt at the same request that
+	// may have run; it comes on top of one of the kinds above.
+	ErrSent = errs.Class("an earlier attempt may have run")
 	// ErrRefused is any other refusal by an engine.
 	ErrRefused = errs.Class("refused by engine")
 )
--- a/internal/target/owner.go
+++ b/internal/target/owner.go
@@ -145,12 +145,12 @@
 		return a.usage, a.err
 	case <-o.done:
 		if s.giveUp() {
-			return Usage{}, notOwner()
+			return Usage{}, s.truthful(notOwner())
 		}
 	case <-ctx.Done():
 		if s.giveUp() {
 			o.post(func(time.Time) { o.forget(r.ID) })
-			return Usage{}, gaveUp(ctx)
+			return Usage{}, s.truthful(gaveUp(ctx))
 		}
 	}
 	a := <-s.answer
--- a/internal/target/owner_engine.go
+++ b/internal/target/owner_engine.go
@@ -15,6 +15,9 @@
 	// confirmEvery and confirmedFor time the fenced no-ops of a lapsed owner.
 	confirmEvery = 500 * time.Millisecond
 	confirmedFor = 2 * time.Second
+	// takeoverPatience is how long requests wait for the previous owner to tell
+	// what it still uses.
+	takeoverPatience = time.Second
 )
 
 // engineView is what the owner knows of its engine.
@@ -39,6 +42,8 @@
 type takeoverState struct {
 	frozen bool
 	until  time.Time
+	// patience is when requests that cannot be loaded are sent elsewhere.
+	patience time.Time
 	// firstReport is the issue time of the first report after the takeover.
 	firstReport time.Time
 	// foreign are the adapters pinned for the previous owner.
@@ -158,7 +163,12 @@
 		}
 	}
 	if !o.ready && o.Inherited {
-		o.takeover = takeoverState{frozen: true, until: now.Add(o.LongestRequest), firstReport: report.IssuedAt}
+		o.takeover = takeoverState{
+			frozen:      true,
+			until:       now.Add(o.LongestRequest),
+			patience:    now.Add(takeoverPatience),
+			firstReport: report.IssuedAt,
+		}
 		o.table.PinAllUntil(o.takeover.until)
 	}
 	o.ready = true
--- a/internal/target/owner_loads.go
+++ b/internal/target/owner_loads.go
@@ -85,7 +85,7 @@
 // refuseFrozen sends away requests whose adapter cannot be loaded here until
 // the previous owner's requests are over; another target may take them.
 func (o *Owner) refuseFrozen(now time.Time) {
-	if !o.takeover.frozen {
+	if !o.takeover.frozen || now.Before(o.takeover.patience) {
 		return
 	}
 	for {
--- a/internal/target/owner_requests.go
+++ b/internal/target/owner_requests.go
@@ -29,6 +29,8 @@
 	stalled bool
 	reloads int
 	taken   atomic.Bool
+	// mayHaveRun stays true once an attempt may have run.
+	mayHaveRun atomic.Bool
 }
 
 type answer struct {
@@ -61,6 +63,18 @@
 	return refusal.NotRun(refusal.CodeCallerGone, "the caller went away before the request started")
 }
 
+// truthful returns a refusal that does not claim that the request did not run
+// when an attempt may have.
+func (s *submission) truthful(err error) error {
+	e := refusal.From(err)
+	if !e.NotRun || !s.mayHaveRun.Load() {
+		return e
+	}
+	known := *e
+	known.NotRun = false
+	return &known
+}
+
 // accept queues a request.
 func (o *Owner) accept(s *submission, now time.Time) {
 	if o.queue.QueuedTokens()+s.request.Tokens() > o.QueueTokens {
@@ -108,7 +122,7 @@
 // refuse answers a request that has not started.
 func (o *Owner) refuse(s *submission, err error) {
 	if s.start() {
-		s.answer <- answer{err: err}
+		s.answer <- answer{err: s.truthful(err)}
 	}
 }
 
@@ -182,6 +196,9 @@
 	if o.inUse[id]--; o.inUse[id] == 0 {
 		delete(o.inUse, id)
 	}
+	if ErrSent.Has(err) {
+		s.mayHaveRun.Store(true)
+	}
 	if ErrNotLoaded.Has(err) && s.reloads < maxReloads {
 		o.requeue(s, now)
 		return
@@ -212,7 +229,7 @@
 // asRefusal says what a failed stream means for its caller.
 func asRefusal(err error, s *submission) *refusal.Error {
 	var given *refusal.Error
-	fresh := !s.request.Resume && s.request.Offset == 0
+	fresh := !s.request.Resume && s.request.Offset == 0 && !s.mayHaveRun.Load()
 	switch {
 	case errors.As(err, &given):
 		return given
@@ -222,6 +239,8 @@
 		return unreachable().Because(err)
 	case ErrNotLoaded.Has(err) && fresh:
 		return refusal.NotRun(refusal.CodeLoadFailed, "the target lost the adapter").Because(err).After(downRetryAfter)
+	case ErrUnknownStream.Has(err):
+		return refusal.MayHaveRun(refusal.CodeStreamGone, "the target does not hold the answer any more").Because(err)
 	case errors.Is(err, context.DeadlineExceeded):
 		return refusal.MayHaveRun(refusal.CodeDeadline, "the request's time is over").Because(err)
 	case errors.Is(err, context.Canceled):
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -56,29 +56,42 @@
 
 // Stream runs r on the engine and emits its answer whole. On a break it resumes
 // at the first missing token. The error's kind is one of this package's, or
-// that of emit or ctx.
+// that of emit or ctx; it is also of kind ErrSent when an attempt before the
+// last one may have run.
 func (e *Engine) Stream(ctx context.Context, r *Request, fencing uint64, emit Emit) (Usage, error) {
 	s := &stream{engine: e, request: r, fencing: fencing, emit: emit, next: r.Offset}
 	resume := r.Resume
+	sent := r.Resume
 	for breaks := 0; ; breaks++ {
 		err := s.attempt(ctx, resume)
-		if err == nil {
+		switch {
+		case err == nil:
 			return *s.usage, nil
-		}
-		if ErrUnknownStream.Has(err) && s.next == 0 {
+		case ErrUnknownStream.Has(err) && s.next == 0 && resume:
 			resume = false
 			continue
+		case breaks == maxStreamBreaks || !mayResume(err, sent):
+			return Usage{}, markSent(err, sent)
 		}
-		if !ErrBroken.Has(err) || breaks == maxStreamBreaks {
-			return Usage{}, err
-		}
-		resume = true
+		resume, sent = true, true
 		if err := pause(ctx, resumePause*time.Duration(breaks+1)); err != nil {
-			return Usage{}, err
+			return Usage{}, markSent(err, sent)
 		}
 	}
 }
 
+// mayResume reports whether the engine may hold the stream after a failure.
+func mayResume(err error, sent bool) bool {
+	return ErrBroken.Has(err) || (sent && ErrUnreached.Has(err))
+}
+
+func markSent(err error, sent bool) error {
+	if sent {
+		return ErrSent.Wrap(err)
+	}
+	return err
+}
+
 func pause(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
