Hold an instance gone only when the platform's list does not name it

Cause: a leaving instance whose lease lapsed counted as gone, and its slices were reclaimed while it could still spend them (found by the allowances' state machine: a living holder reclaimed overspends). Change: listed in any state is not gone.

--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -167,11 +167,11 @@
 }
 
 // Gone reports whether an instance's lease has lapsed and the platform's list
-// does not name it as live.
+// does not name it any more, as live or as leaving.
 func (d *Directory) Gone(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.loaded || d.listed[id] == platform.InstanceLive {
+	if _, listed := d.listed[id]; listed || !d.loaded {
 		return false
 	}
 	s, ok := d.instances[id]
