Show allowances as metrics; ask the holder of loads first

Cause: operators could not see what a team may still spend at an instance, nor transfers and pauses. And a load's token lies with one instance of a zone: after a second its answer counted as unknown, and the search could end after 16 peers without asking it.

The peer that last gave of a weight store's allowance is asked first.

Ruled out: reading the holder from the ledgers of other zones, which an instance does not read otherwise.

--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -7,6 +7,7 @@
 	"heatherrelay/internal/entry"
 	"heatherrelay/internal/settings"
 	"heatherrelay/internal/target"
+	"heatherrelay/internal/team"
 	"heatherrelay/pkg/release"
 )
 
@@ -24,6 +25,7 @@
 		},
 	}
 	i.metrics.Register()
+	i.metrics.Registry().MustRegister(team.Collector{Allowances: i.allowances})
 }
 
 func (i *Instance) ownedTargets() int {
--- a/internal/team/allowances.go
+++ b/internal/team/allowances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,15 +68,14 @@
 
 // Counters counts what an instance did since its start.
 type Counters struct {
-	Admitted          uint64
-	RefusedOverBurst  uint64
-	RefusedRate       uint64
-	TransfersAsked    uint64
-	TransfersGiven    uint64
-	TokensReceived    float64
-	TokensGiven       float64
-	LedgerWrites      uint64
-	ClaimInterruption uint64
+	Admitted           uint64
+	RefusedOverBurst   uint64
+	RefusedRate        uint64
+	TransfersAsked     uint64
+	TransfersGiven     uint64
+	TokensReceived     float64
+	TokensGiven        float64
+	ClaimInterruptions uint64
 }
 
 // Counters returns the counts so far.
@@ -92,6 +92,20 @@
 	return a.share.Balance(a.now(), Name(teamName))
 }
 
+// balances returns what this instance may spend of each team's allowance.
+func (a *Allowances) balances() Balances {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	balances := Balances{}
+	for name := range a.share.rates {
+		if teamName, ok := strings.CutPrefix(name, NamePrefix); ok {
+			balances[teamName] = a.share.Balance(now, name)
+		}
+	}
+	return balances
+}
+
 // Claim returns the part of all allowances that this instance owns.
 func (a *Allowances) Claim() Claim {
 	a.mu.Lock()
@@ -213,6 +227,9 @@
 		return true
 	}
 	a.hints.Note(now, peer.ID, name, reply.Remaining)
+	if reply.Tokens > 0 {
+		a.hints.Gave(peer.ID, name)
+	}
 	a.counters.TokensReceived += a.share.Receive(now, reply)
 	return true
 }
--- a/internal/team/hints.go
+++ b/internal/team/hints.go
@@ -26,6 +26,20 @@
 // Estimates are only used to choose whom to ask; a wrong one costs a message.
 type Hints struct {
 	known map[hintKey]hint
+	// holders is the peer that last gave of an allowance that few instances hold.
+	holders map[string]string
+}
+
+// Gave keeps that a peer gave of an allowance of the weight store. Its parts
+// stay with few instances, so that this peer is asked first from then on.
+func (h *Hints) Gave(peer, name string) {
+	if name != LoadRate && name != LoadPermit {
+		return
+	}
+	if h.holders == nil {
+		h.holders = map[string]string{}
+	}
+	h.holders[name] = peer
 }
 
 // Note keeps what a peer answered.
@@ -64,6 +78,9 @@
 		if p.Zone == zone {
 			score *= ownZonePreference
 		}
+		if p.ID == h.holders[rate.Name] {
+			return p, true
+		}
 		if estimate >= minAskPart*missing && score > bestScore {
 			best, bestScore = p, score
 		}
--- a/internal/team/load.go
+++ b/internal/team/load.go
@@ -68,6 +68,9 @@
 		return false
 	}
 	a.hints.Note(a.now(), peerID, LoadPermit, reply.Remaining)
+	if reply.Tokens >= 1 {
+		a.hints.Gave(peerID, LoadPermit)
+	}
 	return reply.Tokens >= 1
 }
 
--- /dev/null
+++ b/internal/team/metrics.go
@@ -0,0 +1,54 @@
+package team
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Collector exports the allowances of an instance as metrics.
+type Collector struct {
+	Allowances *Allowances
+}
+
+func description(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName("heatherrelay", "allowance", name), help, labels, nil)
+}
+
+var (
+	balanceDescription       = description("balance_tokens", "Tokens of a team that this instance may spend now.", "team")
+	teamsPartDescription     = description("teams_part", "Part of all teams' rates that this instance owns.")
+	loadsPartDescription     = description("loads_part", "Part of the weight store's rate that this instance owns.")
+	askedDescription         = description("transfers_asked_total", "Transfers that this instance asked peers for.")
+	givenDescription         = description("transfers_given_total", "Transfer requests that this instance answered.")
+	receivedDescription      = description("received_tokens_total", "Tokens received from peers.")
+	givenTokensDescription   = description("given_tokens_total", "Tokens given to peers.")
+	interruptionsDescription = description("claim_interruptions_total", "Pauses after which the claim had to be read again.")
+)
+
+// Describe implements prometheus.Collector.
+func (c Collector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{
+		balanceDescription, teamsPartDescription, loadsPartDescription, askedDescription, givenDescription,
+		receivedDescription, givenTokensDescription, interruptionsDescription,
+	} {
+		out <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c Collector) Collect(out chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+	}
+	counter := func(d *prometheus.Desc, value float64) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, value)
+	}
+	for name, tokens := range c.Allowances.balances() {
+		gauge(balanceDescription, tokens, name)
+	}
+	claim, counters := c.Allowances.Claim(), c.Allowances.Counters()
+	gauge(teamsPartDescription, claim.Teams)
+	gauge(loadsPartDescription, claim.Loads)
+	counter(askedDescription, float64(counters.TransfersAsked))
+	counter(givenDescription, float64(counters.TransfersGiven))
+	counter(receivedDescription, counters.TokensReceived)
+	counter(givenTokensDescription, counters.TokensGiven)
+	counter(interruptionsDescription, float64(counters.ClaimInterruptions))
+}
--- a/internal/team/run.go
+++ b/internal/team/run.go
@@ -86,7 +86,7 @@
 		had := a.share.Claim()
 		running := a.share.Tick(a.now())
 		if !running && had.Teams > 0 {
-			a.counters.ClaimInterruption++
+			a.counters.ClaimInterruptions++
 		}
 		a.updateRates(a.now())
 		a.ownAll(a.now())
