Ask the peers after the platform was read before serving

Change: a round of questions counts only if it began after the platform was read; an instance that could not read the platform is ready by its peers' answers as before. Two more rounds at the end of the state machine, since a start now takes a round more.

--- a/internal/publication/follower.go
+++ b/internal/publication/follower.go
@@ -44,14 +44,20 @@
 
 	platformTried, platformRead atomic.Bool
 	peersTried, peerAnswered    atomic.Bool
+	// askedAfterRead says that the peers were asked after the platform was read.
+	askedAfterRead atomic.Bool
 }
 
-// Ready reports whether the instance may serve: it has taken the newest state
-// of those that can be reached, from the platform or, failing that, from at
-// least one peer. Once true it stays true.
+// Ready reports whether the instance may serve: it has read the platform and
+// then asked its peers, in case that it read an older copy; or, failing the
+// platform, a peer has answered. Once true it stays true.
 func (f *Follower) Ready() bool {
-	tried := f.platformTried.Load() && f.peersTried.Load()
-	return tried && (f.platformRead.Load() || f.peerAnswered.Load())
+	if f.Peers == nil {
+		return f.platformRead.Load()
+	}
+	byPlatform := f.platformRead.Load() && f.askedAfterRead.Load()
+	byPeers := f.platformTried.Load() && f.peersTried.Load() && f.peerAnswered.Load()
+	return byPlatform || byPeers
 }
 
 // Run follows the platform and the peers until ctx is done.
@@ -198,7 +204,7 @@
 	f.AskAllPeers(ctx)
 	for ctx.Err() == nil {
 		pause := f.PeerInterval/2 + rand.N(f.PeerInterval)
-		if !f.peersTried.Load() {
+		if !f.peersTried.Load() || f.platformRead.Load() && !f.askedAfterRead.Load() {
 			pause = startPause
 		}
 		select {
@@ -213,6 +219,7 @@
 // AskAllPeers asks each peer once, at the same time, and waits for the answers.
 func (f *Follower) AskAllPeers(ctx context.Context) {
 	known := f.PeersKnown == nil || f.PeersKnown()
+	afterRead := known && f.platformRead.Load()
 	var asking conc.WaitGroup
 	var answers atomic.Int64
 	for _, peer := range f.peers() {
@@ -227,6 +234,7 @@
 		f.peerAnswered.Store(true)
 	}
 	f.peersTried.Store(known || f.peersTried.Load())
+	f.askedAfterRead.Store(afterRead || f.askedAfterRead.Load())
 }
 
 // AskPeer asks one peer picked at random, or all while none has answered yet
--- a/internal/publication/publication_test.go
+++ b/internal/publication/publication_test.go
@@ -145,6 +145,11 @@
 			w.boot(n)
 		}
 	}
+	for range 2 {
+		for _, n := range w.instances {
+			w.boot(n)
+		}
+	}
 	w.nested = false
 	w.check()
 	w.checkNothingReplaced()
