Start a whole answer over when its stream in another zone is lost

Cause, found by TestZoneCut while the machine was busy: a request forwarded to another zone lost its stream after the first tokens and was refused with broken_stream, although its caller had asked for a whole answer and had been given nothing. Change: such a request carries StartOver, which drops what was emitted, and the router runs it anew elsewhere; a streaming caller still gets the explicit error event. The router also no longer takes a reset connection that the connect library reports as canceled for a caller that left. Ruled out: the caller's context (the refusal reached the caller).

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -60,6 +60,7 @@
 // whole answers a caller that did not ask for a stream.
 func (s *Server) whole(c fiber.Ctx, r *caller, x execution) error {
 	a := assembly{request: x.request}
+	x.request.StartOver = a.startOver
 	add := func(chunk target.Chunk) error {
 		r.emitted()
 		return a.add(chunk)
@@ -109,6 +110,14 @@
 	return nil
 }
 
+// startOver forgets the chunks so far, since the request runs anew.
+func (a *assembly) startOver() {
+	a.order = order{}
+	a.text.Reset()
+	a.finished = ""
+	a.usage = nil
+}
+
 // body returns the answer, or a refusal if its end is missing.
 func (a *assembly) body(created time.Time) (completionBody, error) {
 	if a.finished == "" || a.usage == nil {
--- a/internal/instance/trip.go
+++ b/internal/instance/trip.go
@@ -1,8 +1,6 @@
 package instance
 
 import (
-	"context"
-	"errors"
 	"time"
 
 	"heatherrelay/internal/refusal"
@@ -12,7 +10,7 @@
 const (
 	// resumeWait bounds how long a broken stream looks for the target's next owner.
 	resumeWait = 20 * time.Second
-	// startOverAfter is when a broken request without a token yet is run elsewhere.
+	// startOverAfter is when a broken request is run elsewhere, if it may be.
 	startOverAfter = 2 * time.Second
 )
 
@@ -63,8 +61,6 @@
 func (t *trip) again(err error) bool {
 	e := refusal.From(err)
 	switch {
-	case errors.Is(e.Cause, context.Canceled):
-		return false
 	case e.NotRun && !t.request.Resume:
 		t.excluded = append(t.excluded, t.request.TargetID)
 		return retryable[e.Code]
@@ -75,7 +71,7 @@
 }
 
 // takeUp prepares a broken stream to go on: at the same target while that may
-// still hold it, or from the start elsewhere if no token has been emitted.
+// still hold it, or from the start elsewhere if the caller has been given nothing yet.
 func (t *trip) takeUp(e *refusal.Error) bool {
 	now := time.Now()
 	if t.brokenAt.IsZero() {
@@ -86,7 +82,8 @@
 	switch {
 	case broken > resumeWait:
 		return false
-	case t.next == 0 && (gone || broken > startOverAfter):
+	case t.mayStartOver() && (gone || broken > startOverAfter):
+		t.startOver()
 		t.excluded = append(t.excluded, t.request.TargetID)
 		t.request.Resume = false
 		t.request.TargetID = ""
@@ -98,6 +95,17 @@
 	return true
 }
 
+// mayStartOver reports whether the caller has been given nothing yet.
+func (t *trip) mayStartOver() bool { return t.next == 0 || t.request.StartOver != nil }
+
+// startOver takes back the tokens that were emitted but not given to the caller.
+func (t *trip) startOver() {
+	if t.next > 0 {
+		t.request.StartOver()
+		t.next = 0
+	}
+}
+
 // retryable are the reasons for which another target, or the same a little
 // later, may take a request that has not run.
 var retryable = map[refusal.Code]bool{
--- a/internal/target/request.go
+++ b/internal/target/request.go
@@ -33,6 +33,9 @@
 	Offset int
 	// Resume says that a target may hold this request's stream already.
 	Resume bool
+	// StartOver drops all chunks emitted so far; nil when some may have reached
+	// the caller. It stays on the instance that took the request.
+	StartOver func()
 }
 
 // Tokens returns what the request can cost at most.
