--- a/internal/certificate/files.go
+++ b/internal/certificate/files.go
@@ -20,7 +20,8 @@
 // Files is a certificate with its key and, for mutual TLS, the authorities that
 // the other side is checked against. Changed files count from the next
 // connection on; files that have become unusable leave the last good ones in
-// force. Exported fields are set before use.
+// force. The authorities of the connecting side are those read first. Exported
+// fields are set before use.
 type Files struct {
 	Certificate string
 	Key         string
