Try a patient request until its deadline; show that a leaving target gets no work

Cause, by reading: the router gave up on any request after eight refusals, also on a patient one whose caller still waited. Change: patient requests are tried until their deadline, with pauses that double up to a second. The test refuses nine times; before the change the patient request was refused too. The leaving target's test fails when the target list's mark is ignored.

--- a/internal/instance/ownership_test.go
+++ b/internal/instance/ownership_test.go
@@ -16,6 +16,7 @@
 	"heatherrelay/internal/adapter"
 	"heatherrelay/internal/instance"
 	"heatherrelay/internal/platform"
+	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/target"
 )
 
@@ -73,11 +74,7 @@
 func (w *ownershipWorld) setUp() {
 	w.authorities = map[string]func(time.Time) target.Authority{}
 	store := cutStore(w.memory.Store(), &w.cut)
-	var entries []platform.TargetEntry
-	for i := range 8 {
-		entries = append(entries, platform.TargetEntry{ID: fmt.Sprintf("e%d", i), Zone: "a", Kind: platform.TargetEngine})
-	}
-	w.memory.SetTargets(entries)
+	w.memory.SetTargets(targetEntries(""))
 	w.Ownership = instance.Ownership{
 		Zone:       "a",
 		Self:       instance.Member{ID: "near", Incarnation: "x"},
@@ -94,6 +91,16 @@
 	}
 }
 
+// targetEntries returns eight engines, one of them leaving unless leaving is empty.
+func targetEntries(leaving string) []platform.TargetEntry {
+	var entries []platform.TargetEntry
+	for i := range 8 {
+		id := fmt.Sprintf("e%d", i)
+		entries = append(entries, platform.TargetEntry{ID: id, Zone: "a", Kind: platform.TargetEngine, Leaving: id == leaving})
+	}
+	return entries
+}
+
 func (w *ownershipWorld) newOwner(e platform.TargetEntry, g instance.Group, authority func(time.Time) target.Authority) *target.Owner {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -180,3 +187,41 @@
 		w.Stop(context.Background())
 	})
 }
+
+// TestLeavingTargetGetsNoNewWork marks a target as leaving in the platform's list.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &ownershipWorld{}
+		w.setUp()
+		if err := w.Directory.Refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var tasks sync.WaitGroup
+		tasks.Go(func() { w.Run(ctx) })
+		time.Sleep(time.Second)
+		owner, ok := w.Owner("e3")
+		if !ok {
+			t.Fatal("the target has no owner at the start")
+		}
+		w.memory.SetTargets(targetEntries("e3"))
+		if err := w.Directory.Refresh(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if _, ok := w.Owner("e3"); ok {
+			t.Error("the leaving target still has an owner for new work")
+		}
+		request := modelRequest()
+		_, err := owner.Execute(t.Context(), request, func(target.Chunk) error { return nil })
+		if err == nil || !refusal.From(err).NotRun {
+			t.Errorf("Execute() on the leaving target = %v, want a refusal that says 'not run'", err)
+		}
+		if w.owned() != 7 {
+			t.Errorf("%d targets owned, want the other 7", w.owned())
+		}
+		cancel()
+		tasks.Wait()
+		w.Stop(context.Background())
+	})
+}
--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -17,6 +17,7 @@
 const (
 	maxRouteAttempts = 8
 	routePause       = 100 * time.Millisecond
+	maxRoutePause    = time.Second
 	noTargetWait     = 3 * time.Second
 	noTargetPoll     = 100 * time.Millisecond
 	noTargetRetry    = 2 * time.Second
@@ -69,13 +70,13 @@
 	defer cancel()
 	t := &trip{request: request, model: model, emit: emit, next: request.Offset, mayForward: mayForward}
 	var last error
-	for ; t.attempts < maxRouteAttempts || !t.brokenAt.IsZero(); t.attempts++ {
+	for ; t.mayTry(); t.attempts++ {
 		usage, err := r.attempt(ctx, t)
 		if err == nil {
 			return usage, nil
 		}
 		last = t.failed(err)
-		if !t.again(err) || !sleep(ctx, jitter(routePause)) {
+		if !t.again(err) || !sleep(ctx, jitter(t.pause())) {
 			break
 		}
 	}
--- a/internal/instance/router_test.go
+++ b/internal/instance/router_test.go
@@ -21,6 +21,7 @@
 	"heatherrelay/internal/platform"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/target"
+	"heatherrelay/pkg/release"
 )
 
 // resetPause lets what was sent arrive before the connection is reset.
@@ -208,3 +209,34 @@
 		})
 	}
 }
+
+// TestPatientRequestIsTriedUntilItsDeadline refuses more often than an
+// interactive request is tried.
+func TestPatientRequestIsTriedUntilItsDeadline(t *testing.T) {
+	t.Parallel()
+	for _, class := range []release.Class{release.Interactive, release.Patient} {
+		t.Run(string(class), func(t *testing.T) {
+			t.Parallel()
+			refusals := 9
+			peer := &fakePeer{answer: func(id string) []*v1.ExecuteResponse {
+				if refusals--; refusals < 0 {
+					return []*v1.ExecuteResponse{chunk(id), finished(id)}
+				}
+				return []*v1.ExecuteResponse{{Event: &v1.ExecuteResponse_Refused{Refused: &v1.Refused{
+					RequestId: id,
+					Code:      string(refusal.CodeOverloaded),
+					NotRun:    true,
+				}}}}
+			}}
+			request := modelRequest()
+			request.Class = class
+			_, err := forwardingRouter(t, peer).Execute(t.Context(), request, func(target.Chunk) error { return nil })
+			if (err == nil) != (class == release.Patient) {
+				t.Errorf("Execute() = %v", err)
+			}
+			if err != nil && !refusal.From(err).NotRun {
+				t.Errorf("Execute() = %v, want a refusal that says 'not run'", err)
+			}
+		})
+	}
+}
--- a/internal/instance/trip.go
+++ b/internal/instance/trip.go
@@ -5,6 +5,7 @@
 
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/target"
+	"heatherrelay/pkg/release"
 )
 
 const (
@@ -28,6 +29,22 @@
 	brokenAt   time.Time
 }
 
+// mayTry reports whether there is another attempt. A patient request is tried
+// until its deadline, since it is not dropped while its caller waits.
+func (t *trip) mayTry() bool {
+	patient := t.request.Class == release.Patient
+	return patient || t.attempts < maxRouteAttempts || !t.brokenAt.IsZero()
+}
+
+// pause returns the wait before the next attempt; it doubles up to a bound.
+func (t *trip) pause() time.Duration {
+	pause := routePause
+	for range t.attempts {
+		pause = min(2*pause, maxRoutePause)
+	}
+	return pause
+}
+
 // lastExcluded returns the target that refused last; empty if none did.
 func (t *trip) lastExcluded() string {
 	if len(t.excluded) == 0 {
