Name the protection after a takeover and the routed request in plain terms

Reading as a newcomer: 'frozen', 'thaw', 'foreign', 'coming' and 'trip' needed explaining. No behaviour changes; the tests of the three packages pass.

--- a/internal/adapter/table.go
+++ b/internal/adapter/table.go
@@ -33,7 +33,7 @@
 
 	entries     map[ID]*entry
 	slotted     []*entry
-	frozenUntil time.Time
+	pinnedUntil time.Time
 	// base is the time to which ranks relate.
 	base time.Time
 }
@@ -173,7 +173,7 @@
 // when the adapter is pinned, not resident, or nothing may be evicted at now.
 func (t *Table) BeginEvict(id ID, now time.Time) bool {
 	e, ok := t.entries[id]
-	if !ok || e.state != stateResident || e.pins > 0 || now.Before(t.frozenUntil) {
+	if !ok || e.state != stateResident || e.pins > 0 || now.Before(t.pinnedUntil) {
 		return false
 	}
 	e.state = stateEvicting
@@ -207,7 +207,7 @@
 // never the victim, so each load serves at least one request. It returns false
 // when there is none, and until the time given to PinAllUntil.
 func (t *Table) Victim(now time.Time) (ID, bool) {
-	if now.Before(t.frozenUntil) {
+	if now.Before(t.pinnedUntil) {
 		return ID{}, false
 	}
 	var victim *entry
@@ -254,10 +254,10 @@
 // PinAllUntil forbids every eviction before a time. A new owner of a target that
 // does not check fencing numbers calls it, since requests of the earlier owner
 // may still run there.
-func (t *Table) PinAllUntil(until time.Time) { t.frozenUntil = until }
+func (t *Table) PinAllUntil(until time.Time) { t.pinnedUntil = until }
 
-// Unfreeze ends PinAllUntil early, once the target is known to be idle.
-func (t *Table) Unfreeze() { t.frozenUntil = time.Time{} }
+// UnpinAll ends PinAllUntil early, once the target is known to be idle.
+func (t *Table) UnpinAll() { t.pinnedUntil = time.Time{} }
 
 func (t *Table) entry(id ID) *entry {
 	if e, ok := t.entries[id]; ok {
--- a/internal/instance/forward.go
+++ b/internal/instance/forward.go
@@ -17,7 +17,7 @@
 // otherZone returns the zone to which the request is forwarded now: at first
 // the adapter's home zone, unless the adapter is resident here; later, in turn
 // with this zone, any other.
-func (r *Router) otherZone(t *trip) (string, bool) {
+func (r *Router) otherZone(t *routedRequest) (string, bool) {
 	if !t.mayForward {
 		return "", false
 	}
@@ -42,7 +42,7 @@
 
 // homeZone returns the zone that an adapter without a copy here belongs to, if
 // it is another one.
-func (r *Router) homeZone(t *trip, zones []adapter.ZoneInfo) (string, bool) {
+func (r *Router) homeZone(t *routedRequest, zones []adapter.ZoneInfo) (string, bool) {
 	r.mu.Lock()
 	here := r.view.HasCopy(t.request.Adapter, t.model)
 	r.mu.Unlock()
@@ -80,7 +80,7 @@
 
 // forward sends the request to an instance of another zone, which chooses the
 // target there.
-func (r *Router) forward(ctx context.Context, zone string, request target.Request, t *trip, emit target.Emit) (target.Usage, error) {
+func (r *Router) forward(ctx context.Context, zone string, request target.Request, t *routedRequest, emit target.Emit) (target.Usage, error) {
 	var addresses []netip.AddrPort
 	for _, l := range r.Directory.Live(zone) {
 		if r.takes(l) {
--- a/internal/instance/trip.go
+++ b/internal/instance/routed_request.go
@@ -15,29 +15,34 @@
 	startOverAfter = 2 * time.Second
 )
 
-// trip is one request's way through the router.
-type trip struct {
-	request  target.Request
-	model    string
-	emit     target.Emit
-	next     int
+// routedRequest is one request's way through the router.
+type routedRequest struct {
+	request target.Request
+	// model is the base model of the request's adapter.
+	model string
+	emit  target.Emit
+	// next is the first token that has not been emitted.
+	next int
+	// excluded are the targets that refused the request.
 	excluded []string
 	// mayHaveRun stays true once any attempt may have reached a target.
 	mayHaveRun bool
+	// mayForward says that an instance of another zone may be asked.
 	mayForward bool
 	attempts   int
-	brokenAt   time.Time
+	// brokenAt is when the stream broke first; zero while it has not.
+	brokenAt time.Time
 }
 
 // mayTry reports whether there is another attempt. A patient request is tried
 // until its deadline, since it is not dropped while its caller waits.
-func (t *trip) mayTry() bool {
+func (t *routedRequest) mayTry() bool {
 	patient := t.request.Class == release.Patient
 	return patient || t.attempts < maxRouteAttempts || !t.brokenAt.IsZero()
 }
 
 // pause returns the wait before the next attempt; it doubles up to a bound.
-func (t *trip) pause() time.Duration {
+func (t *routedRequest) pause() time.Duration {
 	pause := routePause
 	for range t.attempts {
 		pause = min(2*pause, maxRoutePause)
@@ -46,15 +51,15 @@
 }
 
 // lastExcluded returns the target that refused last; empty if none did.
-func (t *trip) lastExcluded() string {
+func (t *routedRequest) lastExcluded() string {
 	if len(t.excluded) == 0 {
 		return ""
 	}
 	return t.excluded[len(t.excluded)-1]
 }
 
-// pass emits a chunk once; a stream that was taken up again may repeat some.
-func (t *trip) pass(c target.Chunk) error {
+// pass emits a chunk once; a stream that was resumed may repeat some.
+func (t *routedRequest) pass(c target.Chunk) error {
 	if c.Tokens > 0 && c.Offset+c.Tokens <= t.next {
 		return nil
 	}
@@ -67,7 +72,7 @@
 
 // failed notes an attempt's outcome and returns the refusal as the caller may
 // see it: one attempt that may have run outweighs all later ones that did not.
-func (t *trip) failed(err error) *refusal.Error {
+func (t *routedRequest) failed(err error) *refusal.Error {
 	e := *refusal.From(err)
 	t.mayHaveRun = t.mayHaveRun || !e.NotRun
 	e.NotRun = !t.mayHaveRun
@@ -75,21 +80,21 @@
 }
 
 // again decides whether and how the request is tried once more.
-func (t *trip) again(err error) bool {
+func (t *routedRequest) again(err error) bool {
 	e := refusal.From(err)
 	switch {
 	case e.NotRun && !t.request.Resume:
 		t.excluded = append(t.excluded, t.request.TargetID)
 		return retryable[e.Code]
 	case e.NotRun, e.Code == refusal.CodeBrokenStream, e.Code == refusal.CodeStreamGone:
-		return t.takeUp(e)
+		return t.resume(e)
 	}
 	return false
 }
 
-// takeUp prepares a broken stream to go on: at the same target while that may
+// resume prepares a broken stream to go on: at the same target while that may
 // still hold it, or from the start elsewhere if the caller has been given nothing yet.
-func (t *trip) takeUp(e *refusal.Error) bool {
+func (t *routedRequest) resume(e *refusal.Error) bool {
 	now := time.Now()
 	if t.brokenAt.IsZero() {
 		t.brokenAt = now
@@ -113,10 +118,10 @@
 }
 
 // mayStartOver reports whether the caller has been given nothing yet.
-func (t *trip) mayStartOver() bool { return t.next == 0 || t.request.StartOver != nil }
+func (t *routedRequest) mayStartOver() bool { return t.next == 0 || t.request.StartOver != nil }
 
 // startOver takes back the tokens that were emitted but not given to the caller.
-func (t *trip) startOver() {
+func (t *routedRequest) startOver() {
 	if t.next > 0 {
 		t.request.StartOver()
 		t.next = 0
--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -24,9 +24,9 @@
 )
 
 // Router finds a target for each model request and sees the request through: it
-// tries other targets while a request has surely not run, and takes a broken
-// stream up again where it stopped, through the target's owner of the time. It
-// emits each token once and in order. It is safe for concurrent use.
+// tries other targets while a request has surely not run, and resumes a broken
+// stream where it stopped, through the target's owner of the time. It emits each
+// token once and in order. It is safe for concurrent use.
 type Router struct {
 	Zone string
 	// BaseModel returns the model that an adapter belongs to.
@@ -68,7 +68,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	t := &trip{request: request, model: model, emit: emit, next: request.Offset, mayForward: mayForward}
+	t := &routedRequest{request: request, model: model, emit: emit, next: request.Offset, mayForward: mayForward}
 	var last error
 	for ; t.mayTry(); t.attempts++ {
 		usage, err := r.attempt(ctx, t)
@@ -85,7 +85,7 @@
 
 // attempt sends the request once: to where its stream was, to the adapter's
 // home zone, or to a target of this zone, in turn with other zones.
-func (r *Router) attempt(ctx context.Context, t *trip) (target.Usage, error) {
+func (r *Router) attempt(ctx context.Context, t *routedRequest) (target.Usage, error) {
 	request := t.request
 	request.Offset = t.next
 	emit := func(c target.Chunk) error { return t.pass(c) }
@@ -105,7 +105,7 @@
 
 // choose picks a target; without one it waits a little if this zone should have
 // one soon.
-func (r *Router) choose(ctx context.Context, t *trip) (string, bool) {
+func (r *Router) choose(ctx context.Context, t *routedRequest) (string, bool) {
 	want := &adapter.Want{
 		Adapter:    t.request.Adapter,
 		BaseModel:  t.model,
--- a/internal/target/owner.go
+++ b/internal/target/owner.go
@@ -202,7 +202,7 @@
 		o.waiting = map[adapter.ID]int{}
 		o.inUse = map[adapter.ID]int{}
 		o.loading.failures = map[adapter.ID]int{}
-		o.loading.coming = map[adapter.ID]bool{}
+		o.loading.loading = map[adapter.ID]bool{}
 		o.loading.evicting = map[adapter.ID]bool{}
 		o.queue.MaxItems = o.QueueItems
 		o.table.Wanted = func(id adapter.ID) bool { return o.waiting[id] > 0 }
--- a/internal/target/owner_engine.go
+++ b/internal/target/owner_engine.go
@@ -15,9 +15,9 @@
 	// confirmEvery and confirmedFor time the fenced no-ops of a lapsed owner.
 	confirmEvery = 500 * time.Millisecond
 	confirmedFor = 2 * time.Second
-	// takeoverPatience is how long requests wait for the previous owner to tell
+	// takeoverWait is how long requests wait for the previous owner to tell
 	// what it still uses.
-	takeoverPatience = time.Second
+	takeoverWait = time.Second
 )
 
 // engineView is what the owner knows of its engine.
@@ -40,14 +40,14 @@
 
 // takeoverState protects what the previous owner may still use.
 type takeoverState struct {
-	frozen bool
-	until  time.Time
-	// patience is when requests that cannot be loaded are sent elsewhere.
-	patience time.Time
+	protected bool
+	until     time.Time
+	// refuseFrom is when requests that cannot be loaded are sent elsewhere.
+	refuseFrom time.Time
 	// firstReport is the issue time of the first report after the takeover.
 	firstReport time.Time
-	// foreign are the adapters pinned for the previous owner.
-	foreign []adapter.ID
+	// pinned are the adapters pinned for the previous owner.
+	pinned []adapter.ID
 	// settled says that the previous owner uses nothing any more.
 	settled bool
 }
@@ -142,7 +142,7 @@
 		o.adopt(report, now)
 	}
 	o.table.Slots = report.Slots
-	o.thaw(report)
+	o.endProtectionIfIdle(report)
 }
 
 // adopt takes the engine's residents as the state, at the start and after a
@@ -164,9 +164,9 @@
 	}
 	if !o.ready && o.Inherited {
 		o.takeover = takeoverState{
-			frozen:      true,
+			protected:   true,
 			until:       now.Add(o.LongestRequest),
-			patience:    now.Add(takeoverPatience),
+			refuseFrom:  now.Add(takeoverWait),
 			firstReport: report.IssuedAt,
 		}
 		o.table.PinAllUntil(o.takeover.until)
@@ -176,20 +176,20 @@
 	o.Log.Info("target_adopted", zap.String("target", o.TargetID), zap.Int("residents", len(report.Resident)), zap.Bool("inherited", o.Inherited))
 }
 
-// thaw ends the protection of a takeover early when a report that was surely
+// endProtectionIfIdle ends the protection of a takeover early when a report that was surely
 // issued after it shows the engine idle.
-func (o *Owner) thaw(report Report) {
+func (o *Owner) endProtectionIfIdle(report Report) {
 	later := report.IssuedAt.Sub(o.takeover.firstReport) > o.ReportLag
-	if o.takeover.frozen && later && report.Running == 0 && report.Waiting == 0 {
-		o.unfreeze()
+	if o.takeover.protected && later && report.Running == 0 && report.Waiting == 0 {
+		o.endProtection()
 	}
 }
 
 // release narrows the protection to what the previous owner still uses, once it
 // has told, and ends it when it uses nothing or its time is over.
 func (o *Owner) release(now time.Time) {
-	if o.takeover.frozen && !now.Before(o.takeover.until) {
-		o.unfreeze()
+	if o.takeover.protected && !now.Before(o.takeover.until) {
+		o.endProtection()
 	}
 	if o.PreviousInUse == nil || o.takeover.settled {
 		return
@@ -198,20 +198,20 @@
 	if !known {
 		return
 	}
-	for _, id := range o.takeover.foreign {
+	for _, id := range o.takeover.pinned {
 		o.table.Unpin(id, now)
 	}
-	o.takeover.foreign = nil
+	o.takeover.pinned = nil
 	for _, id := range inUse {
 		if o.table.Pin(id) {
-			o.takeover.foreign = append(o.takeover.foreign, id)
+			o.takeover.pinned = append(o.takeover.pinned, id)
 		}
 	}
 	o.takeover.settled = len(inUse) == 0
-	o.unfreeze()
+	o.endProtection()
 }
 
-func (o *Owner) unfreeze() {
-	o.takeover.frozen = false
-	o.table.Unfreeze()
+func (o *Owner) endProtection() {
+	o.takeover.protected = false
+	o.table.UnpinAll()
 }
--- a/internal/target/owner_loads.go
+++ b/internal/target/owner_loads.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	maxTargetLoads   = 2
-	maxLoadFailures  = 3
-	loadFailurePause = 250 * time.Millisecond
-	loadRetryAfter   = 5 * time.Second
-	frozenRetryAfter = 2 * time.Second
-	permitWait       = 5 * time.Second
+	maxTargetLoads      = 2
+	maxLoadFailures     = 3
+	loadFailurePause    = 250 * time.Millisecond
+	loadRetryAfter      = 5 * time.Second
+	protectedRetryAfter = 2 * time.Second
+	permitWait          = 5 * time.Second
 )
 
 // loadState is the owner's loads: the permits asked for and the orders in flight.
@@ -27,8 +27,8 @@
 	// inFlight counts permits asked for or used.
 	inFlight int
 	failures map[adapter.ID]int
-	// coming are the adapters with a load under way.
-	coming map[adapter.ID]bool
+	// loading are the adapters with a load under way.
+	loading map[adapter.ID]bool
 	// evicting are the adapters with an eviction under way, whatever a report says.
 	evicting map[adapter.ID]bool
 	pausedTo time.Time
@@ -45,7 +45,7 @@
 		return
 	}
 	s.stalled = s.stalled || o.ready
-	if o.loading.coming[id] || o.loading.evicting[id] {
+	if o.loading.loading[id] || o.loading.evicting[id] {
 		return
 	}
 	o.order.AddFor(o.load(id), adapter.Waiter{Team: s.request.Team, Class: s.request.Class}, now)
@@ -60,7 +60,7 @@
 		return
 	}
 	if !o.room(now) {
-		o.refuseFrozen(now)
+		o.refuseProtected(now)
 		return
 	}
 	o.loading.asking = true
@@ -82,10 +82,10 @@
 	return ok
 }
 
-// refuseFrozen sends away requests whose adapter cannot be loaded here until
+// refuseProtected sends away requests whose adapter cannot be loaded here until
 // the previous owner's requests are over; another target may take them.
-func (o *Owner) refuseFrozen(now time.Time) {
-	if !o.takeover.frozen || now.Before(o.takeover.patience) {
+func (o *Owner) refuseProtected(now time.Time) {
+	if !o.takeover.protected || now.Before(o.takeover.refuseFrom) {
 		return
 	}
 	for {
@@ -93,7 +93,7 @@
 		if !ok {
 			return
 		}
-		o.refuseAdapter(load.Adapter, false, refusal.NotRun(refusal.CodeNoTarget, "the target was just taken over and has no free slot").After(frozenRetryAfter))
+		o.refuseAdapter(load.Adapter, false, refusal.NotRun(refusal.CodeNoTarget, "the target was just taken over and has no free slot").After(protectedRetryAfter))
 	}
 }
 
@@ -139,7 +139,7 @@
 		finish()
 		return
 	}
-	o.loading.coming[load.Adapter] = true
+	o.loading.loading[load.Adapter] = true
 	o.tasks.Go(func() {
 		defer finish()
 		started := time.Now()
@@ -165,7 +165,7 @@
 // useful reports whether a request waits for an adapter that is neither here nor
 // on its way, in or out.
 func (o *Owner) useful(id adapter.ID) bool {
-	return o.waiting[id] > 0 && !o.table.Resident(id) && !o.loading.coming[id] && !o.loading.evicting[id]
+	return o.waiting[id] > 0 && !o.table.Resident(id) && !o.loading.loading[id] && !o.loading.evicting[id]
 }
 
 // makeRoom reserves a slot for a load, if need be that of the least useful adapter.
@@ -202,7 +202,7 @@
 // loaded takes the outcome of the orders.
 func (o *Owner) loaded(id, victim adapter.ID, evicted bool, took time.Duration, err error, now time.Time) {
 	o.loading.inFlight--
-	delete(o.loading.coming, id)
+	delete(o.loading.loading, id)
 	o.engine.changed = true
 	if o.Observe.Loaded != nil {
 		o.Observe.Loaded(took, err)
