Fix the seed of property tests in one place

Change: it stands in internal/propertytest; the two packages with their own number of checks pass it.

--- a/internal/instance/ownership_test.go
+++ b/internal/instance/ownership_test.go
@@ -152,19 +152,30 @@
 	}
 }
 
+// startOwnership runs an instance that has had time to take all groups.
+func startOwnership(t *testing.T) (w *ownershipWorld, stop func()) {
+	t.Helper()
+	w = &ownershipWorld{}
+	w.setUp()
+	if err := w.Directory.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { w.Run(ctx) })
+	time.Sleep(time.Second)
+	return w, func() {
+		cancel()
+		tasks.Wait()
+		w.Stop(context.Background())
+	}
+}
+
 // TestHandoverWithoutAnswerLeavesNoTargetWithoutOwner cuts the platform off just
 // when groups are due to move to an instance that has come.
 func TestHandoverWithoutAnswerLeavesNoTargetWithoutOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &ownershipWorld{}
-		w.setUp()
-		if err := w.Directory.Refresh(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		ctx, cancel := context.WithCancel(t.Context())
-		var tasks sync.WaitGroup
-		tasks.Go(func() { w.Run(ctx) })
-		time.Sleep(time.Second)
+		w, stop := startOwnership(t)
 		if w.owned() != 8 || w.held() != 8 {
 			t.Errorf("%d of 8 targets owned, %d held at the start", w.owned(), w.held())
 		}
@@ -182,24 +193,14 @@
 		if groups := w.Groups(); len(groups) != 2 {
 			t.Errorf("groups held after the cut: %s, want 2 of 4", strings.Join(groups, " "))
 		}
-		cancel()
-		tasks.Wait()
-		w.Stop(context.Background())
+		stop()
 	})
 }
 
 // TestLeavingTargetGetsNoNewWork marks a target as leaving in the platform's list.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &ownershipWorld{}
-		w.setUp()
-		if err := w.Directory.Refresh(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		ctx, cancel := context.WithCancel(t.Context())
-		var tasks sync.WaitGroup
-		tasks.Go(func() { w.Run(ctx) })
-		time.Sleep(time.Second)
+		w, stop := startOwnership(t)
 		owner, ok := w.Owner("e3")
 		if !ok {
 			t.Fatal("the target has no owner at the start")
@@ -220,8 +221,6 @@
 		if w.owned() != 7 {
 			t.Errorf("%d targets owned, want the other 7", w.owned())
 		}
-		cancel()
-		tasks.Wait()
-		w.Stop(context.Background())
+		stop()
 	})
 }
--- a/internal/platform/lease_test.go
+++ b/internal/platform/lease_test.go
@@ -2,34 +2,23 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"heatherrelay/internal/platform"
+	"heatherrelay/internal/propertytest"
 )
 
 // leaseChecks is how many cases the lease's property test needs to meet its
 // rare orders of events.
-const leaseChecks = "12000"
+const leaseChecks = 12000
 
 // TestMain fixes the seed and the number of cases of the property tests unless
 // they are given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	defaults := map[string]string{"rapid.seed": "1", "rapid.checks": leaseChecks}
-	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
-	for name, value := range defaults {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Defaults{Checks: leaseChecks}.Main(m) }
 
 // The lease of the test, and how much faster the challenger's clock may run.
 const (
--- a/pkg/release/state_test.go
+++ b/pkg/release/state_test.go
@@ -1,30 +1,19 @@
 package release_test
 
 import (
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"heatherrelay/internal/propertytest"
 	"heatherrelay/pkg/release"
 )
 
 // TestMain fixes the seed of the property tests unless one is given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		if err := flag.Set("rapid.seed", "1"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { propertytest.Defaults{}.Main(m) }
 
 // drawNote draws a note over few adapters, so that they collide often.
 func drawNote(t *rapid.T) release.Note {
