Wait under a context in one place; drop what nothing reads

Cause, found by reading the whole change: the same wait under a context stood in internal/target, internal/team and internal/instance; the router's logger, the engine view's heardAt and a setting written with its library's default were read by nothing. Change: internal/wait.Sleep serves all three, local variables named wait in internal/team are called delay, and the unread fields are gone. Left as they are: two strict TOML decoders, whose messages tests fix on both sides, and the error values that only look alike.

--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -114,7 +114,6 @@
 		Directory: i.directory,
 		Peers:     i.peers,
 		Self:      i.Settings.Instance,
-		Log:       i.Log,
 	}
 	i.syncer = &Syncer{
 		Router:     i.router,
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/platform"
+	"heatherrelay/internal/wait"
 )
 
 // Directory knows the other instances by their lease objects, and the
@@ -204,13 +205,4 @@
 }
 
 // sleep waits and reports whether ctx still goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
+func sleep(ctx context.Context, d time.Duration) bool { return wait.Sleep(ctx, d) == nil }
--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"heatherrelay/internal/adapter"
 	"heatherrelay/internal/platform"
 	"heatherrelay/internal/refusal"
@@ -35,7 +33,6 @@
 	Directory *Directory
 	Peers     *Peers
 	Self      string
-	Log       *zap.Logger
 
 	mu     sync.Mutex
 	view   adapter.View
--- a/internal/instance/router_test.go
+++ b/internal/instance/router_test.go
@@ -132,7 +132,6 @@
 		Ownership: &instance.Ownership{Zone: "a", GroupCount: 1, Directory: directory, Log: zap.NewNop()},
 		Directory: directory,
 		Peers:     &instance.Peers{InstanceID: "near"},
-		Log:       zap.NewNop(),
 	}
 }
 
--- a/internal/target/engine.go
+++ b/internal/target/engine.go
@@ -198,15 +198,14 @@
 			AckTimeout:     e.SilenceLimit,
 		}
 		e.client = &fasthttp.HostClient{
-			Addr:                          e.Address.String(),
-			Dial:                          dialer.Dial,
-			MaxConns:                      maxEngineConns,
-			MaxIdleConnDuration:           maxIdleEngineConn,
-			MaxIdemponentCallAttempts:     1,
-			RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-			NoDefaultUserAgentHeader:      true,
-			DisableHeaderNamesNormalizing: false,
-			MaxResponseBodySize:           maxReportBodyBytes,
+			Addr:                      e.Address.String(),
+			Dial:                      dialer.Dial,
+			MaxConns:                  maxEngineConns,
+			MaxIdleConnDuration:       maxIdleEngineConn,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+			NoDefaultUserAgentHeader:  true,
+			MaxResponseBodySize:       maxReportBodyBytes,
 		}
 	})
 	return e.client
--- a/internal/target/owner_engine.go
+++ b/internal/target/owner_engine.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/adapter"
+	"heatherrelay/internal/wait"
 )
 
 const (
@@ -23,7 +24,6 @@
 // engineView is what the owner knows of its engine.
 type engineView struct {
 	report      Report
-	heardAt     time.Time
 	silentSince time.Time
 	confirmed   time.Time
 	// changed asks for a new snapshot of the residents.
@@ -93,7 +93,7 @@
 			fenced = fenced && (err != nil || report.FencingNumber >= o.FencingNumber)
 			o.post(func(now time.Time) { o.heard(report, err, now) })
 		}
-		if pause(ctx, o.ReportEvery) != nil {
+		if wait.Sleep(ctx, o.ReportEvery) != nil {
 			return
 		}
 	}
@@ -132,7 +132,6 @@
 		return
 	}
 	o.engine.silentSince = time.Time{}
-	o.engine.heardAt = now
 	restarted := o.ready && report.StartedAt.After(o.engine.report.StartedAt)
 	o.engine.report = report
 	if o.ChecksFencing && report.FencingNumber < o.FencingNumber && !restarted {
--- a/internal/target/stream.go
+++ b/internal/target/stream.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"heatherrelay/internal/wait"
 )
 
 const (
@@ -74,7 +76,7 @@
 			return Usage{}, markSent(err, sent)
 		}
 		resume, sent = true, true
-		if err := pause(ctx, resumePause*time.Duration(breaks+1)); err != nil {
+		if err := wait.Sleep(ctx, resumePause*time.Duration(breaks+1)); err != nil {
 			return Usage{}, markSent(err, sent)
 		}
 	}
@@ -92,17 +94,6 @@
 	return err
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // attempt opens one connection's worth of the stream and reads it to its end.
 func (s *stream) attempt(ctx context.Context, resume bool) error {
 	req, resp := s.open(resume)
--- a/internal/team/run.go
+++ b/internal/team/run.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/platform"
+	"heatherrelay/internal/wait"
 )
 
 // The times of the duties. LevelInterval is the time between looks at slices
@@ -101,18 +102,18 @@
 	k := a.keeper()
 	retry := minRetry
 	for ctx.Err() == nil {
-		wait, err := k.Reconcile(ctx)
+		delay, err := k.Reconcile(ctx)
 		if err != nil {
 			a.Log.Debug("allowance ledger not reconciled", zap.Error(err))
-			wait = retry
+			delay = retry
 			retry = min(2*retry, maxRetry)
 		} else {
 			retry = minRetry
 		}
-		if wait == 0 {
+		if delay == 0 {
 			a.pause(ctx, reconcileInterval, changed)
 		} else {
-			a.pause(ctx, wait, nil)
+			a.pause(ctx, delay, nil)
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
@@ -125,22 +126,22 @@
 // leave hands the claim on and tries again until ctx ends.
 func leave(ctx context.Context, k *Keeper) error {
 	k.StartLeaving()
-	wait := LentTerm
+	delay := LentTerm
 	for {
-		if err := sleep(ctx, wait); err != nil {
+		if err := wait.Sleep(ctx, delay); err != nil {
 			return err
 		}
 		err := k.FinishLeaving(ctx)
 		if err == nil {
 			return nil
 		}
-		wait = stepInterval
+		delay = stepInterval
 	}
 }
 
 // pause waits for a time or until the ledgers have changed.
-func (a *Allowances) pause(ctx context.Context, wait time.Duration, changed <-chan struct{}) {
-	timer := time.NewTimer(wait)
+func (a *Allowances) pause(ctx context.Context, delay time.Duration, changed <-chan struct{}) {
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -184,17 +185,6 @@
 	return a.Gone != nil && a.Gone(instanceID)
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // watch wakes the keeper when the ledgers of this zone or the root change.
 func (a *Allowances) watch(ctx context.Context, changed chan<- struct{}) {
 	after := uint64(0)
@@ -203,7 +193,7 @@
 		if err != nil {
 			listing, listErr := a.Store.List(ctx, rootKey)
 			if listErr != nil {
-				_ = sleep(ctx, maxRetry)
+				_ = wait.Sleep(ctx, maxRetry)
 				continue
 			}
 			after = listing.Version
