--- a/cmd/heatherrelay/root.go
+++ b/cmd/heatherrelay/root.go
@@ -44,6 +44,7 @@
 		keyCommand(),
 		releaseCommand(),
 		serveCommand(),
+		gatewayCommand(),
 		versionCommand(),
 		configCommand(),
 		reportCommand(),
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,227 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/object"
+)
+
+// The pace of the copies. Watches return at once when something changes, so the
+// waits only bound how long a silent connection goes unnoticed, and how old a
+// confirmation gets.
+const (
+	// confirmWait is the wait of the instances that confirm the configuration for
+	// the others; ownWait is that of the others.
+	confirmWait  = time.Second
+	ownWait      = 3 * time.Second
+	targetsWait  = 2 * time.Second
+	versionsWait = 4 * time.Second
+	// targetsPause is the time between changes of targets: entries change with
+	// each adapter that an engine loads.
+	targetsPause  = 800 * time.Millisecond
+	versionsPause = 200 * time.Millisecond
+	// overdue is the age of the configuration from which an instance confirms it
+	// by itself.
+	overdue = 2500 * time.Millisecond
+	// reappearTime is how long after an outage of the store a target that is
+	// alive may take to be listed again.
+	reappearTime = 2 * time.Second
+)
+
+// Kinds names the kinds of the store's objects.
+type Kinds struct {
+	Configuration object.Kind
+	Targets       object.Kind
+	Versions      object.Kind
+	// ConfigurationName is the name of the configuration object.
+	ConfigurationName string
+}
+
+// Catalog holds what the instance believes. Reading it takes no lock that a call
+// to the store holds. Set the exported fields before Run.
+type Catalog struct {
+	Kinds Kinds
+	Store object.Store
+	// HashKeys replaces the keys in a configuration object by their hashes.
+	HashKeys func(object.Object) object.Object
+	// DecodeConfiguration, DecodeTarget and DecodeVersion read stored values.
+	DecodeConfiguration func(json.RawMessage) (*deployment.Configuration, error)
+	DecodeTarget        func(name string, value json.RawMessage) (deployment.Target, error)
+	DecodeVersion       func(name string, value json.RawMessage) (deployment.AdapterVersion, error)
+	// Confirms says that this instance confirms the configuration for others; nil
+	// means that it does.
+	Confirms func() bool
+	// TargetsChanged is called with the targets after each change; may be nil.
+	TargetsChanged func(map[deployment.TargetID]deployment.Target)
+	Now            func() time.Time
+	Log            *zap.Logger
+
+	once          sync.Once
+	configuration Follower
+	targets       Follower
+	versions      Follower
+
+	current  atomic.Pointer[deployment.Configuration]
+	versionM atomic.Pointer[map[deployment.AdapterName]uint64]
+	targetM  atomic.Pointer[map[deployment.TargetID]deployment.Target]
+
+	mu sync.Mutex
+	// unlisted are targets that vanished around an outage of the store, with the
+	// time after which they count as gone.
+	unlisted map[deployment.TargetID]time.Time
+}
+
+func (c *Catalog) init() {
+	c.once.Do(func() {
+		c.configuration = c.follower(c.Kinds.Configuration, ownWait, 0, c.takeConfiguration)
+		c.configuration.WaitNow = c.configurationWait
+		c.configuration.Clean = c.HashKeys
+		c.targets = c.follower(c.Kinds.Targets, targetsWait, targetsPause, c.takeTargets)
+		c.versions = c.follower(c.Kinds.Versions, versionsWait, versionsPause, c.takeVersions)
+		c.versionM.Store(&map[deployment.AdapterName]uint64{})
+		c.targetM.Store(&map[deployment.TargetID]deployment.Target{})
+		c.unlisted = map[deployment.TargetID]time.Time{}
+	})
+}
+
+func (c *Catalog) follower(kind object.Kind, wait, pause time.Duration, changed func([]object.Object)) Follower {
+	return Follower{Store: c.Store, Kind: kind, Wait: wait, Pause: pause, Changed: changed, Now: c.Now, Log: c.Log}
+}
+
+// configurationWait is how long a watch of the configuration may be held back.
+func (c *Catalog) configurationWait() time.Duration {
+	age, ok := c.ConfigurationAge()
+	if c.Confirms == nil || c.Confirms() || !ok || age > overdue {
+		return confirmWait
+	}
+	return ownWait
+}
+
+// Run follows the store until ctx ends.
+func (c *Catalog) Run(ctx context.Context) {
+	c.init()
+	var group conc.WaitGroup
+	group.Go(func() { c.configuration.Run(ctx) })
+	group.Go(func() { c.targets.Run(ctx) })
+	group.Go(func() { c.versions.Run(ctx) })
+	group.Wait()
+}
+
+// Followers returns the copies by the kind of their objects.
+func (c *Catalog) Followers() map[object.Kind]*Follower {
+	c.init()
+	return map[object.Kind]*Follower{
+		c.Kinds.Configuration: &c.configuration,
+		c.Kinds.Targets:       &c.targets,
+		c.Kinds.Versions:      &c.versions,
+	}
+}
+
+// Configuration returns the configuration in force; nil until one is known.
+func (c *Catalog) Configuration() *deployment.Configuration { return c.current.Load() }
+
+// ConfigurationAge is how long ago a read of the store last confirmed the
+// configuration, by this instance or by a peer; false when none did.
+func (c *Catalog) ConfigurationAge() (time.Duration, bool) {
+	at := c.configuration.State().ConfirmedAt
+	return c.Now().Sub(at), !at.IsZero()
+}
+
+// Version returns the newest announced version of an adapter; zero without one.
+func (c *Catalog) Version(name deployment.AdapterName) uint64 { return (*c.versionM.Load())[name] }
+
+// Target returns a target by its id.
+func (c *Catalog) Target(id deployment.TargetID) (deployment.Target, bool) {
+	t, ok := (*c.targetM.Load())[id]
+	return t, ok
+}
+
+// Targets returns all targets. The map must not be changed.
+func (c *Catalog) Targets() map[deployment.TargetID]deployment.Target { return *c.targetM.Load() }
+
+func (c *Catalog) takeConfiguration(objects []object.Object) {
+	for _, o := range objects {
+		if o.Name != c.Kinds.ConfigurationName {
+			continue
+		}
+		configuration, err := c.DecodeConfiguration(o.Value)
+		if err != nil {
+			c.Log.Error("configuration unreadable, the one before stays in force", zap.Uint64("revision", o.Revision), zap.Error(err))
+			continue
+		}
+		c.current.Store(configuration)
+		c.Log.Info("configuration in force", zap.Uint64("version", configuration.Version), zap.Uint64("revision", o.Revision),
+			zap.Int("routes", len(configuration.Routes)), zap.Int("teams", len(configuration.Teams)), zap.Int("keys", len(configuration.TeamByKey)))
+	}
+}
+
+func (c *Catalog) takeVersions(objects []object.Object) {
+	versions := map[deployment.AdapterName]uint64{}
+	for _, o := range objects {
+		v, err := c.DecodeVersion(o.Name, o.Value)
+		if err != nil {
+			c.Log.Warn("version unreadable", zap.String("name", o.Name), zap.Error(err))
+			continue
+		}
+		if v.Version > versions[v.AdapterName] {
+			versions[v.AdapterName] = v.Version
+		}
+	}
+	c.versionM.Store(&versions)
+}
+
+func (c *Catalog) takeTargets(objects []object.Object) {
+	listed := make(map[deployment.TargetID]deployment.Target, len(objects))
+	for _, o := range objects {
+		t, err := c.DecodeTarget(o.Name, o.Value)
+		if err != nil {
+			c.Log.Warn("target entry unreadable, passed over", zap.String("name", o.Name), zap.Error(err))
+			continue
+		}
+		listed[t.ID] = t
+	}
+	c.mu.Lock()
+	c.keepUnlisted(listed)
+	c.targetM.Store(&listed)
+	c.mu.Unlock()
+	if c.TargetsChanged != nil {
+		c.TargetsChanged(listed)
+	}
+}
+
+// keepUnlisted keeps targets that vanished around an outage of the store until
+// they had time to be listed again.
+func (c *Catalog) keepUnlisted(listed map[deployment.TargetID]deployment.Target) {
+	now := c.Now()
+	until := c.targets.Regained().Add(reappearTime)
+	for id, t := range *c.targetM.Load() {
+		if _, ok := listed[id]; ok {
+			delete(c.unlisted, id)
+			continue
+		}
+		if t.Draining || !now.Before(until) {
+			c.Log.Info("target gone", zap.String("target", string(id)))
+			continue
+		}
+		listed[id] = t
+		if _, ok := c.unlisted[id]; !ok {
+			c.Log.Info("target not listed after an outage of the store, kept for now", zap.String("target", string(id)))
+			time.AfterFunc(until.Sub(now), c.dropUnlisted)
+		}
+		c.unlisted[id] = until
+	}
+}
+
+// dropUnlisted drops the targets that were not listed again in time.
+func (c *Catalog) dropUnlisted() {
+	_, objects := c.targets.Snapshot()
+	c.takeTargets(objects)
+}
--- /dev/null
+++ b/internal/catalog/follower.go
@@ -0,0 +1,176 @@
+package catalog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/object"
+)
+
+// The pace of a follower.
+const (
+	// firstRetry and lastRetry bound the pause after a call that failed.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 800 * time.Millisecond
+)
+
+// Follower keeps a replica of one kind near the store. Set the exported fields
+// before Run.
+type Follower struct {
+	Store object.Store
+	Kind  object.Kind
+	// Wait is how long a watch may be held back, and so the longest time between
+	// two confirmations.
+	Wait time.Duration
+	// WaitNow returns the wait of the next watch, if it changes; may be nil.
+	WaitNow func() time.Duration
+	// Pause is the time between a change and the next watch, so that changes
+	// come in batches.
+	Pause time.Duration
+	// Clean is applied to each object as it comes from the store; may be nil.
+	Clean func(object.Object) object.Object
+	// Changed is called after each change, under no lock.
+	Changed func([]object.Object)
+	// Now is the clock.
+	Now func() time.Time
+	Log *zap.Logger
+
+	mu      sync.Mutex
+	replica Replica
+	// lost is when the store stopped answering; regained when it answered again.
+	lost     time.Time
+	regained time.Time
+	failed   bool
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	retry := firstRetry
+	listed := false
+	for ctx.Err() == nil {
+		changed, err := f.step(ctx, &listed)
+		f.noteCall(err)
+		pause := f.Pause
+		switch {
+		case err != nil:
+			pause, retry = retry, min(2*retry, lastRetry)
+		case !changed:
+			pause, retry = 0, firstRetry
+		default:
+			retry = firstRetry
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// step lists once, then watches. A watch whose history is gone lists again.
+func (f *Follower) step(ctx context.Context, listed *bool) (bool, error) {
+	sentAt := f.Now()
+	if !*listed {
+		page, err := f.Store.List(ctx, f.Kind, false)
+		if err != nil {
+			return false, err
+		}
+		*listed = true
+		f.clean(page)
+		return f.update(func(r *Replica) bool { return r.List(page, sentAt) }), nil
+	}
+	from, wait := f.State().Position, f.Wait
+	if f.WaitNow != nil {
+		wait = f.WaitNow()
+	}
+	page, err := f.Store.Watch(ctx, f.Kind, from, wait)
+	if object.ErrCompacted.Has(err) {
+		*listed = false
+		f.Log.Info("watch history compacted, listing again", zap.String("kind", string(f.Kind)), zap.Uint64("revision", from))
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	f.clean(page)
+	return f.update(func(r *Replica) bool { return r.Watch(from, page, sentAt) }), nil
+}
+
+func (f *Follower) clean(page object.Page) {
+	if f.Clean == nil {
+		return
+	}
+	for i, o := range page.Objects {
+		page.Objects[i] = f.Clean(o)
+	}
+}
+
+// Merge takes a peer's copy.
+func (f *Follower) Merge(peer State, complete bool, objects []object.Object) {
+	f.update(func(r *Replica) bool { return r.Merge(peer, complete, objects) })
+}
+
+// State says how new the copy is.
+func (f *Follower) State() State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.State
+}
+
+// Snapshot returns the copy.
+func (f *Follower) Snapshot() (State, []object.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.State, f.replica.Objects()
+}
+
+// Regained returns when the store answered again after it had not; zero before.
+func (f *Follower) Regained() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failed {
+		return f.Now()
+	}
+	return f.regained
+}
+
+func (f *Follower) update(change func(*Replica) bool) bool {
+	f.mu.Lock()
+	changed := change(&f.replica)
+	var objects []object.Object
+	var state State
+	if changed {
+		objects, state = f.replica.Objects(), f.replica.State
+	}
+	f.mu.Unlock()
+	if changed {
+		f.Log.Info("copy changed", zap.String("kind", string(f.Kind)), zap.Uint64("revision", state.Changed),
+			zap.Int("objects", len(objects)), zap.Duration("age", f.Now().Sub(state.ConfirmedAt)))
+		f.Changed(objects)
+	}
+	return changed
+}
+
+// noteCall logs when the store is lost and when it is regained.
+func (f *Follower) noteCall(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Now()
+	switch {
+	case err != nil && !f.failed:
+		f.failed, f.lost = true, now
+		f.Log.Warn("store lost", zap.String("kind", string(f.Kind)), zap.Error(err))
+	case err == nil && f.failed:
+		f.failed, f.regained = false, now
+		f.Log.Info("store regained", zap.String("kind", string(f.Kind)), zap.Duration("after", now.Sub(f.lost)))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/connection/dialer.go
+++ b/internal/connection/dialer.go
@@ -25,8 +25,17 @@
 	SilenceLimit time.Duration
 	// AckTimeout is how long sent bytes may stay unacknowledged by the other end.
 	AckTimeout time.Duration
+	// KeepAlive probes an idle connection each second, so that one that has gone
+	// silent fails within a few seconds.
+	KeepAlive bool
 }
 
+// The probes of a connection with KeepAlive.
+const (
+	probeInterval = time.Second
+	probeCount    = 2
+)
+
 // Dial connects to an address of the form "IP:port". All its errors are of
 // kind ErrDial.
 func (d *Dialer) Dial(address string) (net.Conn, error) {
@@ -36,6 +45,9 @@
 // DialContext is Dial under a context, in the form that net/http wants.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: d.ConnectTimeout, Control: d.control}
+	if d.KeepAlive {
+		dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount}
+	}
 	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, ErrDial.Wrap(err)
--- a/internal/entry/departure.go
+++ b/internal/entry/departure.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"golang.org/x/sys/unix"
+
+	"heatherrelay/internal/connection"
 )
 
 // departurePoll is the time between looks at whether a waiting caller is there.
@@ -52,25 +51,4 @@
 
 // departed reports whether the other end closed the connection, without reading
 // from it.
-func departed(conn *net.TCPConn) bool {
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	gone := false
-	look := func(fd uintptr) {
-		var one [1]byte
-		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		switch {
-		case err == nil:
-			gone = n == 0
-		case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
-		default:
-			gone = true
-		}
-	}
-	if err := raw.Control(look); err != nil {
-		return true
-	}
-	return gone
-}
+func departed(conn *net.TCPConn) bool { return connection.Peek(conn) == connection.Closed }
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,181 @@
+package peer
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"heatherrelay/internal/catalog"
+	"heatherrelay/internal/deployment"
+	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+	"heatherrelay/internal/load"
+	"heatherrelay/internal/object"
+	"heatherrelay/internal/placement"
+)
+
+// state returns what this instance tells the others.
+func (n *Network) state() *v1.InstanceState {
+	n.mu.Lock()
+	n.sequence++
+	sequence := n.sequence
+	n.mu.Unlock()
+	s := &v1.InstanceState{
+		Member:      memberMessage(n.Self),
+		Incarnation: n.Incarnation,
+		Sequence:    sequence,
+		Leaving:     n.Leaving(),
+		HoldsOrders: n.Holder.Holds(),
+	}
+	for team, admitted := range n.Meter.Admitted() {
+		s.Teams = append(s.Teams, &v1.TeamUse{Team: team, Admitted: admitted})
+	}
+	for id, u := range n.Tracker.All() {
+		s.Targets = append(s.Targets, useMessage(id, u))
+	}
+	now := n.Now()
+	for _, e := range n.Holder.States() {
+		n.Directory.Update(e)
+		s.Engines = append(s.Engines, engineMessage(e, now))
+	}
+	return s
+}
+
+func (n *Network) memberMessages() []*v1.Member {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	now := n.Now()
+	var members []*v1.Member
+	for _, r := range n.remotes {
+		if now.Sub(r.heardAt) <= heardTime && !r.leaving {
+			members = append(members, memberMessage(r.Member))
+		}
+	}
+	return members
+}
+
+func memberMessage(m Member) *v1.Member {
+	return &v1.Member{InstanceId: m.ID, Zone: m.Zone, Address: m.Address.String()}
+}
+
+// memberFrom reads a member; one whose address cannot be read has none.
+func memberFrom(m *v1.Member) Member {
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		address = netip.AddrPort{}
+	}
+	return Member{ID: m.GetInstanceId(), Zone: m.GetZone(), Address: address}
+}
+
+func useMessage(id deployment.TargetID, u load.TargetUse) *v1.TargetUse {
+	m := &v1.TargetUse{
+		TargetId:      string(id),
+		Requests:      int64(u.Requests),
+		WaitingTokens: int64(u.WaitingTokens),
+		Tokens:        int64(u.Tokens),
+	}
+	for name, requests := range u.Adapters {
+		if name.Adapter != "" {
+			m.Adapters = append(m.Adapters, &v1.AdapterUse{Model: name.Model, Adapter: name.Adapter, Requests: int64(requests)})
+		}
+	}
+	return m
+}
+
+func usesFrom(messages []*v1.TargetUse) map[deployment.TargetID]load.TargetUse {
+	uses := make(map[deployment.TargetID]load.TargetUse, len(messages))
+	for _, m := range messages {
+		u := load.TargetUse{
+			Use:      load.Use{Requests: int(m.GetRequests()), WaitingTokens: int(m.GetWaitingTokens()), Tokens: int(m.GetTokens())},
+			Adapters: make(map[deployment.AdapterName]int, len(m.GetAdapters())),
+		}
+		for _, a := range m.GetAdapters() {
+			u.Adapters[deployment.AdapterName{Model: a.GetModel(), Adapter: a.GetAdapter()}] = int(a.GetRequests())
+		}
+		uses[deployment.TargetID(m.GetTargetId())] = u
+	}
+	return uses
+}
+
+func admittedFrom(messages []*v1.TeamUse) map[string]float64 {
+	admitted := make(map[string]float64, len(messages))
+	for _, m := range messages {
+		admitted[m.GetTeam()] = m.GetAdmitted()
+	}
+	return admitted
+}
+
+func engineMessage(e placement.EngineState, now time.Time) *v1.EngineState {
+	m := &v1.EngineState{TargetId: string(e.Target), Born: e.Born, Models: e.Models}
+	for _, r := range e.Residents {
+		m.Adapters = append(m.Adapters, &v1.AdapterState{
+			Model:     r.Model,
+			Adapter:   r.Adapter,
+			Version:   r.Version,
+			ReadyInMs: max(r.ReadyAt.Sub(now).Milliseconds(), 0),
+		})
+	}
+	return m
+}
+
+func engineFrom(m *v1.EngineState, now time.Time) placement.EngineState {
+	e := placement.EngineState{Target: deployment.TargetID(m.GetTargetId()), Born: m.GetBorn(), Models: m.GetModels()}
+	for _, a := range m.GetAdapters() {
+		e.Residents = append(e.Residents, placement.Resident{
+			AdapterName: deployment.AdapterName{Model: a.GetModel(), Adapter: a.GetAdapter()},
+			Version:     a.GetVersion(),
+			ReadyAt:     now.Add(time.Duration(a.GetReadyInMs()) * time.Millisecond),
+		})
+	}
+	return e
+}
+
+func stateMessage(kind object.Kind, s catalog.State, now time.Time) *v1.BeliefState {
+	m := &v1.BeliefState{Kind: string(kind), Position: s.Position, Changed: s.Changed, ConfirmedAgeMs: -1}
+	if !s.ConfirmedAt.IsZero() {
+		// Rounded up: an age must never be understated.
+		m.ConfirmedAgeMs = now.Sub(s.ConfirmedAt).Milliseconds() + 1
+	}
+	return m
+}
+
+func stateFrom(m *v1.BeliefState, sentAt time.Time) catalog.State {
+	s := catalog.State{Position: m.GetPosition(), Changed: m.GetChanged()}
+	if m.GetConfirmedAgeMs() >= 0 {
+		s.ConfirmedAt = sentAt.Add(-time.Duration(m.GetConfirmedAgeMs()) * time.Millisecond)
+	}
+	return s
+}
+
+func objectMessages(objects []object.Object) []*v1.StoredObject {
+	messages := make([]*v1.StoredObject, 0, len(objects))
+	for _, o := range objects {
+		messages = append(messages, &v1.StoredObject{Name: o.Name, Revision: o.Revision, Value: o.Value})
+	}
+	return messages
+}
+
+func objectsFrom(messages []*v1.StoredObject) []object.Object {
+	objects := make([]object.Object, 0, len(messages))
+	for _, m := range messages {
+		objects = append(objects, object.Object{Name: m.GetName(), Revision: m.GetRevision(), Value: json.RawMessage(m.GetValue())})
+	}
+	return objects
+}
+
+var resultMessages = map[placement.Result]v1.LoadAdapterResponse_Result{
+	placement.Ready:     v1.LoadAdapterResponse_RESULT_READY,
+	placement.Full:      v1.LoadAdapterResponse_RESULT_FULL,
+	placement.NotHolder: v1.LoadAdapterResponse_RESULT_NOT_HOLDER,
+	placement.Failed:    v1.LoadAdapterResponse_RESULT_FAILED,
+}
+
+func resultMessage(r placement.Result) v1.LoadAdapterResponse_Result { return resultMessages[r] }
+
+func resultFrom(m v1.LoadAdapterResponse_Result) placement.Result {
+	for result, message := range resultMessages {
+		if message == m {
+			return result
+		}
+	}
+	return placement.Failed
+}
--- /dev/null
+++ b/internal/peer/network.go
@@ -0,0 +1,433 @@
+// Package peer connects the instances of a deployment: each tells the others
+// what it has under way, what it admitted, which engines it orders and how new
+// its copy of the store is, and takes what the others know better.
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/catalog"
+	"heatherrelay/internal/connection"
+	"heatherrelay/internal/deployment"
+	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
+	"heatherrelay/internal/load"
+	"heatherrelay/internal/object"
+	"heatherrelay/internal/placement"
+	"heatherrelay/internal/quota"
+)
+
+// The pace of the exchange between instances.
+const (
+	// exchangeInterval is the time between two exchanges that an instance starts
+	// with each other one; each instance starts its own, so news travel in half
+	// of it on average.
+	exchangeInterval = 300 * time.Millisecond
+	exchangeTimeout  = 700 * time.Millisecond
+	// heardTime is how long an instance counts as heard after its last word.
+	heardTime = 1200 * time.Millisecond
+	// forgetTime is how long a silent instance still counts as a member.
+	forgetTime = 20 * time.Second
+	// leaveTime is the same for one that said that it leaves.
+	leaveTime = 3 * time.Second
+	// useTime is how long what a silent instance had under way still counts.
+	useTime = 3 * time.Second
+	// loadCallTimeout bounds the wish for an adapter.
+	loadCallTimeout = 2 * time.Second
+	connectTimeout  = 400 * time.Millisecond
+	idleConnTimeout = 30 * time.Second
+)
+
+// Member is an instance.
+type Member struct {
+	ID      string
+	Zone    string
+	Address netip.AddrPort
+}
+
+// remote is what this instance knows of another.
+type remote struct {
+	Member
+	incarnation string
+	sequence    uint64
+	leaving     bool
+	holds       bool
+	heardAt     time.Time
+	uses        map[deployment.TargetID]load.TargetUse
+	calling     bool
+	client      heatherrelayv1connect.FleetServiceClient
+}
+
+// Network is this instance's part in the exchange. Set the exported fields
+// before Run.
+type Network struct {
+	Self        Member
+	Incarnation string
+	// Seeds are addresses of instances that may be known before the store answers.
+	Seeds     []netip.AddrPort
+	Catalog   *catalog.Catalog
+	Meter     *quota.Meter
+	Tracker   *load.Tracker
+	Holder    *placement.Holder
+	Directory *placement.Directory
+	// Leaving says that this instance shuts down.
+	Leaving func() bool
+	Now     func() time.Time
+	Log     *zap.Logger
+
+	once     sync.Once
+	http     *http.Client
+	mu       sync.RWMutex
+	sequence uint64
+	remotes  map[string]*remote
+	seeds    map[netip.AddrPort]heatherrelayv1connect.FleetServiceClient
+	// uses are the sums of the others' uses.
+	uses map[deployment.TargetID]load.TargetUse
+}
+
+func (n *Network) init() {
+	n.once.Do(func() {
+		dialer := &connection.Dialer{ConnectTimeout: connectTimeout, AckTimeout: exchangeTimeout}
+		n.http = &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     idleConnTimeout,
+			DisableCompression:  true,
+		}}
+		n.remotes = map[string]*remote{}
+		n.seeds = map[netip.AddrPort]heatherrelayv1connect.FleetServiceClient{}
+		for _, s := range n.Seeds {
+			if s != n.Self.Address {
+				n.seeds[s] = n.client(s)
+			}
+		}
+	})
+}
+
+func (n *Network) client(address netip.AddrPort) heatherrelayv1connect.FleetServiceClient {
+	return heatherrelayv1connect.NewFleetServiceClient(n.http, "http://"+address.String())
+}
+
+// Handler serves the protocol between instances.
+func (n *Network) Handler() http.Handler {
+	n.init()
+	mux := http.NewServeMux()
+	mux.Handle(heatherrelayv1connect.NewFleetServiceHandler(&server{network: n}))
+	return mux
+}
+
+// Serve serves the protocol on a listener until ctx ends.
+func (n *Network) Serve(ctx context.Context, listener net.Listener) error {
+	s := &http.Server{Handler: n.Handler(), ReadHeaderTimeout: connectTimeout * 10}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(listener); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// Run exchanges with the others until ctx ends.
+func (n *Network) Run(ctx context.Context) {
+	n.init()
+	var group conc.WaitGroup
+	defer group.Wait()
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for {
+		for _, call := range n.due() {
+			group.Go(func() { n.exchange(ctx, call) })
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n.forget()
+		n.sum()
+	}
+}
+
+// Farewell tells the others at once that this instance leaves.
+func (n *Network) Farewell(ctx context.Context) {
+	var group conc.WaitGroup
+	for _, call := range n.due() {
+		group.Go(func() { n.exchange(ctx, call) })
+	}
+	group.Wait()
+}
+
+// outgoing is one exchange to start.
+type outgoing struct {
+	id     string
+	client heatherrelayv1connect.FleetServiceClient
+}
+
+// due returns the instances to exchange with, without those that have not
+// answered the last exchange yet. Seeds are asked until they are known by name.
+func (n *Network) due() []outgoing {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var calls []outgoing
+	known := map[netip.AddrPort]bool{}
+	for id, r := range n.remotes {
+		known[r.Address] = true
+		if !r.calling {
+			r.calling = true
+			calls = append(calls, outgoing{id: id, client: r.client})
+		}
+	}
+	for address, client := range n.seeds {
+		if !known[address] {
+			calls = append(calls, outgoing{client: client})
+		}
+	}
+	return calls
+}
+
+func (n *Network) exchange(ctx context.Context, call outgoing) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	request := &v1.ExchangeRequest{Sender: n.state(), Beliefs: n.beliefStates(), Members: n.memberMessages()}
+	sentAt := n.Now()
+	response, err := call.client.Exchange(ctx, request)
+	n.mu.Lock()
+	if r, ok := n.remotes[call.id]; ok {
+		r.calling = false
+	}
+	n.mu.Unlock()
+	if err != nil {
+		n.Log.Debug("no exchange", zap.String("peer", call.id), zap.Error(err))
+		return
+	}
+	n.hear(response.GetResponder())
+	n.learnMembers(response.GetMembers())
+	for _, b := range response.GetBeliefs() {
+		n.takeBelief(b, sentAt)
+	}
+}
+
+// learnMembers adds instances that others know.
+func (n *Network) learnMembers(members []*v1.Member) {
+	for _, m := range members {
+		n.Learn(memberFrom(m))
+	}
+}
+
+// Learn adds an instance that was not known.
+func (n *Network) Learn(m Member) {
+	n.init()
+	if m.ID == n.Self.ID || !m.Address.IsValid() {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, ok := n.remotes[m.ID]; !ok {
+		n.remotes[m.ID] = &remote{Member: m, heardAt: n.Now(), client: n.client(m.Address)}
+		n.Log.Info("instance learned of", zap.String("peer", m.ID), zap.String("zone", m.Zone), zap.Stringer("address", m.Address))
+	}
+}
+
+// forget drops instances that have been silent for long.
+func (n *Network) forget() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Now()
+	for id, r := range n.remotes {
+		limit := forgetTime
+		if r.leaving {
+			limit = leaveTime
+		}
+		if silence := now.Sub(r.heardAt); silence > limit {
+			delete(n.remotes, id)
+			n.Log.Info("instance forgotten", zap.String("peer", id), zap.Duration("silence", silence), zap.Bool("leaving", r.leaving))
+		}
+	}
+}
+
+// hear takes another instance's state.
+func (n *Network) hear(s *v1.InstanceState) {
+	m := memberFrom(s.GetMember())
+	if m.ID == "" || m.ID == n.Self.ID || !m.Address.IsValid() {
+		return
+	}
+	n.mu.Lock()
+	r, ok := n.remotes[m.ID]
+	if !ok || r.Address != m.Address {
+		r = &remote{Member: m, client: n.client(m.Address)}
+		n.remotes[m.ID] = r
+	}
+	stale := r.incarnation == s.GetIncarnation() && s.GetSequence() <= r.sequence
+	if !stale {
+		if !r.leaving && s.GetLeaving() {
+			n.Log.Info("instance leaves", zap.String("peer", m.ID))
+		}
+		r.Member = m
+		r.incarnation, r.sequence = s.GetIncarnation(), s.GetSequence()
+		r.leaving, r.holds, r.heardAt = s.GetLeaving(), s.GetHoldsOrders(), n.Now()
+		r.uses = usesFrom(s.GetTargets())
+	}
+	n.mu.Unlock()
+	if stale {
+		return
+	}
+	n.Meter.Observe(m.ID, s.GetIncarnation(), admittedFrom(s.GetTeams()))
+	for _, e := range s.GetEngines() {
+		n.Directory.Update(engineFrom(e, n.Now()))
+	}
+}
+
+// sum adds up what the others have under way.
+func (n *Network) sum() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.Now()
+	uses := map[deployment.TargetID]load.TargetUse{}
+	for _, r := range n.remotes {
+		if now.Sub(r.heardAt) > useTime {
+			continue
+		}
+		for id, u := range r.uses {
+			total, ok := uses[id]
+			if !ok {
+				total.Adapters = map[deployment.AdapterName]int{}
+			}
+			total.Add(u.Use)
+			for name, requests := range u.Adapters {
+				total.Adapters[name] += requests
+			}
+			uses[id] = total
+		}
+	}
+	n.uses = uses
+}
+
+// Use returns what all instances have under way at a target.
+func (n *Network) Use(id deployment.TargetID) load.Use {
+	use := n.Tracker.Target(id)
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	use.Add(n.uses[id].Use)
+	return use
+}
+
+// InUse says whether any instance has requests for an adapter at a target.
+func (n *Network) InUse(id deployment.TargetID, name deployment.AdapterName) bool {
+	if n.Tracker.Running(id, name) {
+		return true
+	}
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.uses[id].Adapters[name] > 0
+}
+
+// Members returns the number of instances that may be running.
+func (n *Network) Members() int {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return len(n.remotes) + 1
+}
+
+// Rank returns how many of the instances that this one hears come before it in
+// the order of their ids.
+func (n *Network) Rank() int {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	now, rank := n.Now(), 0
+	for id, r := range n.remotes {
+		if id < n.Self.ID && !r.leaving && now.Sub(r.heardAt) <= heardTime {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Fraction returns the part of the instances that this one hears, from above 0 to 1.
+func (n *Network) Fraction() float64 {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	now := n.Now()
+	heard := 1
+	for _, r := range n.remotes {
+		if now.Sub(r.heardAt) <= heardTime || r.leaving {
+			heard++
+		}
+	}
+	return float64(heard) / float64(len(n.remotes)+1)
+}
+
+// Orderable says whether somebody who orders a zone's engines can be asked.
+func (n *Network) Orderable(zone string) bool {
+	if zone == n.Self.Zone && n.Holder.Holds() {
+		return true
+	}
+	_, ok := n.holder(zone)
+	return ok
+}
+
+func (n *Network) holder(zone string) (heatherrelayv1connect.FleetServiceClient, bool) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	now := n.Now()
+	for _, r := range n.remotes {
+		if r.Zone == zone && r.holds && now.Sub(r.heardAt) <= heardTime {
+			return r.client, true
+		}
+	}
+	return nil, false
+}
+
+// Load has an adapter loaded on an engine, by whoever orders the engine.
+func (n *Network) Load(ctx context.Context, requestID string, target deployment.Target, name deployment.AdapterName, version uint64) placement.Result {
+	var result placement.Result
+	var readyAt time.Time
+	if target.Zone == n.Self.Zone && n.Holder.Holds() {
+		result, readyAt, version = n.Holder.Load(ctx, target.ID, name, version)
+	} else {
+		result, readyAt, version = n.askHolder(ctx, requestID, target, name, version)
+	}
+	if result == placement.Ready {
+		n.Directory.Note(target, placement.Resident{AdapterName: name, Version: version, ReadyAt: readyAt})
+	}
+	return result
+}
+
+func (n *Network) askHolder(ctx context.Context, requestID string, target deployment.Target, name deployment.AdapterName, version uint64) (placement.Result, time.Time, uint64) {
+	client, ok := n.holder(target.Zone)
+	if !ok {
+		return placement.NotHolder, time.Time{}, 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadCallTimeout)
+	defer cancel()
+	response, err := client.LoadAdapter(ctx, &v1.LoadAdapterRequest{
+		TargetId:  string(target.ID),
+		Model:     name.Model,
+		Adapter:   name.Adapter,
+		Version:   version,
+		RequestId: requestID,
+	})
+	if err != nil {
+		n.Log.Warn("no answer from the holder of the orders", zap.String("request_id", requestID), zap.String("target", string(target.ID)), zap.Error(err))
+		return placement.Failed, time.Time{}, 0
+	}
+	readyAt := n.Now().Add(time.Duration(response.GetReadyInMs()) * time.Millisecond)
+	return resultFrom(response.GetResult()), readyAt, response.GetVersion()
+}
+
+// takeBelief takes a peer's copy of objects of the store. The peer's age counts
+// from before the exchange was sent.
+func (n *Network) takeBelief(b *v1.Belief, sentAt time.Time) {
+	f, ok := n.Catalog.Followers()[object.Kind(b.GetState().GetKind())]
+	if !ok {
+		return
+	}
+	f.Merge(stateFrom(b.GetState(), sentAt), b.GetComplete(), objectsFrom(b.GetObjects()))
+}
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,225 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/load"
+	"heatherrelay/internal/outlier"
+)
+
+// The estimates by which engines are compared.
+const (
+	// prefillTokensPerMS is what an engine reads of prompts beside its other work.
+	prefillTokensPerMS = 12.0
+	// batchDelay is what each request under way adds to the time of a step.
+	batchDelay = 600 * time.Microsecond
+	// fullDelay is what a full batch or a full memory adds.
+	fullDelay = 2 * time.Second
+	// trialDelay keeps requests from a target that failed lately.
+	trialDelay = 250 * time.Millisecond
+	// errorDelay weighs a target whose answers are all errors.
+	errorDelay = time.Second
+	// otherZoneDelay is a round trip between zones and the price of its bytes.
+	otherZoneDelay = 8 * time.Millisecond
+	// loadDelay is the time of a load, with the price that it has.
+	loadDelay = 400 * time.Millisecond
+	// homeSlack is how much longer than elsewhere a request may wait at the
+	// engine that hashing names: an engine that had the adapter loads it faster.
+	homeSlack = 150 * time.Millisecond
+	// memoryReserve is the part of an engine's memory that is not counted on,
+	// since outputs may be longer than announced.
+	memoryReserve = 0.06
+)
+
+// Want is a request for which an engine is chosen.
+type Want struct {
+	Adapter deployment.AdapterName
+	// Version is the least version of the adapter; zero is any.
+	Version uint64
+	Tokens  int
+	Zone    string
+	// Repeatable requests may be sent again when they fail.
+	Repeatable bool
+	Now        time.Time
+}
+
+// Candidate is an engine as the choice sees it.
+type Candidate struct {
+	deployment.Target
+	load.Use
+	Health     outlier.Health
+	ErrorShare float64
+	// Slots and Memory bound the requests and their tokens.
+	Slots  int
+	Memory int
+	// HasModel says that the base model is there.
+	HasModel bool
+	// Resident is the adapter on the engine; nil when it is not there.
+	Resident *Resident
+	// Orderable says that adapters can be loaded at present.
+	Orderable bool
+}
+
+// Choice is the engine that a request should go to.
+type Choice struct {
+	Index int
+	// NeedsLoad says that the adapter has to be loaded first.
+	NeedsLoad bool
+	// Delay is the expected time to the request's start.
+	Delay time.Duration
+	// Full says that the engine has no room for the request now.
+	Full bool
+}
+
+// Choose returns the engine for a request: the one with the adapter where it
+// starts soonest, or one that loads it first if that is much sooner. Without a
+// copy, rendezvous hashing names the engine, so that all instances choose alike
+// and the engine is one that held the adapter before. Ejected engines are used
+// only when there is no other.
+func Choose(want Want, candidates []Candidate) (Choice, bool) {
+	if choice, ok := choose(want, candidates, outlier.OnTrial); ok {
+		return choice, true
+	}
+	return choose(want, candidates, outlier.Ejected)
+}
+
+func choose(want Want, candidates []Candidate, worst outlier.Health) (Choice, bool) {
+	copyChoice, hasCopy := Choice{}, false
+	homeChoice, hasHome := chooseHome(want, candidates, worst)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Health > worst || !c.HasModel || !c.serves(want) {
+			continue
+		}
+		delay := c.delay(want)
+		if r := c.Resident; r != nil && r.ReadyAt.After(want.Now) {
+			delay += r.ReadyAt.Sub(want.Now)
+		}
+		if !hasCopy || delay < copyChoice.Delay {
+			copyChoice, hasCopy = Choice{Index: i, Delay: delay, Full: c.full(want)}, true
+		}
+	}
+	switch {
+	case !hasCopy:
+		return homeChoice, hasHome
+	case !hasHome || copyChoice.Delay <= homeChoice.Delay+loadDelay:
+		return copyChoice, true
+	}
+	return homeChoice, true
+}
+
+// serves says that the engine can run the request as it is.
+func (c *Candidate) serves(want Want) bool {
+	if want.Adapter.Adapter == "" {
+		return true
+	}
+	return c.Resident != nil && c.Resident.Version >= want.Version
+}
+
+// chooseHome returns the engine that should load the adapter.
+func chooseHome(want Want, candidates []Candidate, worst outlier.Health) (Choice, bool) {
+	if want.Adapter.Adapter == "" {
+		return Choice{}, false
+	}
+	usable := func(c *Candidate) bool {
+		// An older version in place would have to be replaced, and may be in use.
+		return c.Health <= worst && c.HasModel && c.Orderable && c.Resident == nil
+	}
+	least := time.Duration(-1)
+	for i := range candidates {
+		if c := &candidates[i]; usable(c) {
+			if delay := c.delay(want); least < 0 || delay < least {
+				least = delay
+			}
+		}
+	}
+	if least < 0 {
+		return Choice{}, false
+	}
+	name := xxhash.Sum64String(want.Adapter.Model + "/" + want.Adapter.Adapter)
+	best, bestScore := Choice{NeedsLoad: true}, uint64(0)
+	found := false
+	for i := range candidates {
+		c := &candidates[i]
+		if !usable(c) {
+			continue
+		}
+		delay := c.delay(want)
+		if delay > least+homeSlack {
+			continue
+		}
+		if score := rendezvous(name, string(c.ID)); !found || score > bestScore {
+			best.Index, best.Delay, best.Full = i, delay, c.full(want)
+			bestScore, found = score, true
+		}
+	}
+	return best, found
+}
+
+// rendezvous mixes two names into a score.
+func rendezvous(name uint64, target string) uint64 {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(name >> (8 * i))
+	}
+	d := xxhash.New()
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(target)
+	return d.Sum64()
+}
+
+// full says that the engine has no room for the request now.
+func (c *Candidate) full(want Want) bool {
+	usable := float64(c.Memory) * (1 - memoryReserve)
+	return c.Slots > 0 && c.Requests >= c.Slots ||
+		c.Memory > 0 && c.Requests > 0 && float64(c.Tokens+want.Tokens) > usable
+}
+
+// delay estimates when the engine starts the request.
+func (c *Candidate) delay(want Want) time.Duration {
+	delay := time.Duration(float64(c.WaitingTokens)/prefillTokensPerMS*float64(time.Millisecond)) +
+		time.Duration(c.Requests)*batchDelay +
+		time.Duration(c.ErrorShare*float64(errorDelay))
+	if c.full(want) {
+		delay += fullDelay
+	}
+	if c.Health == outlier.OnTrial {
+		delay += trialDelay
+		if !want.Repeatable {
+			delay += fullDelay
+		}
+	}
+	if c.Zone != want.Zone {
+		delay += otherZoneDelay
+	}
+	return delay
+}
+
+// ChoosePlain returns the target of a plain service that has the most room, a
+// sound one of the own zone if it is as good.
+func ChoosePlain(candidates []Candidate, zone string, repeatable bool) (int, bool) {
+	want := Want{Zone: zone, Repeatable: repeatable}
+	for _, worst := range []outlier.Health{outlier.OnTrial, outlier.Ejected} {
+		best, bestDelay := -1, time.Duration(0)
+		for i := range candidates {
+			c := &candidates[i]
+			if c.Health > worst {
+				continue
+			}
+			delay := c.delay(want) + time.Duration(c.Requests)*plainDelay/time.Duration(max(c.Slots, 1))
+			if best < 0 || delay < bestDelay {
+				best, bestDelay = i, delay
+			}
+		}
+		if best >= 0 {
+			return best, true
+		}
+	}
+	return -1, false
+}
+
+// plainDelay is about the time that a request of a plain service takes.
+const plainDelay = 60 * time.Millisecond
--- /dev/null
+++ b/internal/placement/holder.go
@@ -0,0 +1,379 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/deployment"
+)
+
+// The pace of a holder.
+const (
+	upkeepInterval = 250 * time.Millisecond
+	// reportInterval is the time between reports of an engine that nothing is
+	// ordered from.
+	reportInterval = 3 * time.Second
+	// settleInterval is the time between reports while an order's outcome is open;
+	// reports lag by some hundred milliseconds.
+	settleInterval = 120 * time.Millisecond
+	// orderTimeout bounds an order.
+	orderTimeout = 600 * time.Millisecond
+	// modelLoadGap is the least time between orders of a holder to load a base
+	// model, so that the weight store serves each at full speed.
+	modelLoadGap = 350 * time.Millisecond
+)
+
+// Result is what became of a wish for an adapter.
+type Result int
+
+// The results.
+const (
+	// Ready says that the adapter is there or on its way.
+	Ready Result = iota
+	// Full says that all places are taken by adapters in use.
+	Full
+	// NotHolder says that this instance may not order the engine now.
+	NotHolder
+	// Failed says that the engine did not carry the order out.
+	Failed
+)
+
+// Holder orders the engines of one zone while it holds the zone's lease. Each
+// engine's orders are sent one at a time. It keeps nothing that reports and the
+// other instances' counts do not rebuild. Set the exported fields before Run.
+type Holder struct {
+	Zone  string
+	Lease *Lease
+	// Targets returns all targets, Service the description of a service.
+	Targets func() map[deployment.TargetID]deployment.Target
+	Service func(name string) *deployment.Service
+	// NewestVersion returns the newest announced version of an adapter, or zero.
+	NewestVersion func(deployment.AdapterName) uint64
+	// InUse says whether any instance has requests for an adapter on a target.
+	InUse func(deployment.TargetID, deployment.AdapterName) bool
+	// Order and Report call an engine.
+	Order  func(ctx context.Context, target deployment.Target, order Order) (Outcome, error)
+	Report func(ctx context.Context, target deployment.Target) (Report, error)
+	Now    func() time.Time
+	Log    *zap.Logger
+
+	// Loads and Unloads count the orders that engines accepted, Reports the
+	// reports that were asked for.
+	Loads, Unloads, Reports atomic.Uint64
+
+	mu        sync.Mutex
+	engines   map[deployment.TargetID]*heldEngine
+	modelLoad time.Time
+	wishes    wishes
+}
+
+// heldEngine is an engine with the lock under which its orders are sent. The
+// state has a lock of its own, so that reading it never waits for an order.
+type heldEngine struct {
+	orders chan struct{}
+
+	mu       sync.Mutex
+	state    Engine
+	reported time.Time
+	// refused is when the engine last refused an order since another was under way.
+	refused time.Time
+}
+
+// Run keeps the engines' states known while the lease is held, until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if _, ok := h.mayOrder(); !ok {
+			h.forget()
+			continue
+		}
+		h.upkeep(ctx)
+	}
+}
+
+// mayOrder returns the fencing number if an order sent now is answered or given
+// up before the lease ends.
+func (h *Holder) mayOrder() (uint64, bool) { return h.Lease.Held(h.Now().Add(orderTimeout)) }
+
+// Holds says that this instance orders the zone's engines.
+func (h *Holder) Holds() bool {
+	_, ok := h.mayOrder()
+	return ok
+}
+
+func (h *Holder) forget() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.engines = nil
+}
+
+// owned returns the zone's engines that are not leaving.
+func (h *Holder) owned() []deployment.Target {
+	var owned []deployment.Target
+	for _, t := range h.Targets() {
+		if t.Zone != h.Zone || t.Draining {
+			continue
+		}
+		if s := h.Service(t.Service); s != nil && s.Engine != nil {
+			owned = append(owned, t)
+		}
+	}
+	return owned
+}
+
+func (h *Holder) engine(t deployment.Target) *heldEngine {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.engines == nil {
+		h.engines = map[deployment.TargetID]*heldEngine{}
+	}
+	e, ok := h.engines[t.ID]
+	if !ok {
+		e = &heldEngine{orders: make(chan struct{}, 1), state: Engine{ID: t.ID, Born: t.Born}}
+		h.engines[t.ID] = e
+	}
+	return e
+}
+
+// upkeep reads reports that are due, loads missing base models and replaces
+// outdated adapters that nobody uses.
+func (h *Holder) upkeep(ctx context.Context) {
+	owned := h.owned()
+	h.dropOthers(owned)
+	var group conc.WaitGroup
+	for _, t := range owned {
+		e := h.engine(t)
+		group.Go(func() { h.upkeepEngine(ctx, t, e) })
+	}
+	group.Wait()
+}
+
+// dropOthers forgets the engines that are gone or leaving.
+func (h *Holder) dropOthers(owned []deployment.Target) {
+	keep := make(map[deployment.TargetID]bool, len(owned))
+	for _, t := range owned {
+		keep[t.ID] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id := range h.engines {
+		if !keep[id] {
+			delete(h.engines, id)
+		}
+	}
+}
+
+func (h *Holder) upkeepEngine(ctx context.Context, t deployment.Target, e *heldEngine) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	e.mu.Lock()
+	due := !e.state.Synced() || e.state.Born != t.Born || h.Now().Sub(e.reported) > reportInterval
+	e.mu.Unlock()
+	if due && !h.sync(ctx, t, e) {
+		return
+	}
+	if !e.lock(ctx) {
+		return
+	}
+	defer e.unlock()
+	if h.loadModel(ctx, t, e) {
+		return
+	}
+	e.mu.Lock()
+	name, ok := e.state.Outdated(h.NewestVersion, h.inUse(t.ID), h.Now())
+	e.mu.Unlock()
+	if ok {
+		h.orderLoad(ctx, t, e, name, h.NewestVersion(name))
+	}
+}
+
+func (h *Holder) inUse(id deployment.TargetID) func(deployment.AdapterName) bool {
+	return func(name deployment.AdapterName) bool { return h.InUse(id, name) }
+}
+
+// sync reads an engine's report. It reports whether the state is known.
+func (h *Holder) sync(ctx context.Context, t deployment.Target, e *heldEngine) bool {
+	h.Reports.Add(1)
+	report, err := h.Report(ctx, t)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err != nil {
+		h.Log.Debug("no report", zap.String("target", string(t.ID)), zap.Error(err))
+		return false
+	}
+	if s := h.Service(t.Service); s != nil && s.Engine != nil {
+		e.state.Slots = s.Engine.AdapterSlots
+	}
+	e.reported = h.Now()
+	return e.state.Sync(report, e.reported)
+}
+
+// loadModel orders an engine without base model to load the one that it has
+// room for. It reports whether the engine has none yet.
+func (h *Holder) loadModel(ctx context.Context, t deployment.Target, e *heldEngine) bool {
+	s := h.Service(t.Service)
+	if s == nil || s.Engine == nil || len(s.Engine.Models) == 0 {
+		return true
+	}
+	model := s.Engine.Models[0]
+	e.mu.Lock()
+	missing, synced := len(e.state.models) == 0, e.state.Synced()
+	e.mu.Unlock()
+	if !missing || !synced {
+		return missing
+	}
+	h.mu.Lock()
+	now := h.Now()
+	early := now.Sub(h.modelLoad) < modelLoadGap
+	if !early {
+		h.modelLoad = now
+	}
+	h.mu.Unlock()
+	if early || model.WeightsMB > s.Engine.WeightsMB {
+		return true
+	}
+	name := deployment.AdapterName{Model: model.Name}
+	if outcome := h.order(ctx, t, e, Order{Operation: Load, AdapterName: name}); outcome == Started || outcome == Done {
+		e.mu.Lock()
+		e.state.Sequence++
+		// The report tells when the model is there.
+		e.state.Unsync()
+		e.mu.Unlock()
+	}
+	return true
+}
+
+// settle reads reports until the engine's state is known.
+func (h *Holder) settle(ctx context.Context, t deployment.Target, e *heldEngine) bool {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		synced := e.state.Synced()
+		e.mu.Unlock()
+		if synced || h.sync(ctx, t, e) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(settleInterval):
+		}
+	}
+	return false
+}
+
+// orderLoad orders a load; it reports whether the engine accepted it.
+func (h *Holder) orderLoad(ctx context.Context, t deployment.Target, e *heldEngine, name deployment.AdapterName, version uint64) bool {
+	outcome := h.order(ctx, t, e, Order{Operation: Load, AdapterName: name, Version: version})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch outcome {
+	case Started:
+		h.Loads.Add(1)
+		e.state.LoadOrdered(name, version, h.Now())
+		return true
+	case Done:
+		e.state.Unsync()
+	}
+	return false
+}
+
+func (h *Holder) orderUnload(ctx context.Context, t deployment.Target, e *heldEngine, name deployment.AdapterName) {
+	outcome := h.order(ctx, t, e, Order{Operation: Unload, AdapterName: name})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if outcome == Started || outcome == Done {
+		h.Unloads.Add(1)
+		e.state.UnloadOrdered(name, outcome == Done, h.Now())
+	}
+}
+
+// order sends one order under the lease. Any outcome but acceptance leaves the
+// engine's state to be read again.
+func (h *Holder) order(ctx context.Context, t deployment.Target, e *heldEngine, order Order) Outcome {
+	fencing, ok := h.mayOrder()
+	if !ok {
+		return Rejected
+	}
+	e.mu.Lock()
+	order.Sequence = e.state.Sequence
+	e.mu.Unlock()
+	order.Holder, order.FencingNumber = h.Lease.Holder, fencing
+	outcome, err := h.Order(ctx, t, order)
+	h.Log.Info("order sent", zap.String("target", string(t.ID)), zap.String("operation", string(order.Operation)),
+		zap.String("model", order.Model), zap.String("adapter", order.Adapter), zap.Uint64("version", order.Version),
+		zap.Uint64("sequence", order.Sequence), zap.Uint64("fencing_number", fencing), zap.Stringer("outcome", outcome), zap.Error(err))
+	if outcome != Started && outcome != Done {
+		e.mu.Lock()
+		e.state.Unsync()
+		if outcome == Conflicting {
+			e.refused = h.Now()
+		}
+		e.mu.Unlock()
+	}
+	return outcome
+}
+
+// Used notes a request for an adapter on an engine.
+func (h *Holder) Used(id deployment.TargetID, name deployment.AdapterName) {
+	h.mu.Lock()
+	e, ok := h.engines[id]
+	h.mu.Unlock()
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Used(name, h.Now())
+}
+
+// EngineState is an engine's state for the other instances.
+type EngineState struct {
+	Target    deployment.TargetID
+	Born      int64
+	Residents []Resident
+	Models    []string
+}
+
+// States returns the states of the engines that this instance orders.
+func (h *Holder) States() []EngineState {
+	if !h.Holds() {
+		return nil
+	}
+	h.mu.Lock()
+	engines := make([]*heldEngine, 0, len(h.engines))
+	for _, e := range h.engines {
+		engines = append(engines, e)
+	}
+	h.mu.Unlock()
+	var states []EngineState
+	for _, e := range engines {
+		e.mu.Lock()
+		if e.state.models != nil {
+			residents, models := e.state.Residents()
+			states = append(states, EngineState{Target: e.state.ID, Born: e.state.Born, Residents: residents, Models: models})
+		}
+		e.mu.Unlock()
+	}
+	return states
+}
+
+func (e *heldEngine) lock(ctx context.Context) bool {
+	select {
+	case e.orders <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *heldEngine) unlock() { <-e.orders }
--- /dev/null
+++ b/internal/placement/lease.go
@@ -0,0 +1,240 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/object"
+)
+
+// The terms of a lease.
+const (
+	// leaseTerm is how long an unchanged lease object keeps others away.
+	leaseTerm = 6 * time.Second
+	// leaseMargin is how much earlier than that the holder stops.
+	leaseMargin = 700 * time.Millisecond
+	// renewInterval is the time between renewals.
+	renewInterval = 1500 * time.Millisecond
+	// challengeInterval is the time between looks at another's lease.
+	challengeInterval = 2 * time.Second
+)
+
+// storedLease is the value of a lease object.
+type storedLease struct {
+	Holder      string `json:"holder"`
+	Incarnation string `json:"incarnation"`
+	Renewals    uint64 `json:"renewals"`
+	// Released says that the holder gave the lease up and sends no more orders.
+	Released bool `json:"released,omitempty"`
+}
+
+// Lease is the right to order one group of engines. It is an object of the
+// store that the holder renews. A challenger takes it over when it has seen the
+// object unchanged for the whole term, by its own clock, which does not stand
+// still while the machine is suspended. The revision of the write that took the
+// lease is the fencing number. After a takeover from another instance no order
+// is sent for QuietTime beyond the last moment at which the former holder may
+// have sent one. Set the exported fields before Run.
+type Lease struct {
+	Store object.Store
+	Kind  object.Kind
+	Name  string
+	// Holder is this instance, Incarnation this run of its process.
+	Holder      string
+	Incarnation string
+	// QuietTime is the least time between orders of two holders.
+	QuietTime time.Duration
+	// Wanted says whether this instance should hold the lease; may be nil.
+	Wanted func() bool
+	Now    func() time.Time
+	Log    *zap.Logger
+
+	mu       sync.Mutex
+	revision uint64
+	renewals uint64
+	fencing  uint64
+	until    time.Time
+	quiet    time.Time
+	// seen is the revision of another's lease and when it was first seen.
+	seen   uint64
+	seenAt time.Time
+}
+
+// Held returns the fencing number if orders may be sent until at least the
+// given time.
+func (l *Lease) Held(until time.Time) (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if until.Before(l.until) && !l.Now().Before(l.quiet) {
+		return l.fencing, true
+	}
+	return 0, false
+}
+
+// Run takes and renews the lease until ctx ends, and gives it up then.
+func (l *Lease) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := l.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	l.release()
+}
+
+// step renews the lease, or looks whether it can be taken. It returns when to
+// step next.
+func (l *Lease) step(ctx context.Context) time.Duration {
+	l.mu.Lock()
+	holds := l.revision > 0
+	l.mu.Unlock()
+	if holds {
+		return l.renew(ctx)
+	}
+	if l.Wanted != nil && !l.Wanted() {
+		return challengeInterval
+	}
+	return l.challenge(ctx)
+}
+
+func (l *Lease) renew(ctx context.Context) time.Duration {
+	l.mu.Lock()
+	l.renewals++
+	value, revision, sent := l.value(false), l.revision, l.Now()
+	l.mu.Unlock()
+	written, err := l.Store.Replace(ctx, l.Kind, l.Name, revision, value)
+	switch {
+	case err == nil:
+		l.renewed(written.Revision, sent)
+	case object.ErrConflict.Has(err), object.ErrNotFound.Has(err):
+		return l.settle(ctx, sent)
+	case object.ErrUnavailable.Has(err):
+		l.Log.Warn("lease renewal unanswered", zap.String("lease", l.Name), zap.Error(err))
+		return l.settle(ctx, sent)
+	default:
+		l.Log.Warn("lease renewal failed", zap.String("lease", l.Name), zap.Error(err))
+		return challengeInterval / 4
+	}
+	return renewInterval
+}
+
+func (l *Lease) renewed(revision uint64, sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revision = revision
+	l.until = sent.Add(leaseTerm - leaseMargin)
+}
+
+// settle reads a lease back whose renewal was refused or has no answer.
+func (l *Lease) settle(ctx context.Context, sent time.Time) time.Duration {
+	o, err := l.Store.Get(ctx, l.Kind, l.Name)
+	if err != nil {
+		return challengeInterval / 4
+	}
+	stored := decodeLease(o)
+	if stored.Holder == l.Holder && stored.Incarnation == l.Incarnation && !stored.Released {
+		l.renewed(o.Revision, sent)
+		return renewInterval
+	}
+	l.lose("another instance holds it", o.Revision)
+	return challengeInterval
+}
+
+func (l *Lease) lose(reason string, revision uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revision, l.until = 0, time.Time{}
+	l.seen, l.seenAt = revision, l.Now()
+	l.Log.Info("orders lost", zap.String("lease", l.Name), zap.String("reason", reason), zap.Uint64("revision", revision))
+}
+
+// challenge takes the lease if nobody holds it any more.
+func (l *Lease) challenge(ctx context.Context) time.Duration {
+	asked := l.Now()
+	o, err := l.Store.Get(ctx, l.Kind, l.Name)
+	if object.ErrNotFound.Has(err) {
+		return l.take(ctx, object.Object{}, 0)
+	}
+	if err != nil {
+		return challengeInterval
+	}
+	stored := decodeLease(o)
+	if stored.Holder == l.Holder {
+		// An earlier process of this machine: it has ended.
+		return l.take(ctx, o, 0)
+	}
+	if o.Revision != l.seen {
+		l.seen, l.seenAt = o.Revision, l.Now()
+	}
+	if stored.Released {
+		return l.take(ctx, o, l.QuietTime)
+	}
+	if asked.Sub(l.seenAt) >= leaseTerm {
+		return l.take(ctx, o, l.QuietTime)
+	}
+	return challengeInterval
+}
+
+// take writes the lease for this instance. Orders wait for quiet from now.
+func (l *Lease) take(ctx context.Context, former object.Object, quiet time.Duration) time.Duration {
+	l.mu.Lock()
+	l.renewals++
+	value, sent := l.value(false), l.Now()
+	l.mu.Unlock()
+	var written object.Object
+	var err error
+	if former.Revision == 0 {
+		written, err = l.Store.Create(ctx, l.Kind, l.Name, value)
+	} else {
+		written, err = l.Store.Replace(ctx, l.Kind, l.Name, former.Revision, value)
+	}
+	if err != nil {
+		return challengeInterval / 2
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revision, l.fencing = written.Revision, written.Revision
+	l.until = sent.Add(leaseTerm - leaseMargin)
+	l.quiet = l.Now().Add(quiet)
+	l.Log.Info("orders taken", zap.String("lease", l.Name), zap.Uint64("fencing_number", l.fencing), zap.Duration("quiet", quiet))
+	return renewInterval
+}
+
+// value returns what to store; the caller holds the lock.
+func (l *Lease) value(released bool) storedLease {
+	return storedLease{Holder: l.Holder, Incarnation: l.Incarnation, Renewals: l.renewals, Released: released}
+}
+
+// releaseTimeout bounds the write that gives the lease up.
+const releaseTimeout = 500 * time.Millisecond
+
+// release gives the lease up; no order is sent after.
+func (l *Lease) release() {
+	l.mu.Lock()
+	revision := l.revision
+	l.revision, l.until = 0, time.Time{}
+	l.renewals++
+	value := l.value(true)
+	l.mu.Unlock()
+	if revision == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	_, err := l.Store.Replace(ctx, l.Kind, l.Name, revision, value)
+	l.Log.Info("orders released", zap.String("lease", l.Name), zap.Error(err))
+}
+
+// decodeLease reads a lease; an unreadable one names no holder and lapses.
+func decodeLease(o object.Object) storedLease {
+	var stored storedLease
+	if err := json.Unmarshal(o.Value, &stored); err != nil {
+		return storedLease{}
+	}
+	return stored
+}
--- /dev/null
+++ b/internal/quota/meter.go
@@ -0,0 +1,180 @@
+// Package quota keeps each team to its rate and burst over all instances. Every
+// instance knows how much the others admitted, some hundred milliseconds late,
+// and fills and empties the same bucket. An instance that does not hear from
+// others lives on the part of the rate and burst that falls to those it hears.
+package quota
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"heatherrelay/internal/deployment"
+)
+
+// The bounds of the time to come back that a refusal gives.
+const (
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+)
+
+// bucket is one team's allowance as this instance sees it. The level may be
+// below zero: what others admitted is known late, and is owed then.
+type bucket struct {
+	level  float64
+	filled time.Time
+	rate   float64
+	burst  float64
+}
+
+func (b *bucket) fill(now time.Time, fraction float64) {
+	limit := b.burst * fraction
+	if elapsed := now.Sub(b.filled).Seconds(); elapsed > 0 && b.level < limit {
+		b.level = min(limit, b.level+elapsed*b.rate*fraction)
+	}
+	b.filled = now
+}
+
+// peer is what another instance told of itself.
+type peer struct {
+	incarnation string
+	admitted    map[string]float64
+}
+
+// Meter admits requests against the teams' allowances. It is safe for
+// concurrent use. Set the exported fields before the first use.
+type Meter struct {
+	// Window is the span over which a team may spend its rate and once its burst.
+	Window time.Duration
+	// Fraction returns the part of the fleet, from above 0 to 1, that this
+	// instance hears from, itself included.
+	Fraction func() float64
+	Now      func() time.Time
+
+	mu       sync.Mutex
+	buckets  map[string]*bucket
+	admitted map[string]float64
+	peers    map[string]*peer
+}
+
+// Cost returns what a request counts against its team's allowance.
+func Cost(team *deployment.Team, countsTokens bool, promptTokens, outputTokens int) float64 {
+	switch {
+	case !team.CountsTokens:
+		return 1
+	case countsTokens:
+		return float64(promptTokens + outputTokens)
+	}
+	return team.PlainTokens
+}
+
+// Admit takes a request's cost from its team's allowance. If there is too
+// little it takes nothing, and returns false and when there will be enough.
+func (m *Meter) Admit(team *deployment.Team, cost float64) (bool, time.Duration) {
+	if team.Unlimited() {
+		return true, 0
+	}
+	fraction := m.Fraction()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := m.bucket(team)
+	b.fill(m.Now(), fraction)
+	if b.level >= cost {
+		b.level -= cost
+		m.admitted[team.Name] += cost
+		return true, 0
+	}
+	wait := time.Duration((cost - b.level) / (b.rate * fraction) * float64(time.Second))
+	return false, min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// Return gives back what was admitted for a request that did not run.
+func (m *Meter) Return(team *deployment.Team, cost float64) {
+	if team.Unlimited() {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.bucket(team).level += cost
+	m.admitted[team.Name] -= cost
+}
+
+// bucket returns a team's bucket with the rate and burst in force. A new one
+// starts empty: what ran before this instance knew the team is not known here.
+func (m *Meter) bucket(team *deployment.Team) *bucket {
+	if m.buckets == nil {
+		m.buckets, m.admitted = map[string]*bucket{}, map[string]float64{}
+	}
+	b, ok := m.buckets[team.Name]
+	if !ok {
+		b = &bucket{filled: m.Now()}
+		m.buckets[team.Name] = b
+	}
+	b.rate, b.burst = m.spread(team)
+	b.level = min(b.level, b.burst)
+	return b
+}
+
+// largeRequest is the cost of a large request in tokens: a bucket is not made
+// smaller than a few of them, or large requests would starve.
+const largeRequest = 10_000
+
+// spread turns an allowance, which is rate times window and one burst in any
+// window, into the rate and depth of a bucket. Most of the burst is spread over
+// the window: a bucket of the whole burst would grant it once and then only the
+// rate, and refuse in every later window what the team may still spend.
+func (m *Meter) spread(team *deployment.Team) (rate, depth float64) {
+	window := m.Window.Seconds()
+	if window <= 0 {
+		return team.RatePerSecond, team.Burst
+	}
+	depth = min(max(team.Burst/4, largeRequest), team.Burst)
+	return team.RatePerSecond + (team.Burst-depth)/window, depth
+}
+
+// Prepare makes buckets for all teams, so that they fill before the first request.
+func (m *Meter) Prepare(teams []*deployment.Team) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, t := range teams {
+		m.bucket(t)
+	}
+}
+
+// Level returns what is left of a team's allowance; below zero it is owed.
+func (m *Meter) Level(team *deployment.Team) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.bucket(team).level
+}
+
+// Admitted returns what this instance admitted since it started, by team.
+func (m *Meter) Admitted() map[string]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.admitted)
+}
+
+// Observe takes what a peer admitted since it started. What it admitted before
+// this instance first heard of it was before this instance's buckets filled.
+func (m *Meter) Observe(id, incarnation string, admitted map[string]float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers == nil {
+		m.peers = map[string]*peer{}
+	}
+	known, ok := m.peers[id]
+	if !ok {
+		m.peers[id] = &peer{incarnation: incarnation, admitted: admitted}
+		return
+	}
+	if known.incarnation != incarnation {
+		known.incarnation, known.admitted = incarnation, nil
+	}
+	for team, total := range admitted {
+		if b, ok := m.buckets[team]; ok {
+			b.level -= total - known.admitted[team]
+		}
+	}
+	known.admitted = admitted
+}
