Refuse new requests late in a shutdown

Ruled out: streams of before the SIGTERM (the traces all begin later). From 2.7 s after SIGTERM on, a request is answered 503 with a short time to come back.

--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -12,6 +12,8 @@
 const (
 	// retrySoon is when an instance that cannot tell yet may know more.
 	retrySoon = 300 * time.Millisecond
+	// retryElsewhere is when a client may try another instance.
+	retryElsewhere = 20 * time.Millisecond
 	// staleConfiguration is the age from which an unknown route or key may be one
 	// that this instance has not heard of.
 	staleConfiguration = 3 * time.Second
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -18,6 +18,7 @@
 	"heatherrelay/internal/peer"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/quota"
+	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/retry"
 	"heatherrelay/internal/upstream"
 )
@@ -29,6 +30,9 @@
 	readTimeout    = 20 * time.Second
 	idleTimeout    = 75 * time.Second
 	drainPollEvery = 50 * time.Millisecond
+	// lastAdmission is how long a leaving instance still takes requests; what it
+	// takes later may not end before the process does.
+	lastAdmission = 2700 * time.Millisecond
 )
 
 // Server answers clients. Set the exported fields before Serve.
@@ -50,9 +54,9 @@
 	// an answer of this instance's own.
 	DecodeRequest func(header *fasthttp.RequestHeader, body []byte) (*upstream.Request, error)
 	EncodeRefusal func(header *fasthttp.ResponseHeader, requestID string, retryAfter time.Duration)
-	// Draining says that the instance shuts down: connections are closed after
-	// their answer.
-	Draining func() bool
+	// Leaving returns how long the instance has been shutting down; false when it
+	// is not. Connections are closed after their answer then.
+	Leaving func() (time.Duration, bool)
 	Metrics  *Metrics
 	Now      func() time.Time
 	Log      *zap.Logger
@@ -103,7 +107,8 @@
 	request, err := s.DecodeRequest(&c.Request.Header, c.Request.Body())
 	e := &exchange{server: s, client: c, request: request, startedAt: startedAt}
 	defer e.leave()
-	if s.Draining() {
+	leavingFor, leaving := s.Leaving()
+	if leaving {
 		c.SetConnectionClose()
 	}
 	c.Response.Header.DisableNormalizing()
@@ -111,6 +116,10 @@
 		e.refuse(invalidRequest(err))
 		return
 	}
+	if leaving && leavingFor > lastAdmission {
+		e.refuse(refusal.NotRun(refusal.CodeShuttingDown, "the instance shuts down").After(retryElsewhere))
+		return
+	}
 	if refused := e.admit(); refused != nil {
 		e.refuse(refused)
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,7 +56,8 @@
 	Log      *zap.Logger
 	Registry *prometheus.Registry
 
-	leaving atomic.Bool
+	// leftAt is when the instance began to shut down; nil before.
+	leftAt atomic.Pointer[time.Time]
 	ready   atomic.Bool
 
 	catalog   *catalog.Catalog
@@ -157,7 +158,7 @@
 		Catalog:     r.catalog,
 		Tracker:     tracker,
 		Directory:   r.directory,
-		Leaving:     r.leaving.Load,
+		Leaving:     r.leaving,
 		Now:         clock.Now,
 		Log:         r.Log,
 	}
@@ -175,7 +176,7 @@
 	r.server.Zone, r.server.KeyLimit = s.Zone, s.KeyLimit.Duration-keyMargin
 	r.server.Catalog, r.server.Network, r.server.Meter, r.server.Budget = r.catalog, r.network, r.meter, r.budget
 	r.server.Detector, r.server.Tracker, r.server.Directory, r.server.Upstream = r.detector, tracker, r.directory, r.client
-	r.server.Draining, r.server.Now, r.server.Log = r.leaving.Load, clock.Now, r.Log
+	r.server.Leaving, r.server.Now, r.server.Log = r.leavingFor, clock.Now, r.Log
 	r.server.Metrics = gateway.NewMetrics(r.Registry)
 }
 
@@ -262,10 +263,21 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// leavingFor returns how long the instance has been shutting down; false when it
+// is not.
+func (r *Relay) leavingFor() (time.Duration, bool) {
+	if at := r.leftAt.Load(); at != nil {
+		return clock.Since(*at), true
+	}
+	return 0, false
+}
+
+func (r *Relay) leaving() bool { return r.leftAt.Load() != nil }
+
 // isReady says that requests can be served: the configuration and targets are
 // known and the instance does not leave.
 func (r *Relay) isReady() bool {
-	ready := !r.leaving.Load() && r.catalog.Configuration() != nil && len(r.catalog.Targets()) > 0
+	ready := !r.leaving() && r.catalog.Configuration() != nil && len(r.catalog.Targets()) > 0
 	if r.ready.Swap(ready) != ready {
 		r.Log.Info("readiness changed", zap.Bool("ready", ready))
 	}
@@ -275,7 +287,8 @@
 // drain leaves: the balancer and the other instances learn of it, the orders
 // are given up, and requests are finished while the grace lasts.
 func (r *Relay) drain(release context.CancelFunc) {
-	r.leaving.Store(true)
+	now := clock.Now()
+	r.leftAt.Store(&now)
 	r.Log.Info("instance leaves", zap.String("instance", r.Settings.InstanceID), zap.Int64("underway", r.server.Underway()))
 	release()
 	ctx, cancel := context.WithTimeout(context.Background(), r.Settings.ShutdownGrace.Duration-shutdownMargin)
