--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -32,6 +32,8 @@
 	// of it on average.
 	exchangeInterval = 300 * time.Millisecond
 	exchangeTimeout  = 700 * time.Millisecond
+	// newsInterval is the least time between exchanges that news start at once.
+	newsInterval = 60 * time.Millisecond
 	// heardTime is how long an instance counts as heard after its last word.
 	heardTime = 1200 * time.Millisecond
 	// forgetTime is how long a silent instance still counts as a member.
@@ -85,6 +87,7 @@
 	Log     *zap.Logger
 
 	once     sync.Once
+	news     chan struct{}
 	http     *http.Client
 	mu       sync.RWMutex
 	sequence uint64
@@ -103,6 +106,7 @@
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
 		}}
+		n.news = make(chan struct{}, 1)
 		n.remotes = map[string]*remote{}
 		n.seeds = map[netip.AddrPort]heatherrelayv1connect.FleetServiceClient{}
 		for _, s := range n.Seeds {
@@ -151,12 +155,23 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-n.news:
+			time.Sleep(newsInterval)
 		}
 		n.forget()
 		n.sum()
 	}
 }
 
+// Tell starts an exchange with all others soon. It does not wait.
+func (n *Network) Tell() {
+	n.init()
+	select {
+	case n.news <- struct{}{}:
+	default:
+	}
+}
+
 // Farewell tells the others at once that this instance leaves.
 func (n *Network) Farewell(ctx context.Context) {
 	var group conc.WaitGroup
--- /dev/null
+++ b/internal/placement/engine_test.go
@@ -0,0 +1,201 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/placement"
+)
+
+const (
+	testModel = "base"
+	testSlots = 4
+)
+
+var start = time.Unix(1000, 0)
+
+func adapterName(i int) deployment.AdapterName {
+	return deployment.AdapterName{Model: testModel, Adapter: fmt.Sprintf("a%d", i)}
+}
+
+func nobody(deployment.AdapterName) bool { return false }
+
+func reportOf(sequence uint64, adapters ...deployment.Adapter) placement.Report {
+	return placement.Report{
+		Sequence: sequence,
+		Models:   []deployment.ResidentModel{{Name: testModel, Adapters: adapters}},
+	}
+}
+
+// TestLaterReportCorrectsCount answers the pattern of a holder that counted one
+// order more than the engine: it must not pass over all reports for good.
+func TestLaterReportCorrectsCount(t *testing.T) {
+	e := placement.Engine{Slots: testSlots}
+	e.Sync(reportOf(0), start)
+	e.LoadOrdered(adapterName(1), 0, start)
+	e.Unsync()
+	if e.Sync(reportOf(0), start.Add(100*time.Millisecond)) {
+		t.Error("a report that may be from before the order was believed")
+	}
+	if !e.Sync(reportOf(0), start.Add(time.Second)) {
+		t.Fatal("a report from long after the order was passed over")
+	}
+	if e.Sequence != 0 {
+		t.Errorf("count %d, want 0", e.Sequence)
+	}
+}
+
+// TestUnloadKeepsItsPlace checks that an adapter that is being unloaded takes its
+// place until a report shows it gone, and that no other order is sent meanwhile.
+func TestUnloadKeepsItsPlace(t *testing.T) {
+	e := placement.Engine{Slots: 1}
+	e.Sync(reportOf(0, deployment.Adapter{Name: "a1"}), start)
+	later := start.Add(5 * time.Second)
+	step, victim := e.Next(adapterName(2), 0, nobody, later)
+	if step != placement.StepUnload || victim != adapterName(1) {
+		t.Fatalf("step %v, victim %v", step, victim)
+	}
+	e.UnloadOrdered(victim, false, later)
+	if step, _ = e.Next(adapterName(2), 0, nobody, later); step != placement.StepFull {
+		t.Errorf("step %v while the unload waits for its runs", step)
+	}
+	e.Sync(reportOf(1), later.Add(time.Second))
+	if step, _ = e.Next(adapterName(2), 0, nobody, later.Add(time.Second)); step != placement.StepLoad {
+		t.Errorf("step %v after the adapter has gone", step)
+	}
+}
+
+// TestUsedAdaptersStay checks that neither an adapter in use nor one that was
+// used just now makes room.
+func TestUsedAdaptersStay(t *testing.T) {
+	e := placement.Engine{Slots: 2}
+	e.Sync(reportOf(0, deployment.Adapter{Name: "a1"}, deployment.Adapter{Name: "a2"}), start)
+	later := start.Add(5 * time.Second)
+	e.Used(adapterName(2), 1, later)
+	inUse := func(name deployment.AdapterName) bool { return name == adapterName(1) }
+	if step, victim := e.Next(adapterName(3), 0, inUse, later); step != placement.StepFull {
+		t.Errorf("step %v, victim %v", step, victim)
+	}
+}
+
+// TestNewVersionWaitsForRuns checks that an adapter in use is not replaced in
+// place: the engine would refuse its requests until its runs are over.
+func TestNewVersionWaitsForRuns(t *testing.T) {
+	e := placement.Engine{Slots: testSlots}
+	e.Sync(reportOf(0, deployment.Adapter{Name: "a1", Version: 1}), start)
+	everybody := func(deployment.AdapterName) bool { return true }
+	if step, _ := e.Next(adapterName(1), 2, everybody, start); step != placement.StepFull {
+		t.Errorf("step %v for an adapter in use", step)
+	}
+	if step, _ := e.Next(adapterName(1), 2, nobody, start); step != placement.StepLoad {
+		t.Errorf("step %v for an idle adapter", step)
+	}
+}
+
+// modelEngine is an engine that follows the protocol: it loses no place before
+// runs are over, and fails when it is ordered to hold too much.
+type modelEngine struct {
+	sequence uint64
+	adapters map[deployment.AdapterName]bool
+	leaving  map[deployment.AdapterName]bool
+	running  map[deployment.AdapterName]int
+	reports  []placement.Report
+}
+
+func (m *modelEngine) report() placement.Report {
+	var adapters []deployment.Adapter
+	for name := range m.adapters {
+		adapters = append(adapters, deployment.Adapter{Name: name.Adapter})
+	}
+	return reportOf(m.sequence, adapters...)
+}
+
+func (m *modelEngine) finishUnloads() {
+	for name := range m.leaving {
+		if m.running[name] == 0 {
+			delete(m.adapters, name)
+			delete(m.leaving, name)
+		}
+	}
+}
+
+// TestEngineIsNeverOverfilled drives an Engine against a model with late reports,
+// runs that nobody told of, and orders whose answers are lost but which take
+// effect. The engine must never be ordered to hold more than it can.
+func TestEngineIsNeverOverfilled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &modelEngine{
+			adapters: map[deployment.AdapterName]bool{},
+			leaving:  map[deployment.AdapterName]bool{},
+			running:  map[deployment.AdapterName]int{},
+		}
+		e := placement.Engine{Slots: testSlots}
+		now := start
+		e.Sync(m.report(), now)
+		name := rapid.Custom(func(t *rapid.T) deployment.AdapterName { return adapterName(rapid.IntRange(0, 7).Draw(t, "adapter")) })
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+				m.finishUnloads()
+			},
+			"run":  func(t *rapid.T) { m.running[name.Draw(t, "name")]++ },
+			"stop": func(t *rapid.T) { delete(m.running, name.Draw(t, "name")); m.finishUnloads() },
+			"report": func(t *rapid.T) {
+				m.reports = append(m.reports, m.report())
+				e.Sync(m.reports[len(m.reports)-1], now)
+			},
+			"load": func(t *rapid.T) {
+				if !e.Synced() {
+					return
+				}
+				wanted := name.Draw(t, "name")
+				step, victim := e.Next(wanted, 0, nobody, now)
+				if step == placement.StepUnload {
+					orderUnload(t, m, &e, victim, now)
+					return
+				}
+				if step == placement.StepLoad {
+					orderLoad(t, m, &e, wanted, now)
+				}
+			},
+			"": func(t *rapid.T) {
+				if len(m.adapters) > testSlots {
+					t.Fatalf("%d adapters on %d places", len(m.adapters), testSlots)
+				}
+			},
+		})
+	})
+}
+
+func orderLoad(t *rapid.T, m *modelEngine, e *placement.Engine, name deployment.AdapterName, now time.Time) {
+	if e.Sequence != m.sequence || len(m.leaving) > 0 {
+		e.Unsync()
+		return
+	}
+	m.sequence++
+	m.adapters[name] = true
+	if rapid.Bool().Draw(t, "answer lost") {
+		e.Unsync()
+		return
+	}
+	e.LoadOrdered(name, 0, now)
+}
+
+func orderUnload(t *rapid.T, m *modelEngine, e *placement.Engine, name deployment.AdapterName, now time.Time) {
+	if e.Sequence != m.sequence || len(m.leaving) > 0 {
+		e.Unsync()
+		return
+	}
+	m.sequence++
+	m.leaving[name] = true
+	m.finishUnloads()
+	if rapid.Bool().Draw(t, "answer lost") {
+		e.Unsync()
+		return
+	}
+	e.UnloadOrdered(name, !m.leaving[name], now)
+}
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -25,8 +25,14 @@
 	filled time.Time
 	rate   float64
 	burst  float64
+	// unshared is what was admitted since the others were last told at once.
+	unshared float64
 }
 
+// sharedPart is the part of a bucket's depth that an instance may spend before it
+// tells the others at once: all instances may spend as much in the meantime.
+const sharedPart = 0.2
+
 func (b *bucket) fill(now time.Time, fraction float64) {
 	limit := b.burst * fraction
 	if elapsed := now.Sub(b.filled).Seconds(); elapsed > 0 && b.level < limit {
@@ -49,7 +55,10 @@
 	// Fraction returns the part of the fleet, from above 0 to 1, that this
 	// instance hears from, itself included.
 	Fraction func() float64
-	Now      func() time.Time
+	// Share is called when a team spent so much that the other instances should
+	// hear of it at once. It must not wait; may be nil.
+	Share func()
+	Now   func() time.Time
 
 	mu       sync.Mutex
 	buckets  map[string]*bucket
@@ -74,18 +83,30 @@
 	if team.Unlimited() {
 		return true, 0
 	}
-	fraction := m.Fraction()
+	ok, wait, share := m.admit(team, cost, m.Fraction())
+	if share && m.Share != nil {
+		m.Share()
+	}
+	return ok, wait
+}
+
+func (m *Meter) admit(team *deployment.Team, cost, fraction float64) (ok bool, wait time.Duration, share bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	b := m.bucket(team)
 	b.fill(m.Now(), fraction)
 	if b.level >= cost {
 		b.level -= cost
+		b.unshared += cost
 		m.admitted[team.Name] += cost
-		return true, 0
+		share = b.unshared > sharedPart*b.burst
+		if share {
+			b.unshared = 0
+		}
+		return true, 0, share
 	}
-	wait := time.Duration((cost - b.level) / (b.rate * fraction) * float64(time.Second))
-	return false, min(max(wait, minRetryAfter), maxRetryAfter)
+	wait = time.Duration((cost - b.level) / (b.rate * fraction) * float64(time.Second))
+	return false, min(max(wait, minRetryAfter), maxRetryAfter), false
 }
 
 // Return gives back what was admitted for a request that did not run.
--- /dev/null
+++ b/internal/quota/meter_test.go
@@ -0,0 +1,184 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/quota"
+)
+
+const (
+	testWindow   = 8 * time.Second
+	testExchange = 300 * time.Millisecond
+	// overshoot and slack are what the users allow beyond the limit for late counts.
+	overshoot = 0.1
+	slack     = 11_000
+)
+
+var testTeam = &deployment.Team{Name: "roads", CountsTokens: true, RatePerSecond: 60_000, Burst: 60_000}
+
+// fleet is instances that tell each other what they admitted, unless cut off.
+type fleet struct {
+	now      time.Time
+	meters   []*quota.Meter
+	runs     []int
+	cut      []bool
+	admitted []admission
+}
+
+type admission struct {
+	at     time.Time
+	tokens float64
+}
+
+func newFleet(instances int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0)}
+	for i := range instances {
+		f.meters = append(f.meters, f.meter(i))
+	}
+	f.runs, f.cut = make([]int, instances), make([]bool, instances)
+	return f
+}
+
+func (f *fleet) meter(i int) *quota.Meter {
+	return &quota.Meter{
+		Window:   testWindow,
+		Now:      func() time.Time { return f.now },
+		Fraction: func() float64 { return f.fraction(i) },
+		Share:    func() { f.share(i) },
+	}
+}
+
+// fraction is the part of the fleet on the same side of the cut.
+func (f *fleet) fraction(i int) float64 {
+	heard := 0
+	for j := range f.meters {
+		if f.cut[i] == f.cut[j] {
+			heard++
+		}
+	}
+	return float64(heard) / float64(len(f.meters))
+}
+
+func (f *fleet) exchange() {
+	for i := range f.meters {
+		f.share(i)
+	}
+}
+
+// share tells the instances on the same side what one admitted.
+func (f *fleet) share(i int) {
+	for j := range f.meters {
+		if i != j && f.cut[i] == f.cut[j] {
+			f.meters[j].Observe(fmt.Sprint("instance", i), fmt.Sprint("run", f.runs[i]), f.meters[i].Admitted())
+		}
+	}
+}
+
+// worst returns the most tokens admitted in any window.
+func (f *fleet) worst() float64 {
+	most, sum, first := 0.0, 0.0, 0
+	for _, a := range f.admitted {
+		sum += a.tokens
+		for a.at.Sub(f.admitted[first].at) > testWindow {
+			sum -= f.admitted[first].tokens
+			first++
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// TestTeamStaysWithinItsAllowance sends several times a team's rate through
+// instances that are cut off, killed and started again. Over all of them no
+// window may hold more than the rate and one burst, but for what late counts cost.
+func TestTeamStaysWithinItsAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(6)
+		limit := testTeam.RatePerSecond*testWindow.Seconds() + testTeam.Burst
+		pressure := rapid.Float64Range(0.5, 6).Draw(t, "pressure")
+		steps := rapid.SliceOfN(rapid.SampledFrom([]string{"go", "go", "go", "cut", "heal", "kill"}), 10, 60).Draw(t, "steps")
+		for _, m := range f.meters {
+			m.Prepare([]*deployment.Team{testTeam})
+		}
+		f.now = f.now.Add(10 * time.Second)
+		for _, step := range steps {
+			i := rapid.IntRange(0, len(f.meters)-1).Draw(t, "instance")
+			switch step {
+			case "cut":
+				f.cut[i] = true
+			case "heal":
+				clear(f.cut)
+			case "kill":
+				f.runs[i]++
+				f.meters[i] = f.meter(i)
+			}
+			f.run(t, testExchange, pressure)
+			f.exchange()
+		}
+		if worst := f.worst(); worst > limit*(1+overshoot)+slack {
+			t.Fatalf("%.0f tokens in a window of %s, allowed are %.0f", worst, testWindow, limit)
+		}
+	})
+}
+
+// run sends requests through random instances for a while.
+func (f *fleet) run(t *rapid.T, span time.Duration, pressure float64) {
+	const cost = 1500.0
+	requests := int(pressure * testTeam.RatePerSecond * span.Seconds() / cost)
+	for n := range requests {
+		f.now = f.now.Add(span / time.Duration(max(requests, 1)))
+		i := (n*7 + requests) % len(f.meters)
+		if ok, _ := f.meters[i].Admit(testTeam, cost); ok {
+			f.admitted = append(f.admitted, admission{at: f.now, tokens: cost})
+		}
+	}
+	if requests == 0 {
+		f.now = f.now.Add(span)
+	}
+}
+
+// TestSteadyTeamIsNotRefused checks that a team below its rate, through unevenly
+// loaded instances, is served.
+func TestSteadyTeamIsNotRefused(t *testing.T) {
+	f := newFleet(9)
+	for _, m := range f.meters {
+		m.Prepare([]*deployment.Team{testTeam})
+	}
+	f.now = f.now.Add(10 * time.Second)
+	refused, sent := 0, 0
+	for range 200 {
+		for n := range 10 {
+			f.now = f.now.Add(testExchange / 10)
+			i := min(n, 2) // most through one instance
+			sent++
+			if ok, _ := f.meters[i].Admit(testTeam, 1500); !ok {
+				refused++
+			}
+		}
+		f.exchange()
+	}
+	if refused*1000 > sent {
+		t.Errorf("%d of %d requests refused below the rate", refused, sent)
+	}
+}
+
+// TestReturnedCostIsFreeAgain checks that a request that did not run costs nothing.
+func TestReturnedCostIsFreeAgain(t *testing.T) {
+	f := newFleet(1)
+	m := f.meters[0]
+	m.Prepare([]*deployment.Team{testTeam})
+	f.now = f.now.Add(10 * time.Second)
+	before := m.Level(testTeam)
+	if ok, _ := m.Admit(testTeam, 1500); !ok {
+		t.Fatal("refused")
+	}
+	m.Return(testTeam, 1500)
+	if after := m.Level(testTeam); after < before || m.Admitted()[testTeam.Name] != 0 {
+		t.Errorf("level %.0f after %.0f, admitted %v", after, before, m.Admitted())
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -162,7 +162,7 @@
 		Now:         clock.Now,
 		Log:         r.Log,
 	}
-	r.meter = &quota.Meter{Window: s.AllowanceWindow.Duration, Fraction: r.network.Fraction, Now: clock.Now}
+	r.meter = &quota.Meter{Window: s.AllowanceWindow.Duration, Fraction: r.network.Fraction, Share: r.network.Tell, Now: clock.Now}
 	r.network.Meter = r.meter
 	r.budget = &retry.Budget{Ratio: s.Retry.Ratio, Extra: s.Retry.Extra, Members: r.network.Members}
 	r.holder = r.Platform.Holder
