--- a/cmd/heatherrelay/release.go
+++ b/cmd/heatherrelay/release.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 	"heatherrelay/pkg/release"
 )
@@ -35,15 +35,15 @@
 }
 
 // store checks the flags and returns the platform's store.
-func (f *platformFlags) store() (platform.Store, error) {
+func (f *platformFlags) store() (objectstore.Store, error) {
 	if f.output != outputText && f.output != outputJSON {
-		return platform.Store{}, invalid(errUsage.New("--output: %q is neither text nor json", f.output))
+		return objectstore.Store{}, invalid(errUsage.New("--output: %q is neither text nor json", f.output))
 	}
 	address, err := netip.ParseAddrPort(f.address)
 	if err != nil {
-		return platform.Store{}, invalid(errUsage.New("--platform: %w", err))
+		return objectstore.Store{}, invalid(errUsage.New("--platform: %w", err))
 	}
-	client := &platform.Client{Address: address}
+	client := &objectstore.Client{Address: address}
 	return client.Store(), nil
 }
 
--- a/cmd/heatherrelay/report.go
+++ b/cmd/heatherrelay/report.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"heatherrelay/internal/burn"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 // outputHTML is the form of a report as one page.
@@ -62,14 +62,14 @@
 }
 
 // burnReport reads the metrics of all instances that hold a lease.
-func burnReport(ctx context.Context, store platform.Store, timeout time.Duration) (burn.Report, error) {
-	listing, err := store.List(ctx, platform.InstanceLeasePrefix)
+func burnReport(ctx context.Context, store objectstore.Store, timeout time.Duration) (burn.Report, error) {
+	listing, err := store.List(ctx, objectstore.InstanceLeasePrefix)
 	if err != nil {
 		return burn.Report{}, err
 	}
 	var sources []burn.Source
 	for _, object := range listing.Objects {
-		var lease platform.InstanceLease
+		var lease objectstore.InstanceLease
 		if err := json.Unmarshal(object.Value, &lease); err != nil {
 			return burn.Report{}, err
 		}
--- a/internal/administration/errors.go
+++ b/internal/administration/errors.go
@@ -7,7 +7,7 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/strict"
@@ -65,7 +65,7 @@
 		return refusal.NotRun(refusal.CodePlatformAway, "the note was not accepted: the platform did not answer").Because(err)
 	case publication.ErrUncertain.Has(err):
 		return refusal.MayHaveRun(refusal.CodePlatformAway, "the note may have been accepted: publish it again with resume").Because(err)
-	case platform.ErrUnavailable.Has(err), platform.ErrThrottled.Has(err):
+	case objectstore.ErrUnavailable.Has(err), objectstore.ErrThrottled.Has(err):
 		return refusal.NotRun(refusal.CodePlatformAway, "the platform did not answer").Because(err)
 	}
 	return refusal.MayHaveRun(refusal.CodeInternal, "internal error").Because(err)
--- a/internal/administration/server_test.go
+++ b/internal/administration/server_test.go
@@ -13,7 +13,7 @@
 
 	"heatherrelay/internal/administration"
 	"heatherrelay/internal/key"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 	"heatherrelay/pkg/release"
 )
@@ -34,7 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var memory platform.Memory
+	var memory objectstore.Memory
 	publisher := publication.Publisher{Store: memory.Store()}
 	if publish == nil {
 		publish = publisher.Publish
--- a/internal/capacity/slopes_test.go
+++ b/internal/capacity/slopes_test.go
@@ -14,7 +14,7 @@
 
 	"heatherrelay/internal/adapter"
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 	"heatherrelay/pkg/release"
 )
@@ -85,9 +85,9 @@
 func BenchmarkDirectoryListing(b *testing.B) {
 	for _, instances := range []int{9, 49, 170, 340} {
 		b.Run(fmt.Sprint("instances=", instances), func(b *testing.B) {
-			var listing platform.Listing
+			var listing objectstore.Listing
 			for i := range instances {
-				lease := platform.InstanceLease{
+				lease := objectstore.InstanceLease{
 					ID: fmt.Sprintf("entry-silom-%03d", i), Zone: "silom", Incarnation: "01234567-89ab-cdef-0123-456789abcdef",
 					Peer: netip.MustParseAddrPort("10.1.2.3:8081"), Metrics: netip.MustParseAddrPort("10.1.2.3:8083"),
 					StartedAt: time.Unix(1_700_000_000, 0).UTC(), Renewals: 100_000, ReleaseInForce: 14_000,
@@ -96,19 +96,19 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				listing.Objects = append(listing.Objects, platform.Object{Key: "instance/" + lease.ID, Version: 1 << 20, Value: value})
+				listing.Objects = append(listing.Objects, objectstore.Object{Key: "instance/" + lease.ID, Version: 1 << 20, Value: value})
 			}
 			value, err := json.Marshal(listing)
 			if err != nil {
 				b.Fatal(err)
 			}
 			for b.Loop() {
-				var into platform.Listing
+				var into objectstore.Listing
 				if err := json.Unmarshal(value, &into); err != nil {
 					b.Fatal(err)
 				}
 				for _, o := range into.Objects {
-					var lease platform.InstanceLease
+					var lease objectstore.InstanceLease
 					if err := json.Unmarshal(o.Value, &lease); err != nil {
 						b.Fatal(err)
 					}
@@ -123,16 +123,16 @@
 func BenchmarkTargetListing(b *testing.B) {
 	for _, targets := range []int{15, 757, 5_300} {
 		b.Run(fmt.Sprint("targets=", targets), func(b *testing.B) {
-			var entries []platform.TargetEntry
+			var entries []objectstore.TargetEntry
 			for i := range targets {
-				entries = append(entries, platform.TargetEntry{ID: fmt.Sprintf("engine-%04d", i), Zone: "silom", Kind: platform.TargetEngine, Address: netip.MustParseAddrPort("10.1.2.3:9000"), BaseModel: "base-1"})
+				entries = append(entries, objectstore.TargetEntry{ID: fmt.Sprintf("engine-%04d", i), Zone: "silom", Kind: objectstore.TargetEngine, Address: netip.MustParseAddrPort("10.1.2.3:9000"), BaseModel: "base-1"})
 			}
 			value, err := json.Marshal(entries)
 			if err != nil {
 				b.Fatal(err)
 			}
 			for b.Loop() {
-				var into []platform.TargetEntry
+				var into []objectstore.TargetEntry
 				if err := json.Unmarshal(value, &into); err != nil {
 					b.Fatal(err)
 				}
--- a/internal/dispatch/chore.go
+++ b/internal/dispatch/chore.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 const (
@@ -121,7 +121,7 @@
 // withdrawAttempt deletes an intent if it is still the one of this attempt.
 func (s *Sender) withdrawAttempt(ctx context.Context, mine claim) error {
 	found, version, err := s.read(ctx, mine.key)
-	if platform.ErrNotFound.Has(err) {
+	if objectstore.ErrNotFound.Has(err) {
 		return nil
 	}
 	if err != nil {
@@ -131,7 +131,7 @@
 		return nil
 	}
 	err = s.Store.Delete(ctx, mine.key, version)
-	if platform.ErrUnavailable.Has(err) || platform.ErrThrottled.Has(err) {
+	if objectstore.ErrUnavailable.Has(err) || objectstore.ErrThrottled.Has(err) {
 		return err
 	}
 	return nil
@@ -156,7 +156,7 @@
 		if deletes++; deletes > sweepDeletes || ctx.Err() != nil {
 			return
 		}
-		if err := s.Store.Delete(ctx, object.Key, object.Version); platform.ErrThrottled.Has(err) {
+		if err := s.Store.Delete(ctx, object.Key, object.Version); objectstore.ErrThrottled.Has(err) {
 			return
 		}
 	}
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"heatherrelay/internal/connection"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 const (
@@ -91,7 +91,7 @@
 
 // exchange sends a call once and returns the reply. It fails with ErrNotSent
 // when no byte can have reached the target.
-func (c *client) exchange(ctx context.Context, t platform.TargetEntry, call Call) (Reply, error) {
+func (c *client) exchange(ctx context.Context, t objectstore.TargetEntry, call Call) (Reply, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
--- a/internal/dispatch/client_test.go
+++ b/internal/dispatch/client_test.go
@@ -12,19 +12,19 @@
 	"time"
 
 	"heatherrelay/internal/dispatch"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 )
 
 // sender returns a sender to the targets at addresses, on a platform of its own.
 func sender(addresses ...netip.AddrPort) *dispatch.Sender {
-	memory := &platform.Memory{}
+	memory := &objectstore.Memory{}
 	return &dispatch.Sender{
 		Store: memory.Store(),
-		Targets: func(string) []platform.TargetEntry {
-			var entries []platform.TargetEntry
+		Targets: func(string) []objectstore.TargetEntry {
+			var entries []objectstore.TargetEntry
 			for _, a := range addresses {
-				entries = append(entries, platform.TargetEntry{ID: a.String(), Kind: platform.TargetService, Address: a})
+				entries = append(entries, objectstore.TargetEntry{ID: a.String(), Kind: objectstore.TargetService, Address: a})
 			}
 			return entries
 		},
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 )
 
@@ -60,8 +60,8 @@
 		if mine.version, err = s.put(ctx, mine.key, value, 0); err == nil {
 			return mine, nil, nil
 		}
-		lost = lost || platform.ErrUnavailable.Has(err)
-		if platform.ErrConflict.Has(err) {
+		lost = lost || objectstore.ErrUnavailable.Has(err)
+		if objectstore.ErrConflict.Has(err) {
 			conflict = true
 			found, version, readErr := s.read(ctx, mine.key)
 			switch {
@@ -118,7 +118,7 @@
 		return nil
 	}
 	_, err = s.Store.Put(ctx, mine.key, value, mine.version)
-	if platform.ErrUnavailable.Has(err) || platform.ErrThrottled.Has(err) {
+	if objectstore.ErrUnavailable.Has(err) || objectstore.ErrThrottled.Has(err) {
 		return err
 	}
 	return nil
--- a/internal/dispatch/once_test.go
+++ b/internal/dispatch/once_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"heatherrelay/internal/dispatch"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 )
 
@@ -59,7 +59,7 @@
 // the oracle, which counts what the service ran by request id and by key.
 type fleet struct {
 	t         *rapid.T
-	memory    platform.Memory
+	memory    objectstore.Memory
 	instances []*dispatch.Sender
 	now       time.Time
 	delayed   []func()
@@ -87,9 +87,9 @@
 
 func (f *fleet) instance() *dispatch.Sender {
 	return &dispatch.Sender{
-		Targets: func(string) []platform.TargetEntry { return []platform.TargetEntry{{ID: "t1"}, {ID: "t2"}} },
+		Targets: func(string) []objectstore.TargetEntry { return []objectstore.TargetEntry{{ID: "t1"}, {ID: "t2"}} },
 		Store:   f.store(),
-		Exchange: func(_ context.Context, _ platform.TargetEntry, c dispatch.Call) (dispatch.Reply, error) {
+		Exchange: func(_ context.Context, _ objectstore.TargetEntry, c dispatch.Call) (dispatch.Reply, error) {
 			return f.exchange(c)
 		},
 		Now:   func() time.Time { return f.now },
@@ -109,15 +109,15 @@
 func (f *fleet) around(where string, c *dispatch.Call, effect func() error) error {
 	switch f.draw(where) {
 	case away:
-		return platform.ErrUnavailable.New("away")
+		return objectstore.ErrUnavailable.New("away")
 	case lost:
 		_ = effect()
-		return platform.ErrUnavailable.New("lost")
+		return objectstore.ErrUnavailable.New("lost")
 	case late:
 		f.delayed = append(f.delayed, func() { _ = effect() })
-		return platform.ErrUnavailable.New("late")
+		return objectstore.ErrUnavailable.New("late")
 	case throttled:
-		return platform.ErrThrottled.New("throttled")
+		return objectstore.ErrThrottled.New("throttled")
 	case killBefore:
 		panic(killed{})
 	case killAfter:
@@ -147,10 +147,10 @@
 	f.send(rapid.IntRange(0, 2).Draw(f.t, "meanwhile instance"), key)
 }
 
-func (f *fleet) store() platform.Store {
+func (f *fleet) store() objectstore.Store {
 	inner := f.memory.Store()
-	return platform.Store{
-		Get: func(ctx context.Context, key string) (object platform.Object, err error) {
+	return objectstore.Store{
+		Get: func(ctx context.Context, key string) (object objectstore.Object, err error) {
 			failed := f.around("get", nil, func() error {
 				object, err = inner.Get(ctx, key)
 				return err
@@ -182,7 +182,7 @@
 		return nil
 	}
 	err = f.around("service", &c, run)
-	if platform.ErrThrottled.Has(err) {
+	if objectstore.ErrThrottled.Has(err) {
 		return dispatch.Reply{}, dispatch.ErrNotSent.New("dial")
 	}
 	return reply, err
--- a/internal/dispatch/sender.go
+++ b/internal/dispatch/sender.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 )
 
@@ -28,14 +28,14 @@
 // All exported fields are set before Run and the first call, and not changed after.
 type Sender struct {
 	// Targets returns the targets of a service in this zone.
-	Targets func(service string) []platform.TargetEntry
+	Targets func(service string) []objectstore.TargetEntry
 	// Store holds the intents.
-	Store platform.Store
+	Store objectstore.Store
 	// Forward sends a call through an instance of another zone, when this zone
 	// has no target of the service. Nil forwards nothing.
 	Forward func(ctx context.Context, c Call) (Reply, error)
 	// Exchange sends one call to one target, once. Nil sends it over HTTP.
-	Exchange func(ctx context.Context, t platform.TargetEntry, c Call) (Reply, error)
+	Exchange func(ctx context.Context, t objectstore.TargetEntry, c Call) (Reply, error)
 	// Now is the wall clock; nil is time.Now.
 	Now func() time.Time
 	// Pause waits between tries at the platform; nil sleeps.
@@ -124,8 +124,8 @@
 
 // candidates returns the targets of a service in the order to try them, which
 // turns by one with each call.
-func (s *Sender) candidates(service string) []platform.TargetEntry {
-	var staying []platform.TargetEntry
+func (s *Sender) candidates(service string) []objectstore.TargetEntry {
+	var staying []objectstore.TargetEntry
 	for _, t := range s.Targets(service) {
 		if !t.Leaving {
 			staying = append(staying, t)
@@ -134,7 +134,7 @@
 	return rotate(staying, s.next.Add(1))
 }
 
-func rotate(targets []platform.TargetEntry, by uint64) []platform.TargetEntry {
+func rotate(targets []objectstore.TargetEntry, by uint64) []objectstore.TargetEntry {
 	if len(targets) < 2 {
 		return targets
 	}
@@ -142,7 +142,7 @@
 	return append(targets[first:len(targets):len(targets)], targets[:first]...)
 }
 
-func (s *Sender) exchange(ctx context.Context, t platform.TargetEntry, c Call) (Reply, error) {
+func (s *Sender) exchange(ctx context.Context, t objectstore.TargetEntry, c Call) (Reply, error) {
 	if s.Exchange != nil {
 		return s.Exchange(ctx, t, c)
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -16,7 +16,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"heatherrelay/internal/key"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/settings"
 	"heatherrelay/internal/standin"
 	"heatherrelay/pkg/release"
@@ -40,7 +40,7 @@
 	engines   map[string]netip.AddrPort
 	service   netip.AddrPort
 	instances []*instance
-	targets   []platform.TargetEntry
+	targets   []objectstore.TargetEntry
 	keys      map[string]key.Key
 	// adjust changes an instance's settings before it starts.
 	adjust func(*settings.Settings)
@@ -90,8 +90,8 @@
 			}
 			f.addEngine(t, zone, fmt.Sprintf("%s-engine-%d", zone, n), args)
 		}
-		f.targets = append(f.targets, platform.TargetEntry{
-			ID: fmt.Sprintf("%s-service", zone), Zone: zone, Kind: platform.TargetService, Address: f.service, Service: service,
+		f.targets = append(f.targets, objectstore.TargetEntry{
+			ID: fmt.Sprintf("%s-service", zone), Zone: zone, Kind: objectstore.TargetService, Address: f.service, Service: service,
 		})
 		for n := range instancesPerZone {
 			f.instances = append(f.instances, f.newInstance(t, fmt.Sprintf("instance-%d-%d", i, n), zone))
@@ -122,7 +122,7 @@
 	if f.adjust != nil {
 		f.adjust(&s)
 	}
-	store := (&platform.Client{Address: f.platform}).Store()
+	store := (&objectstore.Client{Address: f.platform}).Store()
 	eventually(t, "all groups have holders", func() bool {
 		listing, err := store.List(t.Context(), "group/")
 		return err == nil && len(listing.Objects) == len(zones)*s.Targets.GroupsPerZone
@@ -133,7 +133,7 @@
 	t.Helper()
 	address := startStandin(t, id, append(args, "--id", id)...)
 	f.engines[id] = address
-	f.targets = append(f.targets, platform.TargetEntry{ID: id, Zone: zone, Kind: platform.TargetEngine, Address: address, BaseModel: "base"})
+	f.targets = append(f.targets, objectstore.TargetEntry{ID: id, Zone: zone, Kind: objectstore.TargetEngine, Address: address, BaseModel: "base"})
 }
 
 func (f *fleet) newInstance(t testing.TB, id, zone string) *instance {
@@ -147,9 +147,9 @@
 // list tells the platform which instances there are.
 func (f *fleet) list(t testing.TB) {
 	t.Helper()
-	var entries []platform.InstanceEntry
+	var entries []objectstore.InstanceEntry
 	for _, i := range f.instances {
-		entries = append(entries, platform.InstanceEntry{ID: i.id, Zone: i.zone, State: platform.InstanceLive, Peer: i.peers.address})
+		entries = append(entries, objectstore.InstanceEntry{ID: i.id, Zone: i.zone, State: objectstore.InstanceLive, Peer: i.peers.address})
 	}
 	f.put(t, "/admin/instances", entries)
 }
@@ -204,7 +204,7 @@
 		note.Keys = append(note.Keys, release.Key{ID: f.keys[team].ID, Hash: f.keys[team].Hash(), Team: team})
 	}
 	for _, target := range f.targets {
-		if target.Kind == platform.TargetEngine {
+		if target.Kind == objectstore.TargetEngine {
 			note.Targets = append(note.Targets, release.Target{ID: target.ID, ChecksFencing: strings.HasSuffix(target.ID, "0")})
 		}
 	}
--- a/internal/instance/assemble.go
+++ b/internal/instance/assemble.go
@@ -15,7 +15,7 @@
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
 	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
 	"heatherrelay/internal/key"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/target"
@@ -37,10 +37,10 @@
 	store := i.store()
 	i.peers = &Peers{InstanceID: i.Settings.Instance, TLS: i.peerClientTLS()}
 	i.directory = &Directory{Store: store, Term: i.Settings.Lease.Term.Duration, Every: directoryEvery, Log: i.Log}
-	i.renewer = &platform.Renewer{
+	i.renewer = &objectstore.Renewer{
 		Store:    store,
-		Key:      platform.InstanceLeaseKey(i.Settings.Instance),
-		Holding:  platform.Holding{Term: i.Settings.Lease.Term.Duration, Margin: i.Settings.Lease.Margin.Duration},
+		Key:      objectstore.InstanceLeaseKey(i.Settings.Instance),
+		Holding:  objectstore.Holding{Term: i.Settings.Lease.Term.Duration, Margin: i.Settings.Lease.Margin.Duration},
 		Interval: i.Settings.Lease.RenewEvery.Duration,
 		Value:    i.leaseValue,
 		Regain:   func(ctx context.Context) error { return i.ownership.Resync(ctx) },
@@ -80,18 +80,18 @@
 	return i.assembleEntry()
 }
 
-func (i *Instance) store() platform.Store {
+func (i *Instance) store() objectstore.Store {
 	if i.Store != nil {
 		return *i.Store
 	}
-	client := &platform.Client{
+	client := &objectstore.Client{
 		Address:     i.Settings.Platform.Address,
 		CallTimeout: i.Settings.Platform.RequestTimeout.Duration,
 	}
 	return client.Store()
 }
 
-func (i *Instance) assembleTargets(store platform.Store) {
+func (i *Instance) assembleTargets(store objectstore.Store) {
 	i.ownership = &Ownership{
 		Zone:       i.Settings.Zone,
 		Self:       Member{ID: i.Settings.Instance, Incarnation: i.incarnation},
@@ -133,7 +133,7 @@
 }
 
 // newOwner makes the owner of one target.
-func (i *Instance) newOwner(e platform.TargetEntry, g Group, authority func(time.Time) target.Authority) *target.Owner {
+func (i *Instance) newOwner(e objectstore.TargetEntry, g Group, authority func(time.Time) target.Authority) *target.Owner {
 	engine := &target.Engine{
 		Address:      e.Address,
 		SilenceLimit: i.Settings.Targets.SilenceLimit.Duration,
--- a/internal/instance/directory.go
+++ b/internal/instance/directory.go
@@ -11,7 +11,7 @@
 
 	"go.uber.org/zap"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/wait"
 )
 
@@ -20,7 +20,7 @@
 // keeps what it knew: an instance counts as dead only after its lease was seen
 // unchanged for a whole term. Exported fields are set before Run.
 type Directory struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Term is the lease term.
 	Term time.Duration
 	// Every is the time between two listings.
@@ -29,15 +29,15 @@
 
 	mu        sync.Mutex
 	instances map[string]*sighted
-	listed    map[string]platform.InstanceState
-	targets   []platform.TargetEntry
+	listed    map[string]objectstore.InstanceState
+	targets   []objectstore.TargetEntry
 	heardAt   time.Time
 	loaded    bool
 }
 
 type sighted struct {
-	lease    platform.InstanceLease
-	sighting platform.Sighting
+	lease    objectstore.InstanceLease
+	sighting objectstore.Sighting
 	present  bool
 	// released says that the lease was seen and then given back.
 	released bool
@@ -58,7 +58,7 @@
 // Refresh lists once. On an error what was known stays.
 func (d *Directory) Refresh(ctx context.Context) error {
 	asked := time.Now()
-	listing, err := d.Store.List(ctx, platform.InstanceLeasePrefix)
+	listing, err := d.Store.List(ctx, objectstore.InstanceLeasePrefix)
 	if err != nil {
 		return err
 	}
@@ -73,7 +73,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.listed = make(map[string]platform.InstanceState, len(entries))
+	d.listed = make(map[string]objectstore.InstanceState, len(entries))
 	for _, e := range entries {
 		d.listed[e.ID] = e.State
 	}
@@ -83,7 +83,7 @@
 	return nil
 }
 
-func (d *Directory) see(listing platform.Listing, asked, received time.Time) {
+func (d *Directory) see(listing objectstore.Listing, asked, received time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.instances == nil {
@@ -91,7 +91,7 @@
 	}
 	present := map[string]bool{}
 	for _, object := range listing.Objects {
-		var lease platform.InstanceLease
+		var lease objectstore.InstanceLease
 		if err := json.Unmarshal(object.Value, &lease); err != nil {
 			d.Log.Warn("lease_unreadable", zap.String("key", object.Key), zap.Error(err))
 			continue
@@ -118,16 +118,16 @@
 
 // Live returns the instances that hold their lease, of one zone or of all when
 // zone is empty, sorted by id.
-func (d *Directory) Live(zone string) []platform.InstanceLease {
+func (d *Directory) Live(zone string) []objectstore.InstanceLease {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var live []platform.InstanceLease
+	var live []objectstore.InstanceLease
 	for _, s := range d.instances {
 		if s.present && !s.sighting.Lapsed(d.Term) && (zone == "" || s.lease.Zone == zone) {
 			live = append(live, s.lease)
 		}
 	}
-	slices.SortFunc(live, func(a, b platform.InstanceLease) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(live, func(a, b objectstore.InstanceLease) int { return cmp.Compare(a.ID, b.ID) })
 	return live
 }
 
@@ -153,7 +153,7 @@
 	if !d.loaded {
 		return
 	}
-	s := &sighted{lease: platform.InstanceLease{ID: id, Incarnation: incarnation}}
+	s := &sighted{lease: objectstore.InstanceLease{ID: id, Incarnation: incarnation}}
 	s.sighting.See(0, d.heardAt, d.heardAt)
 	d.instances[id] = s
 }
@@ -191,7 +191,7 @@
 }
 
 // Targets returns the platform's list of targets as last read.
-func (d *Directory) Targets() []platform.TargetEntry {
+func (d *Directory) Targets() []objectstore.TargetEntry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.targets
--- a/internal/instance/forward.go
+++ b/internal/instance/forward.go
@@ -6,7 +6,7 @@
 	"net/netip"
 
 	"heatherrelay/internal/adapter"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/target"
 )
@@ -62,7 +62,7 @@
 	}
 	targets := map[string]int{}
 	for _, e := range r.Directory.Targets() {
-		if e.Kind == platform.TargetEngine && e.BaseModel == model && !e.Leaving && reachable[e.Zone] {
+		if e.Kind == objectstore.TargetEngine && e.BaseModel == model && !e.Leaving && reachable[e.Zone] {
 			targets[e.Zone]++
 		}
 	}
@@ -74,7 +74,7 @@
 }
 
 // takes reports whether an instance of another zone may be sent a request.
-func (r *Router) takes(l platform.InstanceLease) bool {
+func (r *Router) takes(l objectstore.InstanceLease) bool {
 	return l.Ready && !l.Leaving && !r.Peers.Suspect(l.Peer)
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -19,7 +19,7 @@
 	"heatherrelay/internal/certificate"
 	"heatherrelay/internal/dispatch"
 	"heatherrelay/internal/entry"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 	"heatherrelay/internal/settings"
 	"heatherrelay/internal/team"
@@ -40,7 +40,7 @@
 	// Listening is called once all listeners are open; may be nil.
 	Listening func(Addresses)
 	// Store replaces the platform's client in tests.
-	Store *platform.Store
+	Store *objectstore.Store
 
 	incarnation string
 	startedAt   time.Time
@@ -49,7 +49,7 @@
 	listeners   listeners
 
 	directory  *Directory
-	renewer    *platform.Renewer
+	renewer    *objectstore.Renewer
 	follower   *publication.Follower
 	allowances *team.Allowances
 	ownership  *Ownership
@@ -213,7 +213,7 @@
 
 // leaseValue is the lease object as written at each renewal.
 func (i *Instance) leaseValue(renewals uint64) ([]byte, error) {
-	return json.Marshal(platform.InstanceLease{
+	return json.Marshal(objectstore.InstanceLease{
 		ID:                    i.Settings.Instance,
 		Zone:                  i.Settings.Zone,
 		Peer:                  i.Settings.Advertise.Peers,
--- a/internal/instance/ownership.go
+++ b/internal/instance/ownership.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/target"
 )
 
@@ -31,7 +31,7 @@
 	Zone       string
 	Self       Member
 	GroupCount int
-	Store      platform.Store
+	Store      objectstore.Store
 	Directory  *Directory
 	// LeaseValid, Leaving and Ready tell of this instance.
 	LeaseValid func() bool
@@ -41,7 +41,7 @@
 	AskedPeers func() bool
 	WatchWait  time.Duration
 	// NewOwner makes the owner of a target of a group.
-	NewOwner func(entry platform.TargetEntry, g Group, authority func(time.Time) target.Authority) *target.Owner
+	NewOwner func(entry objectstore.TargetEntry, g Group, authority func(time.Time) target.Authority) *target.Owner
 	// Tell spreads word of groups that this instance took.
 	Tell func(ctx context.Context, claims []*v1.GroupClaim)
 	Log  *zap.Logger
@@ -65,7 +65,7 @@
 // ownedTarget is an owner with the entry and group that it was made for.
 type ownedTarget struct {
 	*target.Owner
-	entry platform.TargetEntry
+	entry objectstore.TargetEntry
 	group Group
 }
 
@@ -83,8 +83,8 @@
 // Run follows the groups and acts on them until ctx ends. Owners run on: see Stop.
 func (w *Ownership) Run(ctx context.Context) {
 	w.init()
-	updates := make(chan platform.Update, groupUpdateRing)
-	watcher := &platform.Watcher{
+	updates := make(chan objectstore.Update, groupUpdateRing)
+	watcher := &objectstore.Watcher{
 		Store:  w.Store,
 		Prefix: groupPrefix + w.Zone + "/",
 		Wait:   w.WatchWait,
--- a/internal/instance/ownership_groups.go
+++ b/internal/instance/ownership_groups.go
@@ -10,11 +10,11 @@
 	"go.uber.org/zap"
 
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 // observe takes an update of the group records.
-func (w *Ownership) observe(u platform.Update) {
+func (w *Ownership) observe(u objectstore.Update) {
 	objects := u.Objects
 	for _, e := range u.Events {
 		if !e.Deleted {
@@ -99,7 +99,7 @@
 
 // moveFailed marks a group whose record may have been written until it is read back.
 func (w *Ownership) moveFailed(name string, err error) {
-	if !platform.ErrUnavailable.Has(err) {
+	if !objectstore.ErrUnavailable.Has(err) {
 		return
 	}
 	w.mu.Lock()
@@ -114,19 +114,19 @@
 	w.mu.Unlock()
 	for _, name := range names {
 		object, err := w.Store.Get(ctx, groupPrefix+name)
-		if err != nil && !platform.ErrNotFound.Has(err) {
+		if err != nil && !objectstore.ErrNotFound.Has(err) {
 			return
 		}
 		w.mu.Lock()
 		delete(w.unsettled, name)
 		w.mu.Unlock()
-		w.observe(platform.Update{Objects: existing(object)})
+		w.observe(objectstore.Update{Objects: existing(object)})
 	}
 }
 
-func existing(object platform.Object) []platform.Object {
+func existing(object objectstore.Object) []objectstore.Object {
 	if object.Key == "" {
 		return nil
 	}
-	return []platform.Object{object}
+	return []objectstore.Object{object}
 }
--- a/internal/instance/ownership_resync.go
+++ b/internal/instance/ownership_resync.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 // Resync reads the zone's groups anew. An instance whose lease had lapsed does
@@ -17,6 +17,6 @@
 	if err != nil {
 		return err
 	}
-	w.observe(platform.Update{Full: true, Objects: listing.Objects, Version: listing.Version, Asked: asked, Received: time.Now()})
+	w.observe(objectstore.Update{Full: true, Objects: listing.Objects, Version: listing.Version, Asked: asked, Received: time.Now()})
 	return nil
 }
--- a/internal/instance/ownership_targets.go
+++ b/internal/instance/ownership_targets.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"heatherrelay/internal/adapter"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/target"
 )
 
@@ -51,7 +51,7 @@
 func (w *Ownership) wanted() map[string]*ownedTarget {
 	wanted := map[string]*ownedTarget{}
 	for _, e := range w.Directory.Targets() {
-		if e.Zone != w.Zone || e.Kind != platform.TargetEngine || e.Leaving {
+		if e.Zone != w.Zone || e.Kind != objectstore.TargetEngine || e.Leaving {
 			continue
 		}
 		g := w.groups[groupOf(w.Zone, e.ID, w.GroupCount)]
@@ -104,7 +104,7 @@
 
 // OwnedState is one target's state as its owner, present or former, sees it.
 type OwnedState struct {
-	Entry    platform.TargetEntry
+	Entry    objectstore.TargetEntry
 	Fencing  uint64
 	Owned    bool
 	Snapshot *target.Snapshot
--- a/internal/instance/ownership_test.go
+++ b/internal/instance/ownership_test.go
@@ -15,18 +15,18 @@
 
 	"heatherrelay/internal/adapter"
 	"heatherrelay/internal/instance"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/target"
 )
 
 // cutStore fails all calls with unknown outcome while cut is set.
-func cutStore(store platform.Store, cut *atomic.Bool) platform.Store {
-	away := platform.ErrUnavailable.New("cut")
+func cutStore(store objectstore.Store, cut *atomic.Bool) objectstore.Store {
+	away := objectstore.ErrUnavailable.New("cut")
 	s := store
-	s.Get = func(ctx context.Context, key string) (platform.Object, error) {
+	s.Get = func(ctx context.Context, key string) (objectstore.Object, error) {
 		if cut.Load() {
-			return platform.Object{}, away
+			return objectstore.Object{}, away
 		}
 		return store.Get(ctx, key)
 	}
@@ -36,15 +36,15 @@
 		}
 		return store.Put(ctx, key, value, ifVersion)
 	}
-	s.List = func(ctx context.Context, prefix string) (platform.Listing, error) {
+	s.List = func(ctx context.Context, prefix string) (objectstore.Listing, error) {
 		if cut.Load() {
-			return platform.Listing{}, away
+			return objectstore.Listing{}, away
 		}
 		return store.List(ctx, prefix)
 	}
-	s.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Changes, error) {
+	s.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (objectstore.Changes, error) {
 		if cut.Load() {
-			return platform.Changes{}, away
+			return objectstore.Changes{}, away
 		}
 		return store.Watch(ctx, prefix, after, wait)
 	}
@@ -64,7 +64,7 @@
 // ownershipWorld is one instance's ownership over a store that can be cut off.
 type ownershipWorld struct {
 	instance.Ownership
-	memory platform.Memory
+	memory objectstore.Memory
 	cut    atomic.Bool
 
 	mu          sync.Mutex
@@ -92,16 +92,16 @@
 }
 
 // targetEntries returns eight engines, one of them leaving unless leaving is empty.
-func targetEntries(leaving string) []platform.TargetEntry {
-	var entries []platform.TargetEntry
+func targetEntries(leaving string) []objectstore.TargetEntry {
+	var entries []objectstore.TargetEntry
 	for i := range 8 {
 		id := fmt.Sprintf("e%d", i)
-		entries = append(entries, platform.TargetEntry{ID: id, Zone: "a", Kind: platform.TargetEngine, Leaving: id == leaving})
+		entries = append(entries, objectstore.TargetEntry{ID: id, Zone: "a", Kind: objectstore.TargetEngine, Leaving: id == leaving})
 	}
 	return entries
 }
 
-func (w *ownershipWorld) newOwner(e platform.TargetEntry, g instance.Group, authority func(time.Time) target.Authority) *target.Owner {
+func (w *ownershipWorld) newOwner(e objectstore.TargetEntry, g instance.Group, authority func(time.Time) target.Authority) *target.Owner {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.authorities[e.ID] = authority
@@ -140,11 +140,11 @@
 
 func (w *ownershipWorld) addPeer(t *testing.T) {
 	t.Helper()
-	lease, err := json.Marshal(platform.InstanceLease{ID: "other", Zone: "a", Incarnation: "y", Ready: true})
+	lease, err := json.Marshal(objectstore.InstanceLease{ID: "other", Zone: "a", Incarnation: "y", Ready: true})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := w.memory.Store().Put(t.Context(), platform.InstanceLeaseKey("other"), lease, 0); err != nil {
+	if _, err := w.memory.Store().Put(t.Context(), objectstore.InstanceLeaseKey("other"), lease, 0); err != nil {
 		t.Fatal(err)
 	}
 	if err := w.Directory.Refresh(t.Context()); err != nil {
--- a/internal/instance/router.go
+++ b/internal/instance/router.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"heatherrelay/internal/adapter"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/target"
 )
@@ -139,7 +139,7 @@
 // hasTargets reports whether the platform lists a usable engine of a model in a zone.
 func (r *Router) hasTargets(model, zone string) bool {
 	for _, e := range r.Directory.Targets() {
-		if e.Zone == zone && e.Kind == platform.TargetEngine && e.BaseModel == model && !e.Leaving {
+		if e.Zone == zone && e.Kind == objectstore.TargetEngine && e.BaseModel == model && !e.Leaving {
 			return true
 		}
 	}
--- a/internal/instance/router_test.go
+++ b/internal/instance/router_test.go
@@ -18,7 +18,7 @@
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
 	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
 	"heatherrelay/internal/instance"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/target"
 	"heatherrelay/pkg/release"
@@ -111,16 +111,16 @@
 	go func() { _ = server.Serve(peer.listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 
-	memory := &platform.Memory{}
+	memory := &objectstore.Memory{}
 	store := memory.Store()
-	lease, err := json.Marshal(platform.InstanceLease{ID: "far", Zone: "b", Peer: netip.MustParseAddrPort(listener.Addr().String()), Ready: true})
+	lease, err := json.Marshal(objectstore.InstanceLease{ID: "far", Zone: "b", Peer: netip.MustParseAddrPort(listener.Addr().String()), Ready: true})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := store.Put(t.Context(), platform.InstanceLeaseKey("far"), lease, 0); err != nil {
+	if _, err := store.Put(t.Context(), objectstore.InstanceLeaseKey("far"), lease, 0); err != nil {
 		t.Fatal(err)
 	}
-	memory.SetTargets([]platform.TargetEntry{{ID: "e", Zone: "b", Kind: platform.TargetEngine, BaseModel: "base"}})
+	memory.SetTargets([]objectstore.TargetEntry{{ID: "e", Zone: "b", Kind: objectstore.TargetEngine, BaseModel: "base"}})
 	directory := &instance.Directory{Store: store, Term: time.Minute, Log: zap.NewNop()}
 	if err := directory.Refresh(t.Context()); err != nil {
 		t.Fatal(err)
--- a/internal/instance/services.go
+++ b/internal/instance/services.go
@@ -6,19 +6,19 @@
 	"net/netip"
 
 	"heatherrelay/internal/dispatch"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 )
 
 // serviceTargets returns this zone's targets of a plain service that are not leaving.
-func (i *Instance) serviceTargets(service string) []platform.TargetEntry {
+func (i *Instance) serviceTargets(service string) []objectstore.TargetEntry {
 	return i.serviceTargetsIn(i.Settings.Zone, service)
 }
 
-func (i *Instance) serviceTargetsIn(zone, service string) []platform.TargetEntry {
-	var targets []platform.TargetEntry
+func (i *Instance) serviceTargetsIn(zone, service string) []objectstore.TargetEntry {
+	var targets []objectstore.TargetEntry
 	for _, e := range i.directory.Targets() {
-		if e.Zone == zone && e.Kind == platform.TargetService && e.Service == service && !e.Leaving {
+		if e.Zone == zone && e.Kind == objectstore.TargetService && e.Service == service && !e.Leaving {
 			targets = append(targets, e)
 		}
 	}
--- a/internal/instance/upkeep.go
+++ b/internal/instance/upkeep.go
@@ -3,7 +3,7 @@
 import (
 	"go.uber.org/zap"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 )
 
@@ -11,8 +11,8 @@
 // duties, and conditional writes decide which one's work counts.
 
 // sweeper removes the leases of instances that crashed and are gone.
-func (i *Instance) sweeper() *platform.LeaseSweeper {
-	return &platform.LeaseSweeper{
+func (i *Instance) sweeper() *objectstore.LeaseSweeper {
+	return &objectstore.LeaseSweeper{
 		Store:  i.store(),
 		Swept:  func(id string) { i.Log.Info("lease_swept", zap.String("instance", id)) },
 		Failed: func(err error) { i.Log.Debug("lease_sweep_failed", zap.Error(err)) },
--- a/internal/platform/client_test.go
+++ b/internal/objectstore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 // closingServer answers the first call on each connection and closes it on the
@@ -39,13 +39,13 @@
 // pooled connection closes before the answer, and that its outcome stays open.
 func TestLostAnswerIsSentOnce(t *testing.T) {
 	var seconds atomic.Int64
-	client := &platform.Client{Address: closingServer(t, &seconds)}
+	client := &objectstore.Client{Address: closingServer(t, &seconds)}
 	store := client.Store()
 	ctx := context.Background()
 	if _, err := store.Put(ctx, "k", []byte("v"), 0); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := store.Put(ctx, "k", []byte("w"), 1); !platform.ErrUnavailable.Has(err) {
+	if _, err := store.Put(ctx, "k", []byte("w"), 1); !objectstore.ErrUnavailable.Has(err) {
 		t.Errorf("want ErrUnavailable, have %v", err)
 	}
 	if n := seconds.Load(); n != 1 {
@@ -63,17 +63,17 @@
 		_, _ = io.WriteString(w, "{}")
 	}))
 	defer server.Close()
-	client := &platform.Client{Address: server.Listener.Addr().(*net.TCPAddr).AddrPort()}
+	client := &objectstore.Client{Address: server.Listener.Addr().(*net.TCPAddr).AddrPort()}
 	store := client.Store()
 	has := map[int]func(error) bool{
 		200: func(err error) bool { return err == nil },
-		404: platform.ErrNotFound.Has,
-		409: platform.ErrConflict.Has,
-		410: platform.ErrCompacted.Has,
-		413: platform.ErrTooLarge.Has,
-		429: platform.ErrThrottled.Has,
-		500: platform.ErrUnavailable.Has,
-		503: platform.ErrUnavailable.Has,
+		404: objectstore.ErrNotFound.Has,
+		409: objectstore.ErrConflict.Has,
+		410: objectstore.ErrCompacted.Has,
+		413: objectstore.ErrTooLarge.Has,
+		429: objectstore.ErrThrottled.Has,
+		500: objectstore.ErrUnavailable.Has,
+		503: objectstore.ErrUnavailable.Has,
 	}
 	for status = range has {
 		if err := store.Delete(context.Background(), "instance/a b", 3); !has[status](err) {
@@ -90,14 +90,14 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = silent.Close() }()
-	client := &platform.Client{Address: silent.Addr().(*net.TCPAddr).AddrPort(), CallTimeout: 50 * time.Millisecond}
+	client := &objectstore.Client{Address: silent.Addr().(*net.TCPAddr).AddrPort(), CallTimeout: 50 * time.Millisecond}
 	store := client.Store()
-	if _, err := store.Get(context.Background(), "k"); !platform.ErrUnavailable.Has(err) {
+	if _, err := store.Get(context.Background(), "k"); !objectstore.ErrUnavailable.Has(err) {
 		t.Errorf("get: %v", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(10*time.Millisecond, cancel)
-	if _, err := store.Watch(ctx, "", 0, time.Hour); !platform.ErrUnavailable.Has(err) {
+	if _, err := store.Watch(ctx, "", 0, time.Hour); !objectstore.ErrUnavailable.Has(err) {
 		t.Errorf("watch: %v", err)
 	}
 }
--- a/internal/platform/lease_sweeper_test.go
+++ b/internal/objectstore/lease_sweeper_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -6,19 +6,19 @@
 	"testing"
 	"time"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 // TestSweeperRemovesOnlyWhatIsGone checks that of four leases only that of the
 // instance which neither renews nor stands in the platform's list goes.
 func TestSweeperRemovesOnlyWhatIsGone(t *testing.T) {
 	ctx := context.Background()
-	var memory platform.Memory
+	var memory objectstore.Memory
 	store := memory.Store()
-	memory.SetInstances([]platform.InstanceEntry{{ID: "cut"}, {ID: "leaving", State: platform.InstanceLeaving}})
+	memory.SetInstances([]objectstore.InstanceEntry{{ID: "cut"}, {ID: "leaving", State: objectstore.InstanceLeaving}})
 	versions := map[string]uint64{}
 	renew := func(id string) {
-		version, err := store.Put(ctx, platform.InstanceLeaseKey(id), []byte("{}"), versions[id])
+		version, err := store.Put(ctx, objectstore.InstanceLeaseKey(id), []byte("{}"), versions[id])
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -29,7 +29,7 @@
 	}
 	now := time.Unix(1_000_000, 0)
 	var swept []string
-	sweeper := platform.LeaseSweeper{
+	sweeper := objectstore.LeaseSweeper{
 		Store: store,
 		After: time.Minute,
 		Swept: func(id string) { swept = append(swept, id) },
--- a/internal/platform/lease_test.go
+++ b/internal/objectstore/lease_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/propertytest"
 )
 
@@ -30,12 +30,12 @@
 // duel is one holder and one challenger before a platform, on a virtual clock.
 type duel struct {
 	t      *rapid.T
-	memory platform.Memory
+	memory objectstore.Memory
 	start  time.Time
 	now    time.Time
 	drift  int64
-	holder platform.Renewer
-	seen   platform.Sighting
+	holder objectstore.Renewer
+	seen   objectstore.Sighting
 	cut    bool
 	// judged is the time of the look after which the challenger found the lease
 	// lapsed; it may then take what hangs on it. reread is when the holder last
@@ -63,7 +63,7 @@
 	d.pass("question", time.Second)
 	d.renewBetween()
 	object, err := d.memory.Store().Get(context.Background(), "lease")
-	if err != nil && !platform.ErrNotFound.Has(err) {
+	if err != nil && !objectstore.ErrNotFound.Has(err) {
 		d.t.Fatal(err)
 	}
 	looked := d.now
@@ -99,12 +99,12 @@
 }
 
 // store lets time pass, answers get lost and the challenger look inside each write.
-func (d *duel) store() platform.Store {
+func (d *duel) store() objectstore.Store {
 	store := d.memory.Store()
 	put := store.Put
 	store.Put = func(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 		if d.cut {
-			return 0, platform.ErrUnavailable.New("cut")
+			return 0, objectstore.ErrUnavailable.New("cut")
 		}
 		d.pass("write under way", 4*time.Second)
 		if rapid.Bool().Draw(d.t, "look before") {
@@ -116,7 +116,7 @@
 		}
 		d.pass("answer under way", 4*time.Second)
 		if rapid.IntRange(0, 3).Draw(d.t, "lost") == 0 {
-			return 0, platform.ErrUnavailable.New("answer lost")
+			return 0, objectstore.ErrUnavailable.New("answer lost")
 		}
 		return version, err
 	}
@@ -129,10 +129,10 @@
 	rapid.Check(t, func(t *rapid.T) {
 		d := &duel{t: t, start: time.Unix(1_000_000, 0), drift: rapid.SampledFrom([]int64{0, maxDriftPPM}).Draw(t, "drift")}
 		d.now = d.start
-		d.holder = platform.Renewer{
+		d.holder = objectstore.Renewer{
 			Store:   d.store(),
 			Key:     "lease",
-			Holding: platform.Holding{Term: leaseTerm, Margin: leaseMargin},
+			Holding: objectstore.Holding{Term: leaseTerm, Margin: leaseMargin},
 			Value: func(renewals uint64) ([]byte, error) {
 				return fmt.Appendf(nil, `{"incarnation":"a","renewals":%d}`, renewals), nil
 			},
@@ -155,14 +155,14 @@
 // TestRestartWaitsForTheEarlierLease checks that a process which finds another
 // incarnation's lease under its name takes it over only once it has lapsed.
 func TestRestartWaitsForTheEarlierLease(t *testing.T) {
-	var memory platform.Memory
+	var memory objectstore.Memory
 	ctx := context.Background()
 	now := time.Unix(1_000_000, 0)
-	renewer := func(incarnation string) *platform.Renewer {
-		return &platform.Renewer{
+	renewer := func(incarnation string) *objectstore.Renewer {
+		return &objectstore.Renewer{
 			Store:   memory.Store(),
 			Key:     "lease",
-			Holding: platform.Holding{Term: leaseTerm, Margin: leaseMargin},
+			Holding: objectstore.Holding{Term: leaseTerm, Margin: leaseMargin},
 			Value: func(renewals uint64) ([]byte, error) {
 				return fmt.Appendf(nil, `{"incarnation":%q,"renewals":%d}`, incarnation, renewals), nil
 			},
@@ -174,7 +174,7 @@
 		t.Fatalf("first: %v", err)
 	}
 	for range 10 {
-		if err := second.Renew(ctx); !platform.ErrConflict.Has(err) || second.Valid() {
+		if err := second.Renew(ctx); !objectstore.ErrConflict.Has(err) || second.Valid() {
 			t.Fatalf("second after %v: %v", now, err)
 		}
 		now = now.Add(time.Second)
@@ -183,7 +183,7 @@
 	if err := second.Renew(ctx); err != nil || !second.Valid() || first.Valid() {
 		t.Fatalf("second after the term: %v", err)
 	}
-	if err := first.Renew(ctx); !platform.ErrConflict.Has(err) || first.Valid() {
+	if err := first.Renew(ctx); !objectstore.ErrConflict.Has(err) || first.Valid() {
 		t.Errorf("first after it lost the lease: %v", err)
 	}
 }
--- a/internal/platform/store.go
+++ b/internal/objectstore/store.go
@@ -1,7 +1,7 @@
-// Package platform is the client side of the platform's object API: objects
+// Package objectstore is the client side of the platform's object API: objects
 // with versions, conditional writes, watches, leases, and the platform's lists
 // of instances and targets.
-package platform
+package objectstore
 
 import (
 	"context"
--- a/internal/platform/watcher.go
+++ b/internal/objectstore/watcher.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -197,7 +197,7 @@
 	e.mu.Lock()
 	name, ok := e.state.Outdated(h.NewestVersion, h.inUse(t.ID), h.Now())
 	e.mu.Unlock()
-	if ok {
+	if ok && h.coldComing(h.Now()) < h.coldShare() && h.WaitingLoads() == 0 {
 		h.orderLoad(ctx, t, e, name, h.NewestVersion(name))
 	}
 }
--- /dev/null
+++ b/internal/placement/lease_test.go
@@ -0,0 +1,133 @@
+package placement_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/object"
+	"heatherrelay/internal/placement"
+)
+
+func mustJSON(value any) json.RawMessage {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+const testQuiet = 3 * time.Second
+
+func newLease(store object.Store, holder, incarnation string) *placement.Lease {
+	return &placement.Lease{Store: store, Name: "zone", Holder: holder, Incarnation: incarnation, QuietTime: testQuiet, Now: time.Now, Log: zap.NewNop()}
+}
+
+func held(l *placement.Lease) bool {
+	_, ok := l.Held(time.Now())
+	return ok
+}
+
+// TestSecondHolderWaits checks that a lease whose holder is gone without a word
+// changes hands, that the two never hold it at once, and that the orders of the
+// two are the quiet time apart.
+func TestSecondHolderWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memoryStore{}
+		first, second := newLease(store.store(), "a", "1"), newLease(store.store(), "b", "1")
+		firstCtx, stopFirst := context.WithCancel(context.Background())
+		secondCtx, stopSecond := context.WithCancel(context.Background())
+		go first.Run(firstCtx)
+		time.Sleep(10 * time.Millisecond)
+		go second.Run(secondCtx)
+		time.Sleep(20 * time.Second)
+		if !held(first) || held(second) {
+			t.Fatal("the first must hold the lease alone")
+		}
+		fencing, _ := first.Held(time.Now())
+		// The holder's calls fail from now on; the challenger's reach the store.
+		first.Store = object.Store{
+			Replace: func(context.Context, object.Kind, string, uint64, any) (object.Object, error) {
+				return object.Object{}, object.ErrRefused.New("away")
+			},
+			Get: func(context.Context, object.Kind, string) (object.Object, error) {
+				return object.Object{}, object.ErrRefused.New("away")
+			},
+		}
+		var lastFirst, firstSecond time.Time
+		for range 3000 {
+			time.Sleep(10 * time.Millisecond)
+			if held(first) {
+				lastFirst = time.Now()
+			}
+			if firstSecond.IsZero() && held(second) {
+				firstSecond = time.Now()
+			}
+		}
+		if firstSecond.IsZero() || held(first) {
+			t.Fatal("the lease did not change hands")
+		}
+		if gap := firstSecond.Sub(lastFirst); gap < testQuiet {
+			t.Errorf("orders of two holders may be %s apart", gap)
+		}
+		if next, _ := second.Held(time.Now()); next <= fencing {
+			t.Errorf("fencing number %d after %d", next, fencing)
+		}
+		stopFirst()
+		stopSecond()
+		synctest.Wait()
+	})
+}
+
+// TestRestartedHolderGoesOn checks that a process that was killed and started
+// again on its machine orders again without the quiet time.
+func TestRestartedHolderGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memoryStore{}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		first := newLease(store.store(), "a", "1")
+		go first.Run(ctx)
+		time.Sleep(time.Second)
+		before, _ := first.Held(time.Now())
+		second := newLease(store.store(), "a", "2")
+		go second.Run(ctx)
+		time.Sleep(time.Second)
+		after, ok := second.Held(time.Now())
+		if !ok || after <= before {
+			t.Errorf("held %v with fencing number %d after %d", ok, after, before)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestReleasedLeaseIsQuiet checks that a lease that was given up is taken over
+// only after the quiet time.
+func TestReleasedLeaseIsQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memoryStore{}
+		firstCtx, stopFirst := context.WithCancel(context.Background())
+		first := newLease(store.store(), "a", "1")
+		go first.Run(firstCtx)
+		time.Sleep(time.Second)
+		stopFirst()
+		synctest.Wait()
+		released := time.Now()
+		ctx, cancel := context.WithCancel(context.Background())
+		second := newLease(store.store(), "b", "1")
+		go second.Run(ctx)
+		for !held(second) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if quiet := time.Since(released); quiet < testQuiet {
+			t.Errorf("ordered after %s", quiet)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/placement/wish.go
+++ b/internal/placement/wish.go
@@ -92,33 +92,38 @@
 func (h *Holder) fulfill(w *wish) {
 	ctx, cancel := context.WithTimeout(context.Background(), maxLoadWait)
 	defer cancel()
-	w.result = Full
-	for done := false; !done && ctx.Err() == nil; {
+	w.result = h.stepUntilDone(ctx, w)
+	h.mu.Lock()
+	if h.wishes.open[w.wishKey] == w {
+		delete(h.wishes.open, w.wishKey)
+	}
+	h.leaveQueue(w)
+	h.mu.Unlock()
+	close(w.done)
+}
+
+// stepUntilDone takes steps until the adapter is ordered, nothing helps, or the
+// time is over.
+func (h *Holder) stepUntilDone(ctx context.Context, w *wish) Result {
+	for ctx.Err() == nil {
 		t, ok := h.Targets()[w.target]
 		if !ok || t.Draining || !h.Holds() {
-			w.result = NotHolder
-			break
+			return NotHolder
 		}
 		e := h.engine(t)
-		w.result, done = h.loadStep(ctx, t, e, w)
-		if done {
+		if result, done := h.loadStep(ctx, t, e, w); done {
 			e.mu.Lock()
 			w.readyAt, w.loaded = e.state.ReadyAt(w.name)
 			e.mu.Unlock()
-			break
+			return result
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(stepInterval):
 		}
 	}
-	h.mu.Lock()
-	if h.wishes.open[w.wishKey] == w {
-		delete(h.wishes.open, w.wishKey)
-	}
-	h.leaveQueue(w)
-	h.mu.Unlock()
-	close(w.done)
+	h.logNotLoaded(w, "no turn in time")
+	return Full
 }
 
 // loadStep takes one step towards an adapter; done says that no further helps.
--- a/internal/publication/example_test.go
+++ b/internal/publication/example_test.go
@@ -4,14 +4,14 @@
 	"context"
 	"fmt"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 	"heatherrelay/pkg/release"
 )
 
 func Example() {
 	ctx := context.Background()
-	var memory platform.Memory
+	var memory objectstore.Memory
 	publisher := publication.Publisher{Store: memory.Store()}
 	for _, name := range []string{"crews", "clerks"} {
 		note := release.Note{Teams: []release.Team{{Name: name, TokensPerSecond: 1, BurstTokens: 1}}}
--- a/internal/publication/follower.go
+++ b/internal/publication/follower.go
@@ -8,7 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 // The defaults of a follower.
@@ -25,7 +25,7 @@
 // of notes through any peer that does. Set the exported fields before Run.
 type Follower struct {
 	Replica
-	Store platform.Store
+	Store objectstore.Store
 	// Peers returns the instances that can be asked now; nil means none.
 	Peers func() []string
 	// PullPeer asks one peer for the notes after a number.
@@ -75,7 +75,7 @@
 }
 
 func (f *Follower) followPlatform(ctx context.Context) {
-	var backoff platform.Backoff
+	var backoff objectstore.Backoff
 	for ctx.Err() == nil {
 		version, err := f.CatchUp(ctx)
 		if err == nil && !f.Gap() {
@@ -151,7 +151,7 @@
 		asked := f.now()
 		next := f.State().Number + 1
 		object, err := f.Store.Get(ctx, NoteKey(next))
-		if platform.ErrNotFound.Has(err) {
+		if objectstore.ErrNotFound.Has(err) {
 			// Whatever was accepted before the question has been applied, unless
 			// the answer is older than a note that waits for this one.
 			if !f.Gap() {
@@ -170,7 +170,7 @@
 
 // readBlock applies the note in first and those after it in its block, which
 // take one listing.
-func (f *Follower) readBlock(ctx context.Context, first platform.Object, next uint64) error {
+func (f *Follower) readBlock(ctx context.Context, first objectstore.Object, next uint64) error {
 	listing, err := f.Store.List(ctx, blockPrefix(next))
 	if err != nil {
 		return err
@@ -185,7 +185,7 @@
 }
 
 // decodeFrom returns the notes of a listing from number next on.
-func decodeFrom(listing platform.Listing, next uint64) ([]Stored, error) {
+func decodeFrom(listing objectstore.Listing, next uint64) ([]Stored, error) {
 	var notes []Stored
 	for _, object := range listing.Objects {
 		if object.Key < NoteKey(next) {
--- a/internal/publication/history_test.go
+++ b/internal/publication/history_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"testing"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 	"heatherrelay/pkg/release"
 )
@@ -18,7 +18,7 @@
 
 // bigHistory fills a store with a first part of notes that add all adapters and
 // then notes that each change one, and returns the state that follows.
-func bigHistory(tb testing.TB, store platform.Store, notes int) *release.State {
+func bigHistory(tb testing.TB, store objectstore.Store, notes int) *release.State {
 	tb.Helper()
 	const first = 59
 	builder := (&release.State{}).Builder()
@@ -56,15 +56,15 @@
 	reads, bytes int
 }
 
-func (c *counting) wrap(store platform.Store) platform.Store {
+func (c *counting) wrap(store objectstore.Store) objectstore.Store {
 	wrapped := store
-	wrapped.Get = func(ctx context.Context, key string) (platform.Object, error) {
+	wrapped.Get = func(ctx context.Context, key string) (objectstore.Object, error) {
 		o, err := store.Get(ctx, key)
 		c.reads++
 		c.bytes += len(o.Value)
 		return o, err
 	}
-	wrapped.List = func(ctx context.Context, prefix string) (platform.Listing, error) {
+	wrapped.List = func(ctx context.Context, prefix string) (objectstore.Listing, error) {
 		listing, err := store.List(ctx, prefix)
 		c.reads++
 		for _, o := range listing.Objects {
@@ -80,7 +80,7 @@
 // and that every object fits the platform.
 func TestFreshInstanceAfterLongHistory(t *testing.T) {
 	ctx := context.Background()
-	var memory platform.Memory
+	var memory objectstore.Memory
 	store := memory.Store()
 	want := bigHistory(t, store, historyNotes)
 	replayed := &publication.Follower{Store: store}
@@ -107,7 +107,7 @@
 		t.Fatal(err)
 	}
 	for _, o := range listing.Objects {
-		if len(o.Value) > platform.MaxValueBytes {
+		if len(o.Value) > objectstore.MaxValueBytes {
 			t.Errorf("%s has %d bytes", o.Key, len(o.Value))
 		}
 	}
@@ -130,7 +130,7 @@
 // by replay of all notes.
 func BenchmarkFreshInstance(b *testing.B) {
 	ctx := context.Background()
-	var memory platform.Memory
+	var memory objectstore.Memory
 	store := memory.Store()
 	state := bigHistory(b, store, historyNotes)
 	start := func(b *testing.B) {
@@ -155,7 +155,7 @@
 
 // BenchmarkApply measures one note that changes one adapter of 59,000.
 func BenchmarkApply(b *testing.B) {
-	var memory platform.Memory
+	var memory objectstore.Memory
 	state := bigHistory(b, memory.Store(), 59)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/publication/publication_test.go
+++ b/internal/publication/publication_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"heatherrelay/internal/key"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 	"heatherrelay/pkg/release"
 )
@@ -181,11 +181,11 @@
 // TestFollowerRunSurvivesBlindWatch checks that a watch that tells of nothing
 // holds no note back for good.
 func TestFollowerRunSurvivesBlindWatch(t *testing.T) {
-	var memory platform.Memory
+	var memory objectstore.Memory
 	store := memory.Store()
 	blind := store
-	blind.Watch = func(_ context.Context, _ string, after uint64, _ time.Duration) (platform.Changes, error) {
-		return platform.Changes{Version: after}, nil
+	blind.Watch = func(_ context.Context, _ string, after uint64, _ time.Duration) (objectstore.Changes, error) {
+		return objectstore.Changes{Version: after}, nil
 	}
 	f := &publication.Follower{Store: blind, Recheck: time.Millisecond, PeerInterval: time.Millisecond}
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
@@ -231,7 +231,7 @@
 // older copy of the platform waits until it can ask its peers.
 func TestNotReadyBeforePeersAreKnown(t *testing.T) {
 	ctx := context.Background()
-	var memory platform.Memory
+	var memory objectstore.Memory
 	known := false
 	f := &publication.Follower{
 		Store:      memory.Store(),
--- a/internal/publication/publisher.go
+++ b/internal/publication/publisher.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/uuid"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/pkg/release"
 )
 
@@ -14,7 +14,7 @@
 // acceptance, so operators that race are ordered and none overwrites another.
 // Set the exported fields before use.
 type Publisher struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Now is the clock; nil is time.Now.
 	Now func() time.Time
 	// Pause waits before a call is tried again; nil backs off up to seconds.
@@ -105,7 +105,7 @@
 	switch {
 	case err == nil:
 		return accepted, nil
-	case platform.ErrTooLarge.Has(err):
+	case objectstore.ErrTooLarge.Has(err):
 		return refused, err
 	}
 	object, readErr := p.Store.Get(ctx, NoteKey(stored.Number))
@@ -155,7 +155,7 @@
 		p.Pause(ctx)
 		return
 	}
-	var b platform.Backoff
+	var b objectstore.Backoff
 	b.Sleep(ctx)
 }
 
--- a/internal/publication/snapshot.go
+++ b/internal/publication/snapshot.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"fmt"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/pkg/release"
 )
 
@@ -29,9 +29,9 @@
 }
 
 // readHead returns the snapshot head and its version, both zero when there is none.
-func readHead(ctx context.Context, store platform.Store) (Head, uint64, error) {
+func readHead(ctx context.Context, store objectstore.Store) (Head, uint64, error) {
 	object, err := store.Get(ctx, SnapshotHeadKey)
-	if platform.ErrNotFound.Has(err) {
+	if objectstore.ErrNotFound.Has(err) {
 		return Head{}, 0, nil
 	}
 	if err != nil {
@@ -75,7 +75,7 @@
 }
 
 // readShards reads the snapshot that head names.
-func readShards(ctx context.Context, store platform.Store, head Head) (*release.State, error) {
+func readShards(ctx context.Context, store objectstore.Store, head Head) (*release.State, error) {
 	parts := make([]release.Note, head.Shards)
 	for i := range parts {
 		object, err := store.Get(ctx, head.shardKey(i))
--- a/internal/publication/snapshot_writer.go
+++ b/internal/publication/snapshot_writer.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/pkg/release"
 )
 
@@ -32,7 +32,7 @@
 // names them, and removed only when two later heads stand, so a head always
 // leads to a whole snapshot. Set the exported fields before Run.
 type SnapshotWriter struct {
-	Store platform.Store
+	Store objectstore.Store
 	// State returns the state in force on this instance.
 	State func() *release.State
 	// ID is this instance; Peers returns the others.
@@ -82,7 +82,7 @@
 		return false, err
 	}
 	_, err = w.Store.Put(ctx, SnapshotHeadKey, value, version)
-	if platform.ErrConflict.Has(err) {
+	if objectstore.ErrConflict.Has(err) {
 		// Another head stands, and this one will never be written.
 		return false, w.remove(ctx, func(key string) bool { return strings.Contains(key, head.SnapshotID) })
 	}
@@ -140,11 +140,11 @@
 	if err != nil {
 		return err
 	}
-	doomed := slices.DeleteFunc(listing.Objects, func(o platform.Object) bool {
+	doomed := slices.DeleteFunc(listing.Objects, func(o objectstore.Object) bool {
 		return o.Key == SnapshotHeadKey || !match(o.Key)
 	})
 	for _, o := range doomed {
-		if err := w.Store.Delete(ctx, o.Key, o.Version); err != nil && !platform.ErrNotFound.Has(err) {
+		if err := w.Store.Delete(ctx, o.Key, o.Version); err != nil && !objectstore.ErrNotFound.Has(err) {
 			return err
 		}
 	}
--- a/internal/publication/status.go
+++ b/internal/publication/status.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 // Status tells where a note is in force.
@@ -51,14 +51,14 @@
 // is proof however old it is; an instance that is listed and holds no such
 // lease counts as missing.
 type StatusReader struct {
-	Store platform.Store
+	Store objectstore.Store
 }
 
 // Read returns the status of note number.
 func (r StatusReader) Read(ctx context.Context, number uint64) (Status, error) {
 	status := Status{Number: number}
 	_, err := r.Store.Get(ctx, NoteKey(number))
-	if err != nil && !platform.ErrNotFound.Has(err) {
+	if err != nil && !objectstore.ErrNotFound.Has(err) {
 		return status, err
 	}
 	status.Accepted = err == nil
@@ -78,24 +78,24 @@
 	return status, nil
 }
 
-func readLeases(ctx context.Context, store platform.Store) (map[string]platform.InstanceLease, error) {
-	listing, err := store.List(ctx, platform.InstanceLeasePrefix)
+func readLeases(ctx context.Context, store objectstore.Store) (map[string]objectstore.InstanceLease, error) {
+	listing, err := store.List(ctx, objectstore.InstanceLeasePrefix)
 	if err != nil {
 		return nil, err
 	}
-	leases := map[string]platform.InstanceLease{}
+	leases := map[string]objectstore.InstanceLease{}
 	for _, object := range listing.Objects {
-		var lease platform.InstanceLease
+		var lease objectstore.InstanceLease
 		if err := json.Unmarshal(object.Value, &lease); err != nil {
-			return nil, platform.ErrUnavailable.New("%s: %w", object.Key, err)
+			return nil, objectstore.ErrUnavailable.New("%s: %w", object.Key, err)
 		}
-		leases[strings.TrimPrefix(object.Key, platform.InstanceLeasePrefix)] = lease
+		leases[strings.TrimPrefix(object.Key, objectstore.InstanceLeasePrefix)] = lease
 	}
 	return leases, nil
 }
 
 // zones sorts all instances, listed or holding a lease, into their zones.
-func zones(number uint64, entries []platform.InstanceEntry, leases map[string]platform.InstanceLease) []ZoneStatus {
+func zones(number uint64, entries []objectstore.InstanceEntry, leases map[string]objectstore.InstanceLease) []ZoneStatus {
 	zoneOf := map[string]string{}
 	for id, lease := range leases {
 		zoneOf[id] = lease.Zone
@@ -119,7 +119,7 @@
 	return sorted
 }
 
-func (z *ZoneStatus) count(id string, number uint64, lease platform.InstanceLease, ok bool) {
+func (z *ZoneStatus) count(id string, number uint64, lease objectstore.InstanceLease, ok bool) {
 	z.Instances++
 	if ok && lease.ReleaseInForce >= number {
 		z.InForce++
@@ -128,7 +128,7 @@
 	z.Missing = append(z.Missing, Missing{Instance: id, ReleaseInForce: lease.ReleaseInForce, Reason: missingReason(lease, ok)})
 }
 
-func missingReason(lease platform.InstanceLease, ok bool) string {
+func missingReason(lease objectstore.InstanceLease, ok bool) string {
 	switch {
 	case !ok:
 		return "holds no lease"
--- a/internal/publication/stored.go
+++ b/internal/publication/stored.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/pkg/release"
 )
 
@@ -49,8 +49,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(value) > platform.MaxValueBytes {
-		return nil, ErrTooLarge.New("%d bytes when stored, at most %d: publish it as several notes", len(value), platform.MaxValueBytes)
+	if len(value) > objectstore.MaxValueBytes {
+		return nil, ErrTooLarge.New("%d bytes when stored, at most %d: publish it as several notes", len(value), objectstore.MaxValueBytes)
 	}
 	return value, nil
 }
--- a/internal/publication/world_test.go
+++ b/internal/publication/world_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"heatherrelay/internal/key"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 	"heatherrelay/pkg/release"
 )
@@ -24,7 +24,7 @@
 // failures switched on and off by the state machine.
 type world struct {
 	t      *rapid.T
-	memory platform.Memory
+	memory objectstore.Memory
 	keys   []key.Key
 
 	// clock guards now, since peers are asked at the same time.
@@ -83,27 +83,27 @@
 }
 
 // store returns the platform as a zone sees it; zone -1 is the operators' place.
-func (w *world) store(zone int, caller *instance) platform.Store {
+func (w *world) store(zone int, caller *instance) objectstore.Store {
 	real := w.memory.Store()
 	away := func() bool { return zone >= 0 && w.platformCut[zone] }
 	store := real
-	store.Get = func(ctx context.Context, key string) (platform.Object, error) {
+	store.Get = func(ctx context.Context, key string) (objectstore.Object, error) {
 		w.intrude("before get", caller)
 		if away() {
-			return platform.Object{}, platform.ErrUnavailable.New("cut")
+			return objectstore.Object{}, objectstore.ErrUnavailable.New("cut")
 		}
 		return real.Get(ctx, key)
 	}
-	store.List = func(ctx context.Context, prefix string) (platform.Listing, error) {
+	store.List = func(ctx context.Context, prefix string) (objectstore.Listing, error) {
 		w.intrude("before list", caller)
 		if away() {
-			return platform.Listing{}, platform.ErrUnavailable.New("cut")
+			return objectstore.Listing{}, objectstore.ErrUnavailable.New("cut")
 		}
 		listing, err := real.List(ctx, prefix)
 		if w.staleAllowed && caller != nil && rapid.Bool().Draw(w.t, "stale") {
 			cut := rapid.Uint64Range(0, listing.Version).Draw(w.t, "version")
 			listing.Version = cut
-			listing.Objects = slices.DeleteFunc(listing.Objects, func(o platform.Object) bool { return o.Version > cut })
+			listing.Objects = slices.DeleteFunc(listing.Objects, func(o objectstore.Object) bool { return o.Version > cut })
 			caller.fresh = false
 		} else if caller != nil {
 			caller.fresh = true
@@ -111,9 +111,9 @@
 		w.intrude("after list", caller)
 		return listing, err
 	}
-	store.Watch = func(ctx context.Context, prefix string, after uint64, _ time.Duration) (platform.Changes, error) {
+	store.Watch = func(ctx context.Context, prefix string, after uint64, _ time.Duration) (objectstore.Changes, error) {
 		if away() {
-			return platform.Changes{}, platform.ErrUnavailable.New("cut")
+			return objectstore.Changes{}, objectstore.ErrUnavailable.New("cut")
 		}
 		changes, err := real.Watch(ctx, prefix, after, 0)
 		if len(changes.Events) > 0 && rapid.Bool().Draw(w.t, "gap") {
@@ -125,17 +125,17 @@
 	store.Put = func(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 		w.intrude("before put", nil)
 		if away() {
-			return 0, platform.ErrUnavailable.New("cut")
+			return 0, objectstore.ErrUnavailable.New("cut")
 		}
 		if w.delayWrites > 0 {
 			w.delayWrites--
 			w.delayed = append(w.delayed, func() { _, _ = real.Put(ctx, key, value, ifVersion) })
-			return 0, platform.ErrUnavailable.New("timed out")
+			return 0, objectstore.ErrUnavailable.New("timed out")
 		}
 		version, err := real.Put(ctx, key, value, ifVersion)
 		if w.loseAnswers > 0 {
 			w.loseAnswers--
-			return 0, platform.ErrUnavailable.New("answer lost")
+			return 0, objectstore.ErrUnavailable.New("answer lost")
 		}
 		return version, err
 	}
@@ -145,17 +145,17 @@
 
 // agedGet lets an instance's question for a note be answered from an older copy,
 // and others act in between.
-func (w *world) agedGet(get func(context.Context, string) (platform.Object, error), caller *instance) func(context.Context, string) (platform.Object, error) {
-	return func(ctx context.Context, key string) (platform.Object, error) {
+func (w *world) agedGet(get func(context.Context, string) (objectstore.Object, error), caller *instance) func(context.Context, string) (objectstore.Object, error) {
+	return func(ctx context.Context, key string) (objectstore.Object, error) {
 		if caller == nil || !strings.HasPrefix(key, publication.NotePrefix) {
 			return get(ctx, key)
 		}
 		caller.fresh = !w.staleAllowed || rapid.Bool().Draw(w.t, "fresh")
 		if !caller.fresh {
-			return platform.Object{}, platform.ErrNotFound.New("an older copy")
+			return objectstore.Object{}, objectstore.ErrNotFound.New("an older copy")
 		}
 		o, err := get(ctx, key)
-		caller.fresh = err == nil || platform.ErrNotFound.Has(err)
+		caller.fresh = err == nil || objectstore.ErrNotFound.Has(err)
 		w.intrude("after get", caller)
 		return o, err
 	}
@@ -232,7 +232,7 @@
 	for {
 		number := uint64(len(w.notes) + 1)
 		o, err := w.memory.Store().Get(context.Background(), publication.NoteKey(number))
-		if platform.ErrNotFound.Has(err) {
+		if objectstore.ErrNotFound.Has(err) {
 			return
 		}
 		stored, err := publication.Decode(o.Key, o.Value)
@@ -292,7 +292,7 @@
 				return overWire(p.Pull(after, w.tick()))
 			}
 		}
-		return publication.Pulled{}, platform.ErrUnavailable.New("cut")
+		return publication.Pulled{}, objectstore.ErrUnavailable.New("cut")
 	}
 	w.instances = append(w.instances, n)
 
--- a/internal/standin/demo/demo.go
+++ b/internal/standin/demo/demo.go
@@ -15,7 +15,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/instance"
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/publication"
 	"heatherrelay/internal/standin"
 )
@@ -50,8 +50,8 @@
 	platform  standin.Platform
 	address   netip.AddrPort
 	running   []*standin.Running
-	targets   []platform.TargetEntry
-	instances []platform.InstanceEntry
+	targets   []objectstore.TargetEntry
+	instances []objectstore.InstanceEntry
 	callers   []netip.AddrPort
 	sample    sample
 }
@@ -101,8 +101,8 @@
 		return err
 	}
 	for _, zone := range zones {
-		d.targets = append(d.targets, platform.TargetEntry{
-			ID: zone + "-" + serviceName, Zone: zone, Kind: platform.TargetService, Address: address, Service: serviceName,
+		d.targets = append(d.targets, objectstore.TargetEntry{
+			ID: zone + "-" + serviceName, Zone: zone, Kind: objectstore.TargetService, Address: address, Service: serviceName,
 		})
 		for n := range enginesPerZone {
 			if err := d.startEngine(zone, n); err != nil {
@@ -131,8 +131,8 @@
 	if err != nil {
 		return err
 	}
-	d.targets = append(d.targets, platform.TargetEntry{
-		ID: e.ID, Zone: zone, Kind: platform.TargetEngine, Address: address, BaseModel: baseModel,
+	d.targets = append(d.targets, objectstore.TargetEntry{
+		ID: e.ID, Zone: zone, Kind: objectstore.TargetEngine, Address: address, BaseModel: baseModel,
 	})
 	return nil
 }
@@ -172,7 +172,7 @@
 	select {
 	case a := <-listening:
 		d.callers = append(d.callers, a.Callers)
-		d.instances = append(d.instances, platform.InstanceEntry{ID: id, Zone: zone, State: platform.InstanceLive, Peer: a.Peers})
+		d.instances = append(d.instances, objectstore.InstanceEntry{ID: id, Zone: zone, State: objectstore.InstanceLive, Peer: a.Peers})
 		return nil
 	case err := <-failed:
 		return ErrDemo.New("%s: %v", id, err)
@@ -183,7 +183,7 @@
 func (d *Demo) show(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	store := (&platform.Client{Address: d.address}).Store()
+	store := (&objectstore.Client{Address: d.address}).Store()
 	if err := d.sample.read(); err != nil {
 		return err
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 // The limits of a platform that sets none, in calls per second.
@@ -23,7 +23,7 @@
 type Platform struct {
 	Endpoint
 	// Memory is the store behind the API.
-	Memory platform.Memory
+	Memory objectstore.Memory
 	// ListLag is how long a change of a list takes to be seen.
 	ListLag time.Duration
 	// Weights is the weight store of all engines.
@@ -95,12 +95,12 @@
 }
 
 // SetInstances replaces the list of instances; it is seen after ListLag.
-func (p *Platform) SetInstances(entries []platform.InstanceEntry) {
+func (p *Platform) SetInstances(entries []objectstore.InstanceEntry) {
 	p.later(func() { p.Memory.SetInstances(entries) })
 }
 
 // SetTargets replaces the list of targets; it is seen after ListLag.
-func (p *Platform) SetTargets(entries []platform.TargetEntry) {
+func (p *Platform) SetTargets(entries []objectstore.TargetEntry) {
 	p.later(func() { p.Memory.SetTargets(entries) })
 }
 
@@ -154,11 +154,11 @@
 	pause(r.Context(), time.Duration(faults.DelayMS)*time.Millisecond)
 	switch {
 	case faults.Outage:
-		writeError(w, http.StatusServiceUnavailable, "outage", platform.ErrUnavailable.New("outage"))
+		writeError(w, http.StatusServiceUnavailable, "outage", objectstore.ErrUnavailable.New("outage"))
 		return false
 	case !allowed:
 		w.Header().Set("Retry-After", "1")
-		writeError(w, http.StatusTooManyRequests, "throttled", platform.ErrThrottled.New("over the limit"))
+		writeError(w, http.StatusTooManyRequests, "throttled", objectstore.ErrThrottled.New("over the limit"))
 		return false
 	}
 	return true
--- a/internal/standin/platform_calls.go
+++ b/internal/standin/platform_calls.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 // watchCountInterval is how often a waiting watch counts as a read.
@@ -44,7 +44,7 @@
 		writeStoreError(w, err)
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, objectstore.MaxValueBytes+1))
 	if err != nil {
 		writeStoreError(w, errBadRequest.Wrap(err))
 		return
@@ -92,7 +92,7 @@
 }
 
 // waitForChanges waits in intervals, each of which counts as a read.
-func (p *Platform) waitForChanges(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Changes, error) {
+func (p *Platform) waitForChanges(ctx context.Context, prefix string, after uint64, wait time.Duration) (objectstore.Changes, error) {
 	p.count(func(s *PlatformStats) { s.Watches++ })
 	for {
 		interval := min(wait, watchCountInterval)
@@ -106,7 +106,7 @@
 		p.allow(false)
 		p.mu.Unlock()
 		if out {
-			return platform.Changes{}, platform.ErrUnavailable.New("outage")
+			return objectstore.Changes{}, objectstore.ErrUnavailable.New("outage")
 		}
 	}
 }
@@ -123,7 +123,7 @@
 		writeStoreError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, append([]platform.InstanceEntry{}, entries...))
+	writeJSON(w, http.StatusOK, append([]objectstore.InstanceEntry{}, entries...))
 }
 
 func (p *Platform) targets(w http.ResponseWriter, r *http.Request) {
@@ -132,11 +132,11 @@
 		writeStoreError(w, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, append([]platform.TargetEntry{}, entries...))
+	writeJSON(w, http.StatusOK, append([]objectstore.TargetEntry{}, entries...))
 }
 
 func (p *Platform) setInstances(w http.ResponseWriter, r *http.Request) {
-	var entries []platform.InstanceEntry
+	var entries []objectstore.InstanceEntry
 	if readJSON(w, r, &entries) {
 		p.SetInstances(entries)
 		writeJSON(w, http.StatusOK, entries)
@@ -144,7 +144,7 @@
 }
 
 func (p *Platform) setTargets(w http.ResponseWriter, r *http.Request) {
-	var entries []platform.TargetEntry
+	var entries []objectstore.TargetEntry
 	if readJSON(w, r, &entries) {
 		p.SetTargets(entries)
 		writeJSON(w, http.StatusOK, entries)
@@ -162,15 +162,15 @@
 func writeStoreError(w http.ResponseWriter, err error) {
 	status, code := http.StatusInternalServerError, "internal"
 	switch {
-	case platform.ErrNotFound.Has(err):
+	case objectstore.ErrNotFound.Has(err):
 		status, code = http.StatusNotFound, "not_found"
-	case platform.ErrConflict.Has(err):
+	case objectstore.ErrConflict.Has(err):
 		status, code = http.StatusConflict, "conflict"
-	case platform.ErrTooLarge.Has(err):
+	case objectstore.ErrTooLarge.Has(err):
 		status, code = http.StatusRequestEntityTooLarge, "too_large"
-	case platform.ErrCompacted.Has(err):
+	case objectstore.ErrCompacted.Has(err):
 		status, code = http.StatusGone, "compacted"
-	case platform.ErrUnavailable.Has(err), errors.Is(err, context.Canceled):
+	case objectstore.ErrUnavailable.Has(err), errors.Is(err, context.Canceled):
 		status, code = http.StatusServiceUnavailable, "unavailable"
 	case errBadRequest.Has(err):
 		status, code = http.StatusBadRequest, "invalid_request"
--- a/internal/team/allowances.go
+++ b/internal/team/allowances.go
@@ -11,7 +11,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/pkg/release"
 )
@@ -36,7 +36,7 @@
 type Allowances struct {
 	Zone       string
 	InstanceID string
-	Store      platform.Store
+	Store      objectstore.Store
 	// State returns the release in force; nil until there is one.
 	State func() *release.State
 	// Peers returns the instances that can be asked, without this one.
--- a/internal/team/allowances_test.go
+++ b/internal/team/allowances_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/sourcegraph/conc"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/team"
 	"heatherrelay/pkg/release"
@@ -21,7 +21,7 @@
 
 // fleet runs Allowances of several instances against one store in memory.
 type fleet struct {
-	store platform.Memory
+	store objectstore.Memory
 	state *release.State
 
 	mu        sync.Mutex
--- a/internal/team/guards_test.go
+++ b/internal/team/guards_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/team"
 )
 
@@ -60,7 +60,7 @@
 
 // guardKeeper returns a keeper whose claim holds 10 tokens for each part that it
 // gives up, and the time that it sees.
-func guardKeeper(store platform.Store) (*team.Keeper, *time.Time) {
+func guardKeeper(store objectstore.Store) (*team.Keeper, *time.Time) {
 	now := guardStart
 	spent := 1.0
 	smaller := func(claim team.Claim) team.Handed {
@@ -79,7 +79,7 @@
 	}, &now
 }
 
-func put(t *testing.T, store platform.Store, key string, l team.Ledger) uint64 {
+func put(t *testing.T, store objectstore.Store, key string, l team.Ledger) uint64 {
 	t.Helper()
 	value, err := l.Marshal()
 	if err != nil {
@@ -92,7 +92,7 @@
 	return version
 }
 
-func ledger(t *testing.T, store platform.Store, key string) team.Ledger {
+func ledger(t *testing.T, store objectstore.Store, key string) team.Ledger {
 	t.Helper()
 	object, err := store.Get(context.Background(), key)
 	if err != nil {
@@ -107,7 +107,7 @@
 
 func TestAZoneThatGaveUpPartsIsNotRaisedOnTheOldRoot(t *testing.T) {
 	const half = team.TotalParts / 2
-	store := new(platform.Memory).Store()
+	store := new(objectstore.Memory).Store()
 	root := team.Ledger{Members: []team.Member{{ID: "z", Teams: team.TotalParts, CedeTeams: half}, {ID: "other"}}}
 	version := put(t, store, "allowance/.root", root)
 	put(t, store, "allowance/z", team.Ledger{Members: []team.Member{{ID: "i#e", Teams: half}}, RootVersion: version})
@@ -122,7 +122,7 @@
 }
 
 func TestBalancesAreHandedOnOnceThoughAnAnswerIsLost(t *testing.T) {
-	inner := new(platform.Memory).Store()
+	inner := new(objectstore.Memory).Store()
 	version := put(t, inner, "allowance/.root", team.Ledger{Members: []team.Member{{ID: "z", Teams: team.TotalParts, Loads: team.TotalParts}}})
 	members := []team.Member{{ID: "i#e", Teams: team.TotalParts, Loads: team.TotalParts, CedeTeams: team.TotalParts / 2}, {ID: "j#e"}}
 	put(t, inner, "allowance/z", team.Ledger{Members: members, RootVersion: version})
@@ -131,7 +131,7 @@
 		if _, err := inner.Put(ctx, key, value, ifVersion); err != nil {
 			return 0, err
 		}
-		return 0, platform.ErrUnavailable.New("answer lost")
+		return 0, objectstore.ErrUnavailable.New("answer lost")
 	}
 	k, now := guardKeeper(store)
 	for range 2 {
--- a/internal/team/join_bench_test.go
+++ b/internal/team/join_bench_test.go
@@ -6,14 +6,14 @@
 	"testing"
 	"time"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/team"
 )
 
 // zoneFleet is the state machines of one zone's instances in virtual time, with
 // the platform calls that they make.
 type zoneFleet struct {
-	store         platform.Memory
+	store         objectstore.Memory
 	now           time.Time
 	keepers       []*team.Keeper
 	reads, writes float64
@@ -26,7 +26,7 @@
 	f.left[id] = false
 	inner := f.store.Store()
 	store := inner
-	store.Get = func(ctx context.Context, key string) (platform.Object, error) {
+	store.Get = func(ctx context.Context, key string) (objectstore.Object, error) {
 		f.reads++
 		return inner.Get(ctx, key)
 	}
--- a/internal/team/keeper.go
+++ b/internal/team/keeper.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 )
 
 // The keys of the ledgers. A zone's ledger is at ledgerPrefix and its name.
@@ -24,7 +24,7 @@
 	InstanceID string
 	// Epoch tells this process from earlier ones with the same instance id.
 	Epoch string
-	Store platform.Store
+	Store objectstore.Store
 	// Now returns the present time.
 	Now func() time.Time
 	// Spend sets the claim, read from the platform at readAt, and returns the
@@ -84,7 +84,7 @@
 
 func (k *Keeper) read(ctx context.Context, key string) (stored, error) {
 	object, err := k.Store.Get(ctx, key)
-	if platform.ErrNotFound.Has(err) {
+	if objectstore.ErrNotFound.Has(err) {
 		return stored{key: key}, nil
 	}
 	if err != nil {
@@ -273,7 +273,7 @@
 // failed they are not written again.
 func (k *Keeper) writeHanded(ctx context.Context, zone *stored) error {
 	err := k.write(ctx, zone)
-	if !platform.ErrConflict.Has(err) {
+	if !objectstore.ErrConflict.Has(err) {
 		k.handed = Handed{}
 	}
 	return err
--- a/internal/team/model_test.go
+++ b/internal/team/model_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/team"
 )
 
@@ -46,7 +46,7 @@
 type model struct {
 	t        *rapid.T
 	now      time.Time
-	store    platform.Memory
+	store    objectstore.Memory
 	nodes    []*node
 	messages []message
 	spent    []spent
@@ -166,13 +166,13 @@
 }
 
 // storeOf returns the store as an instance reaches it, with its failures.
-func (m *model) storeOf(n *node) platform.Store {
+func (m *model) storeOf(n *node) objectstore.Store {
 	inner := m.store.Store()
 	store := inner
-	store.Get = func(ctx context.Context, key string) (platform.Object, error) {
+	store.Get = func(ctx context.Context, key string) (objectstore.Object, error) {
 		m.meanwhile(n)
 		if m.unreachable(n) {
-			return platform.Object{}, platform.ErrUnavailable.New("cut")
+			return objectstore.Object{}, objectstore.ErrUnavailable.New("cut")
 		}
 		defer m.meanwhile(n)
 		return inner.Get(ctx, key)
@@ -180,13 +180,13 @@
 	store.Put = func(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 		m.meanwhile(n)
 		if m.unreachable(n) {
-			return 0, platform.ErrUnavailable.New("cut")
+			return 0, objectstore.ErrUnavailable.New("cut")
 		}
 		version, err := inner.Put(ctx, key, value, ifVersion)
 		lost := m.loseAnswers && rapid.Bool().Draw(m.t, "answer lost")
 		m.meanwhile(n)
 		if lost {
-			return 0, platform.ErrUnavailable.New("answer lost")
+			return 0, objectstore.ErrUnavailable.New("answer lost")
 		}
 		return version, err
 	}
--- a/internal/team/run.go
+++ b/internal/team/run.go
@@ -7,7 +7,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
-	"heatherrelay/internal/platform"
+	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/wait"
 )
 
@@ -211,7 +211,7 @@
 
 // concerns reports whether a changed ledger leaves this instance a step to
 // take. Deleted and unreadable ledgers do.
-func (a *Allowances) concerns(e platform.Event) bool {
+func (a *Allowances) concerns(e objectstore.Event) bool {
 	id := a.Zone
 	switch e.Key {
 	case rootKey:
