--- a/cmd/heatherrelay/gateway.go
+++ b/cmd/heatherrelay/gateway.go
@@ -10,12 +10,8 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 
-	"heatherrelay/internal/catalog"
 	"heatherrelay/internal/eventlog"
-	"heatherrelay/internal/gateway"
-	"heatherrelay/internal/placement"
 	"heatherrelay/internal/relay"
-	"heatherrelay/internal/upstream"
 	"heatherrelay/platform"
 )
 
@@ -56,31 +52,8 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	go followReloads(ctx, hangups, path, log)
-	store := &platform.Client{Address: s.Store}
-	engines := &platform.Engines{}
-	r := &relay.Relay{
-		Settings: s,
-		Store:    store.Store(),
-		Kinds: catalog.Kinds{
-			Configuration:     platform.KindConfig,
-			Targets:           platform.KindTargets,
-			Versions:          platform.KindVersions,
-			ConfigurationName: platform.ConfigName,
-		},
-		Platform: relay.Platform{
-			Catalog: relay.Decoders{
-				HashKeys:            platform.HashKeys,
-				DecodeConfiguration: platform.DecodeConfiguration,
-				DecodeTarget:        platform.DecodeTarget,
-				DecodeVersion:       platform.DecodeVersion,
-			},
-			Client:  &upstream.Client{Encode: platform.EncodeRequest, Decode: platform.DecodeAnswer},
-			Gateway: &gateway.Server{DecodeRequest: platform.DecodeRequest, EncodeRefusal: platform.EncodeRefusal},
-			Holder:  &placement.Holder{Order: engines.Order, Report: engines.Report},
-		},
-		Log:      log,
-		Registry: prometheus.NewRegistry(),
-	}
+	r := &relay.Relay{Settings: s, Log: log, Registry: prometheus.NewRegistry()}
+	platform.Connect(r)
 	return r.Run(ctx)
 }
 
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -99,6 +99,8 @@
 
 func (n *Network) init() {
 	n.once.Do(func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
 		dialer := &connection.Dialer{ConnectTimeout: connectTimeout, AckTimeout: exchangeTimeout}
 		n.http = &http.Client{Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -120,18 +120,22 @@
 	m.admitted[team.Name] -= cost
 }
 
-// bucket returns a team's bucket with the rate and burst in force. A new one
-// starts empty: what ran before this instance knew the team is not known here.
+// startPart is the part of a bucket's depth that a new instance starts with: what
+// ran before is not known here, and all instances may have started at once.
+const startPart = 0.125
+
+// bucket returns a team's bucket with the rate and burst in force.
 func (m *Meter) bucket(team *deployment.Team) *bucket {
 	if m.buckets == nil {
 		m.buckets, m.admitted = map[string]*bucket{}, map[string]float64{}
 	}
 	b, ok := m.buckets[team.Name]
+	rate, depth := m.spread(team)
 	if !ok {
-		b = &bucket{filled: m.Now()}
+		b = &bucket{filled: m.Now(), level: depth * startPart}
 		m.buckets[team.Name] = b
 	}
-	b.rate, b.burst = m.spread(team)
+	b.rate, b.burst = rate, depth
 	b.level = min(b.level, b.burst)
 	return b
 }
--- /dev/null
+++ b/internal/relay/world_test.go
@@ -0,0 +1,218 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/relay"
+	"heatherrelay/internal/settings"
+	"heatherrelay/platform"
+	"heatherrelay/platform/platformtest"
+)
+
+const (
+	testKey    = "key-of-roads"
+	testZone   = "north"
+	waitLimit  = 10 * time.Second
+	pollEvery  = 5 * time.Millisecond
+	eventCount = 5
+)
+
+// world is a platform of stand-ins with instances in front of it.
+type world struct {
+	t         *testing.T
+	store     *platformtest.Store
+	config    platformtest.Config
+	engine    *platformtest.Target
+	other     *platformtest.Target
+	plain     *platformtest.Target
+	instances []*instance
+	client    *http.Client
+}
+
+type instance struct {
+	settings relay.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// newWorld starts a platform with two engines and a plain target, and instances
+// that are ready.
+func newWorld(t *testing.T, instances int) *world {
+	t.Helper()
+	w := &world{t: t, store: platformtest.NewStore(), client: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(w.store.Close)
+	w.config = platformtest.Config{
+		Version: 1, Routes: platformtest.StandardRoutes(), Keys: map[string]string{testKey: "roads"}, Rate: 1_000_000, Burst: 1_000_000,
+	}
+	w.config.Publish(w.store)
+	w.engine = w.target(platformtest.ModelService, "engine-1")
+	w.other = w.target(platformtest.ModelService, "engine-2")
+	w.plain = w.target(platformtest.PlainService, "plain-1")
+	for range instances {
+		w.start()
+	}
+	return w
+}
+
+func (w *world) target(service, id string) *platformtest.Target {
+	target := &platformtest.Target{ID: id, Service: service, Zone: testZone}
+	if service == platformtest.ModelService {
+		target.Model, target.Places, target.LoadTime = platformtest.Model, platformtest.AdapterPlaces, 50*time.Millisecond
+		target.Events, target.EventGap = eventCount, 2*time.Millisecond
+	}
+	target.Start()
+	w.t.Cleanup(target.Close)
+	target.Register(w.store, "ready")
+	return target
+}
+
+func (w *world) start() *instance {
+	w.t.Helper()
+	i := &instance{done: make(chan error, 1)}
+	i.settings = relay.Settings{
+		InstanceID: fmt.Sprint("instance-", len(w.instances)+1),
+		Zone:       testZone,
+		Listen: relay.Listen{
+			Clients: freeAddress(w.t), Ready: freeAddress(w.t), Peers: freeAddress(w.t),
+		},
+		Store:           w.store.Address(),
+		KeyLimit:        settings.Duration{Duration: 3 * time.Second},
+		OrderQuietTime:  settings.Duration{Duration: 100 * time.Millisecond},
+		ShutdownGrace:   settings.Duration{Duration: 5 * time.Second},
+		AllowanceWindow: settings.Duration{Duration: 8 * time.Second},
+		Retry:           relay.Retry{Ratio: 0.2, Extra: 50},
+	}
+	r := &relay.Relay{Settings: i.settings, Log: zap.NewNop(), Registry: prometheus.NewRegistry()}
+	platform.Connect(r)
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	go func() { i.done <- r.Run(ctx) }()
+	w.instances = append(w.instances, i)
+	w.t.Cleanup(func() { i.end(w.t) })
+	w.await("instance ready", func() bool { return w.ready(i) })
+	return i
+}
+
+func (i *instance) end(t *testing.T) {
+	t.Helper()
+	i.stop()
+	select {
+	case err := <-i.done:
+		if err != nil {
+			t.Error(err)
+		}
+		i.done <- nil
+	case <-time.After(waitLimit):
+		t.Error("the instance did not stop")
+	}
+}
+
+func (w *world) ready(i *instance) bool {
+	response, err := w.client.Get("http://" + i.settings.Listen.Ready.String() + "/ready")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode == http.StatusOK
+}
+
+func (w *world) await(what string, reached func() bool) {
+	w.t.Helper()
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); {
+		if reached() {
+			return
+		}
+		time.Sleep(pollEvery)
+	}
+	w.t.Fatalf("%s: not reached", what)
+}
+
+// reply is what a client got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// ask sends a request through the first instance.
+func (w *world) ask(method, path string, change func(http.Header)) reply {
+	w.t.Helper()
+	return w.askThrough(w.instances[0], method, path, change)
+}
+
+func (w *world) askThrough(i *instance, method, path string, change func(http.Header)) reply {
+	w.t.Helper()
+	response, err := w.open(context.Background(), i, method, path, change)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+func (w *world) open(ctx context.Context, i *instance, method, path string, change func(http.Header)) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.settings.Listen.Clients.String()+path, nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	request.Host = platformtest.Host
+	request.Header.Set("Request-Id", fmt.Sprintf("request-%d", time.Now().UnixNano()))
+	request.Header.Set("Key", testKey)
+	request.Header.Set("Deadline-Ms", "3000")
+	if change != nil {
+		change(request.Header)
+	}
+	return w.client.Do(request)
+}
+
+func withAdapter(name string) func(http.Header) {
+	return func(h http.Header) {
+		h.Set("Model", platformtest.Model+"/"+name)
+		h.Set("Token-Count", "100,50")
+		h.Set("Prompt-Prefix", "ab12:80,cd34:20")
+	}
+}
+
+// wholeStream is the body of a stream from the first event to the last.
+func wholeStream(first, last int) string {
+	text := ""
+	for i := first; i <= last; i++ {
+		text += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return text
+}
+
+func firstLine(r io.Reader) (string, error) { return bufio.NewReader(r).ReadString('\n') }
+
+func runs(target *platformtest.Target) int {
+	n := 0
+	for _, a := range target.Arrivals() {
+		if a.Ran {
+			n++
+		}
+	}
+	return n
+}
