--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -57,9 +57,9 @@
 	// Leaving returns how long the instance has been shutting down; false when it
 	// is not. Connections are closed after their answer then.
 	Leaving func() (time.Duration, bool)
-	Metrics  *Metrics
-	Now      func() time.Time
-	Log      *zap.Logger
+	Metrics *Metrics
+	Now     func() time.Time
+	Log     *zap.Logger
 
 	http *fasthttp.Server
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,7 +58,7 @@
 
 	// leftAt is when the instance began to shut down; nil before.
 	leftAt atomic.Pointer[time.Time]
-	ready   atomic.Bool
+	ready  atomic.Bool
 
 	catalog   *catalog.Catalog
 	network   *peer.Network
