Relays between instances in large fleets; the pace of loads follows the weight store

Up to 16 instances exchange with all others as before; beyond, two instances of a zone, the largest, relay sums, engines and copies of the store.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -59,6 +59,9 @@
 	// Confirms says that this instance confirms the configuration for others; nil
 	// means that it does.
 	Confirms func() bool
+	// Relayed says that this instance takes the word of others for what the store
+	// holds, as long as it is new; nil means that it does not.
+	Relayed func() bool
 	// TargetsChanged is called with the targets after each change; may be nil.
 	TargetsChanged func(map[deployment.TargetID]deployment.Target)
 	Now            func() time.Time
@@ -93,7 +96,10 @@
 }
 
 func (c *Catalog) follower(kind object.Kind, wait, pause time.Duration, changed func([]object.Object)) Follower {
-	return Follower{Store: c.Store, Kind: kind, Wait: wait, Pause: pause, Changed: changed, Now: c.Now, Log: c.Log}
+	return Follower{
+		Store: c.Store, Kind: kind, Wait: wait, Pause: pause, Changed: changed, Now: c.Now, Log: c.Log,
+		Idle: func(age time.Duration) bool { return c.Relayed != nil && c.Relayed() && age < overdue },
+	}
 }
 
 // configurationWait is how long a watch of the configuration may be held back.
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -15,6 +15,8 @@
 	// firstRetry and lastRetry bound the pause after a call that failed.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 400 * time.Millisecond
+	// idlePause is the time between looks at whether others keep the copy new.
+	idlePause = 150 * time.Millisecond
 	// probeWait is the wait of a watch while the store does not answer.
 	probeWait = 50 * time.Millisecond
 )
@@ -29,6 +31,9 @@
 	Wait time.Duration
 	// WaitNow returns the wait of the next watch, if it changes; may be nil.
 	WaitNow func() time.Duration
+	// Idle says that others keep the copy near the store, as its age shows, and
+	// that this instance need not; may be nil.
+	Idle func(age time.Duration) bool
 	// Pause is the time between a change and the next watch, so that changes
 	// come in batches.
 	Pause time.Duration
@@ -53,6 +58,10 @@
 	retry := firstRetry
 	listed := false
 	for ctx.Err() == nil {
+		if f.idle() {
+			sleep(ctx, idlePause)
+			continue
+		}
 		changed, err := f.step(ctx, &listed)
 		f.noteCall(err)
 		pause := f.Pause
@@ -68,6 +77,12 @@
 	}
 }
 
+// idle says that others keep the copy near the store.
+func (f *Follower) idle() bool {
+	state := f.State()
+	return f.Idle != nil && !state.ConfirmedAt.IsZero() && f.Idle(f.Now().Sub(state.ConfirmedAt))
+}
+
 // step lists once, then watches. A watch whose history is gone lists again.
 func (f *Follower) step(ctx context.Context, listed *bool) (bool, error) {
 	sentAt := f.Now()
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -73,6 +73,8 @@
 	target     deployment.Target
 	// expected is the time to the start that the target was chosen by.
 	expected time.Duration
+	// awaited says that the request waited for its adapter before this send.
+	awaited bool
 	// lastEvent is the id of the last event that the client has.
 	lastEvent string
 	response  *upstream.Response
@@ -252,6 +254,7 @@
 	}
 	send.AdapterVersion = max(want.Version, resident.Version)
 	wait := resident.ReadyAt.Sub(e.server.Now())
+	e.awaited = wait > 0
 	if wait <= 0 {
 		return true
 	}
@@ -266,19 +269,26 @@
 	return true
 }
 
-// zoneOrders says whether and how soon adapters can be loaded in a zone.
+// zoneOrders says whether and how soon adapters can be loaded in a zone, and how
+// many engines it has.
 type zoneOrders struct {
 	waiting int
 	ok      bool
+	engines int
 }
 
 func (e *exchange) zoneOrders(service *deployment.Service) map[string]zoneOrders {
 	zones := map[string]zoneOrders{}
 	for _, t := range e.server.Catalog.Targets() {
-		if _, known := zones[t.Zone]; !known && t.Service == service.Name {
-			waiting, ok := e.server.Network.Orders(t.Zone)
-			zones[t.Zone] = zoneOrders{waiting: waiting, ok: ok}
+		if t.Service != service.Name {
+			continue
+		}
+		z, known := zones[t.Zone]
+		if !known {
+			z.waiting, z.ok = e.server.Network.Orders(t.Zone)
 		}
+		z.engines++
+		zones[t.Zone] = z
 	}
 	return zones
 }
@@ -301,7 +311,7 @@
 			Memory:     service.Engine.MemoryTokens,
 			HasModel:   s.Directory.HoldsModel(&t, e.request.Adapter.Model),
 			Orderable:  zones[t.Zone].ok,
-			ColdWait:   placement.ColdWait(zones[t.Zone].waiting, len(zones)),
+			ColdWait:   placement.ColdWait(zones[t.Zone].waiting, zones[t.Zone].engines),
 			Warm:       s.Directory.Warm(&t, e.request.Adapter),
 		}
 		if r, ok := s.Directory.Resident(&t, e.request.Adapter); ok {
@@ -367,6 +377,10 @@
 	s.Network.Holder.Used(e.target.ID, e.request.Adapter, 1)
 	response, err := s.Upstream.Do(e.ctx, e.target.Address, e.request, send)
 	end := e.judge(response, err)
+	if e.awaited {
+		s.Network.NoteWait(e.target.Zone, end == tooEarly)
+		e.awaited = false
+	}
 	s.Metrics.sent(endNames[end])
 	if end != answered {
 		e.ticket.end()
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -20,15 +20,10 @@
 	sequence := n.sequence
 	n.mu.Unlock()
 	s := &v1.InstanceState{
-		Member:       memberMessage(n.Self),
-		Incarnation:  n.Incarnation,
-		Sequence:     sequence,
-		Leaving:      n.Leaving(),
-		HoldsOrders:  n.Holder.Holds(),
-		WaitingLoads: int64(n.Holder.WaitingLoads()),
-	}
-	for team, admitted := range n.Meter.Admitted() {
-		s.Teams = append(s.Teams, &v1.TeamUse{Team: team, Admitted: admitted})
+		Member:      n.selfMessage(),
+		Incarnation: n.Incarnation,
+		Sequence:    sequence,
+		Teams:       teamMessages(n.Meter.Admitted()),
 	}
 	for id, u := range n.Tracker.All() {
 		s.Targets = append(s.Targets, useMessage(id, u))
@@ -36,26 +31,65 @@
 	now := n.Now()
 	for _, e := range n.Holder.States() {
 		n.Directory.Update(e)
-		s.Engines = append(s.Engines, engineMessage(e, now))
+		m := engineMessage(e, now)
+		n.engines.take(m)
+		s.Engines = append(s.Engines, m)
 	}
 	return s
 }
 
+// request returns what this instance sends to another one.
+func (n *Network) request(id string) *v1.ExchangeRequest {
+	request := &v1.ExchangeRequest{Sender: n.state(), Beliefs: n.beliefStates(), WantsAdapters: n.Holder.Holds()}
+	n.mu.RLock()
+	if r, ok := n.remotes[id]; ok {
+		request.EnginesSource, request.EnginesAfter = r.incarnation, r.engines
+	}
+	relays := n.role == relaying
+	request.WantsAdapters = request.WantsAdapters || relays
+	meshed := n.role == meshed
+	n.mu.RUnlock()
+	if relays || meshed {
+		request.Members = n.memberMessages()
+	}
+	return request
+}
+
+func teamMessages(teams map[string]float64) []*v1.TeamUse {
+	messages := make([]*v1.TeamUse, 0, len(teams))
+	for team, admitted := range teams {
+		messages = append(messages, &v1.TeamUse{Team: team, Admitted: admitted})
+	}
+	return messages
+}
+
+// memberMessages returns the instances that this one heard of lately.
 func (n *Network) memberMessages() []*v1.Member {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	now := n.Now()
 	var members []*v1.Member
 	for _, r := range n.remotes {
-		if now.Sub(r.heardAt) <= heardTime && !r.leaving {
-			members = append(members, memberMessage(r.Member))
+		if !r.heard(now) {
+			continue
 		}
+		m := memberMessage(r.Member)
+		// Rounded up: an age must never be understated.
+		m.AgeMs = now.Sub(r.heardAt).Milliseconds() + 1
+		m.Leaving, m.HoldsOrders, m.WaitingLoads = r.leaving, r.holds, int64(r.waiting)
+		members = append(members, m)
 	}
 	return members
 }
 
+func (n *Network) selfMessage() *v1.Member {
+	m := memberMessage(n.Self)
+	m.Leaving, m.HoldsOrders, m.WaitingLoads = n.Leaving(), n.Holder.Holds(), int64(n.Holder.WaitingLoads())
+	return m
+}
+
 func memberMessage(m Member) *v1.Member {
-	return &v1.Member{InstanceId: m.ID, Zone: m.Zone, Address: m.Address.String()}
+	return &v1.Member{InstanceId: m.ID, Zone: m.Zone, Address: m.Address.String(), Capacity: m.Capacity}
 }
 
 // memberFrom reads a member; one whose address cannot be read has none.
@@ -64,7 +98,7 @@
 	if err != nil {
 		address = netip.AddrPort{}
 	}
-	return Member{ID: m.GetInstanceId(), Zone: m.GetZone(), Address: address}
+	return Member{ID: m.GetInstanceId(), Zone: m.GetZone(), Address: address, Capacity: m.GetCapacity()}
 }
 
 func useMessage(id deployment.TargetID, u load.TargetUse) *v1.TargetUse {
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -1,6 +1,10 @@
 // Package peer connects the instances of a deployment: each tells the others
 // what it has under way, what it admitted, which engines it orders and how new
 // its copy of the store is, and takes what the others know better.
+//
+// In a small fleet every instance exchanges with every other one. In a larger
+// one, a few instances of each zone relay: the zone's instances exchange with
+// them, and they exchange sums with the relays of the other zones.
 package peer
 
 import (
@@ -41,9 +45,7 @@
 	// leaveTime is the same for one that said that it leaves.
 	leaveTime = 3 * time.Second
 	// useTime is how long what a silent instance had under way still counts.
-	useTime = 3 * time.Second
-	// loadCallTimeout bounds the wish for an adapter.
-	loadCallTimeout = 2 * time.Second
+	useTime         = 3 * time.Second
 	connectTimeout  = 400 * time.Millisecond
 	idleConnTimeout = 30 * time.Second
 )
@@ -53,6 +55,8 @@
 	ID      string
 	Zone    string
 	Address netip.AddrPort
+	// Capacity says how much the instance can carry beside its own work.
+	Capacity float64
 }
 
 // remote is what this instance knows of another.
@@ -63,10 +67,16 @@
 	leaving     bool
 	holds       bool
 	waiting     int
-	heardAt     time.Time
-	uses        map[deployment.TargetID]load.TargetUse
-	calling     bool
-	client      heatherrelayv1connect.FleetServiceClient
+	// heardAt is when this instance, or one that told of it, last heard of it.
+	heardAt time.Time
+	// uses and admitted are what it told this instance itself, at toldAt.
+	uses     map[deployment.TargetID]load.TargetUse
+	admitted map[string]float64
+	toldAt   time.Time
+	calling  bool
+	client   heatherrelayv1connect.FleetServiceClient
+	// engines is the last change of engines that it relayed.
+	engines uint64
 }
 
 // Network is this instance's part in the exchange. Set the exported fields
@@ -93,8 +103,13 @@
 	sequence uint64
 	remotes  map[string]*remote
 	seeds    map[netip.AddrPort]heatherrelayv1connect.FleetServiceClient
+	role     role
+	// zones are the sums of zones that others relay.
+	zones map[string]*zoneSum
 	// uses are the sums of the others' uses.
-	uses map[deployment.TargetID]load.TargetUse
+	uses    map[deployment.TargetID]load.TargetUse
+	engines engineLog
+	waits   map[string]waits
 }
 
 func (n *Network) init() {
@@ -110,6 +125,7 @@
 		}}
 		n.news = make(chan struct{}, 1)
 		n.remotes = map[string]*remote{}
+		n.zones = map[string]*zoneSum{}
 		n.seeds = map[netip.AddrPort]heatherrelayv1connect.FleetServiceClient{}
 		for _, s := range n.Seeds {
 			if s != n.Self.Address {
@@ -161,11 +177,12 @@
 			time.Sleep(newsInterval)
 		}
 		n.forget()
+		n.settleRole()
 		n.sum()
 	}
 }
 
-// Tell starts an exchange with all others soon. It does not wait.
+// Tell starts an exchange with the others soon. It does not wait.
 func (n *Network) Tell() {
 	n.init()
 	select {
@@ -196,11 +213,13 @@
 	defer n.mu.Unlock()
 	var calls []outgoing
 	known := map[netip.AddrPort]bool{}
-	for id, r := range n.remotes {
+	for _, r := range n.remotes {
 		known[r.Address] = true
+	}
+	for _, r := range n.partners() {
 		if !r.calling {
 			r.calling = true
-			calls = append(calls, outgoing{id: id, client: r.client})
+			calls = append(calls, outgoing{id: r.ID, client: r.client})
 		}
 	}
 	for address, client := range n.seeds {
@@ -214,7 +233,7 @@
 func (n *Network) exchange(ctx context.Context, call outgoing) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	request := &v1.ExchangeRequest{Sender: n.state(), Beliefs: n.beliefStates(), Members: n.memberMessages()}
+	request := n.request(call.id)
 	sentAt := n.Now()
 	response, err := call.client.Exchange(ctx, request)
 	n.mu.Lock()
@@ -227,17 +246,35 @@
 		return
 	}
 	n.hear(response.GetResponder())
-	n.learnMembers(response.GetMembers())
+	n.learnMembers(response.GetMembers(), sentAt)
+	n.takeEngines(response)
+	n.takeZones(response, sentAt)
 	for _, b := range response.GetBeliefs() {
 		n.takeBelief(b, sentAt)
 	}
 }
 
-// learnMembers adds instances that others know.
-func (n *Network) learnMembers(members []*v1.Member) {
-	for _, m := range members {
-		n.Learn(memberFrom(m))
+// learnMembers takes what another instance knows of the others.
+func (n *Network) learnMembers(members []*v1.Member, sentAt time.Time) {
+	for _, message := range members {
+		m := memberFrom(message)
+		n.Learn(m)
+		n.mu.Lock()
+		if r, ok := n.remotes[m.ID]; ok {
+			r.hearsay(message, sentAt)
+		}
+		n.mu.Unlock()
+	}
+}
+
+// hearsay takes what a third instance heard, if that is newer.
+func (r *remote) hearsay(m *v1.Member, sentAt time.Time) {
+	heardAt := sentAt.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
+	if !heardAt.After(r.heardAt) {
+		return
 	}
+	r.heardAt, r.leaving, r.holds, r.waiting = heardAt, m.GetLeaving(), m.GetHoldsOrders(), int(m.GetWaitingLoads())
+	r.Capacity = m.GetCapacity()
 }
 
 // Learn adds an instance that was not known.
@@ -250,7 +287,7 @@
 	defer n.mu.Unlock()
 	if _, ok := n.remotes[m.ID]; !ok {
 		n.remotes[m.ID] = &remote{Member: m, heardAt: n.Now(), client: n.client(m.Address)}
-		n.Log.Info("instance learned of", zap.String("peer", m.ID), zap.String("zone", m.Zone), zap.Stringer("address", m.Address))
+		n.Log.Debug("instance learned of", zap.String("peer", m.ID), zap.String("zone", m.Zone), zap.Stringer("address", m.Address))
 	}
 }
 
@@ -277,6 +314,7 @@
 	if m.ID == "" || m.ID == n.Self.ID || !m.Address.IsValid() {
 		return
 	}
+	admitted := admittedFrom(s.GetTeams())
 	n.mu.Lock()
 	r, ok := n.remotes[m.ID]
 	if !ok || r.Address != m.Address {
@@ -285,22 +323,25 @@
 	}
 	stale := r.incarnation == s.GetIncarnation() && s.GetSequence() <= r.sequence
 	if !stale {
-		if !r.leaving && s.GetLeaving() {
+		if !r.leaving && s.GetMember().GetLeaving() {
 			n.Log.Info("instance leaves", zap.String("peer", m.ID))
 		}
-		r.Member = m
-		r.incarnation, r.sequence = s.GetIncarnation(), s.GetSequence()
-		r.leaving, r.holds, r.heardAt = s.GetLeaving(), s.GetHoldsOrders(), n.Now()
-		r.waiting = int(s.GetWaitingLoads())
-		r.uses = usesFrom(s.GetTargets())
+		r.Member, r.incarnation, r.sequence = m, s.GetIncarnation(), s.GetSequence()
+		r.leaving, r.holds, r.waiting = s.GetMember().GetLeaving(), s.GetMember().GetHoldsOrders(), int(s.GetMember().GetWaitingLoads())
+		r.heardAt, r.toldAt = n.Now(), n.Now()
+		r.uses, r.admitted = usesFrom(s.GetTargets()), admitted
 	}
+	direct := n.countsDirectly(r)
 	n.mu.Unlock()
 	if stale {
 		return
 	}
-	n.noteUses(s.GetTargets())
-	n.Meter.Observe(m.ID, s.GetIncarnation(), admittedFrom(s.GetTeams()))
+	if direct {
+		n.noteUses(s.GetTargets())
+		n.Meter.Observe(m.ID, s.GetIncarnation(), admitted)
+	}
 	for _, e := range s.GetEngines() {
+		n.engines.take(e)
 		n.Directory.Update(engineFrom(e, n.Now()))
 	}
 }
@@ -309,7 +350,7 @@
 // request is seen in a few exchanges.
 const sightingWeight = 0.2
 
-// noteUses tells the holder of orders which adapters another instance uses.
+// noteUses tells the holder of orders which adapters other instances use.
 func (n *Network) noteUses(uses []*v1.TargetUse) {
 	for _, u := range uses {
 		for _, a := range u.GetAdapters() {
@@ -319,151 +360,6 @@
 	}
 }
 
-// sum adds up what the others have under way.
-func (n *Network) sum() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.Now()
-	uses := map[deployment.TargetID]load.TargetUse{}
-	for _, r := range n.remotes {
-		if now.Sub(r.heardAt) > useTime {
-			continue
-		}
-		for id, u := range r.uses {
-			total, ok := uses[id]
-			if !ok {
-				total.Adapters = map[deployment.AdapterName]int{}
-			}
-			total.Add(u.Use)
-			for name, requests := range u.Adapters {
-				total.Adapters[name] += requests
-			}
-			uses[id] = total
-		}
-	}
-	n.uses = uses
-}
-
-// Use returns what all instances have under way at a target.
-func (n *Network) Use(id deployment.TargetID) load.Use {
-	use := n.Tracker.Target(id)
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	use.Add(n.uses[id].Use)
-	return use
-}
-
-// InUse says whether any instance has requests for an adapter at a target.
-func (n *Network) InUse(id deployment.TargetID, name deployment.AdapterName) bool {
-	if n.Tracker.Running(id, name) {
-		return true
-	}
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	now := n.Now()
-	for _, r := range n.remotes {
-		if now.Sub(r.heardAt) <= useTime && r.uses[id].Adapters[name] > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// Members returns the number of instances that may be running.
-func (n *Network) Members() int {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	return len(n.remotes) + 1
-}
-
-// Rank returns how many of the instances that this one hears come before it in
-// the order of their ids.
-func (n *Network) Rank() int {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	now, rank := n.Now(), 0
-	for id, r := range n.remotes {
-		if id < n.Self.ID && !r.leaving && now.Sub(r.heardAt) <= heardTime {
-			rank++
-		}
-	}
-	return rank
-}
-
-// Fraction returns the part of the instances that this one hears, from above 0 to 1.
-func (n *Network) Fraction() float64 {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	now := n.Now()
-	heard := 1
-	for _, r := range n.remotes {
-		if now.Sub(r.heardAt) <= heardTime || r.leaving {
-			heard++
-		}
-	}
-	return float64(heard) / float64(len(n.remotes)+1)
-}
-
-// Orders says whether somebody who orders a zone's engines can be asked, and how
-// many adapters wait for the weight store there.
-func (n *Network) Orders(zone string) (waiting int, ok bool) {
-	if zone == n.Self.Zone && n.Holder.Holds() {
-		return n.Holder.WaitingLoads(), true
-	}
-	r, ok := n.holder(zone)
-	return r.waiting, ok
-}
-
-// holder returns the instance that orders a zone's engines.
-func (n *Network) holder(zone string) (remote, bool) {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	now := n.Now()
-	for _, r := range n.remotes {
-		if r.Zone == zone && r.holds && now.Sub(r.heardAt) <= heardTime {
-			return *r, true
-		}
-	}
-	return remote{}, false
-}
-
-// Load has an adapter loaded on an engine, by whoever orders the engine.
-func (n *Network) Load(ctx context.Context, requestID string, target deployment.Target, name deployment.AdapterName, version uint64) placement.Result {
-	var result placement.Result
-	var readyAt time.Time
-	if target.Zone == n.Self.Zone && n.Holder.Holds() {
-		result, readyAt, version = n.Holder.Load(ctx, target.ID, name, version)
-	} else {
-		result, readyAt, version = n.askHolder(ctx, requestID, target, name, version)
-	}
-	if result == placement.Ready {
-		n.Directory.Note(target, placement.Resident{AdapterName: name, Version: version, ReadyAt: readyAt})
-	}
-	return result
-}
-
-func (n *Network) askHolder(ctx context.Context, requestID string, target deployment.Target, name deployment.AdapterName, version uint64) (placement.Result, time.Time, uint64) {
-	holder, ok := n.holder(target.Zone)
-	if !ok {
-		return placement.NotHolder, time.Time{}, 0
-	}
-	ctx, cancel := context.WithTimeout(ctx, loadCallTimeout)
-	defer cancel()
-	response, err := holder.client.LoadAdapter(ctx, &v1.LoadAdapterRequest{
-		TargetId:  string(target.ID),
-		Model:     name.Model,
-		Adapter:   name.Adapter,
-		Version:   version,
-		RequestId: requestID,
-	})
-	if err != nil {
-		n.Log.Warn("no answer from the holder of the orders", zap.String("request_id", requestID), zap.String("target", string(target.ID)), zap.Error(err))
-		return placement.Failed, time.Time{}, 0
-	}
-	readyAt := n.Now().Add(time.Duration(response.GetReadyInMs()) * time.Millisecond)
-	return resultFrom(response.GetResult()), readyAt, response.GetVersion()
-}
-
 // takeBelief takes a peer's copy of objects of the store. The peer's age counts
 // from before the exchange was sent.
 func (n *Network) takeBelief(b *v1.Belief, sentAt time.Time) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,17 +20,28 @@
 func (s *server) Exchange(_ context.Context, request *v1.ExchangeRequest) (*v1.ExchangeResponse, error) {
 	n := s.network
 	n.hear(request.GetSender())
-	n.learnMembers(request.GetMembers())
-	return &v1.ExchangeResponse{
+	n.learnMembers(request.GetMembers(), n.Now())
+	asker := memberFrom(request.GetSender().GetMember())
+	response := &v1.ExchangeResponse{
 		Responder: n.state(),
 		Beliefs:   n.beliefsFor(request.GetBeliefs()),
 		Members:   n.memberMessages(),
-	}, nil
+		Zones:     n.summaries(asker, request.GetWantsAdapters()),
+	}
+	if response.Zones != nil {
+		after := request.GetEnginesAfter()
+		if request.GetEnginesSource() != n.Incarnation {
+			after = 0
+		}
+		response.Engines, response.EnginesChange = n.engines.after(after)
+	}
+	return response, nil
 }
 
 // LoadAdapter has an adapter loaded on an engine that this instance orders.
 func (s *server) LoadAdapter(ctx context.Context, request *v1.LoadAdapterRequest) (*v1.LoadAdapterResponse, error) {
 	n, m := s.network, request
+	n.Holder.Pace.Note(int(m.GetLate()), int(m.GetTimely()), n.Now())
 	name := deployment.AdapterName{Model: m.GetModel(), Adapter: m.GetAdapter()}
 	result, readyAt, version := n.Holder.Load(ctx, deployment.TargetID(m.GetTargetId()), name, m.GetVersion())
 	response := &v1.LoadAdapterResponse{Result: resultMessage(result), Version: version}
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -64,6 +64,8 @@
 	Now    func() time.Time
 	Log    *zap.Logger
 
+	// Pace bounds the adapters on their way from the weight store.
+	Pace Pace
 	// Loads and Unloads count the orders that engines accepted, Reports the
 	// reports that were asked for.
 	Loads, Unloads, Reports atomic.Uint64
--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -21,6 +21,8 @@
 	renewInterval = 1500 * time.Millisecond
 	// challengeInterval is the time between looks at another's lease.
 	challengeInterval = 2 * time.Second
+	// wantedInterval is the time between questions whether the lease is wanted.
+	wantedInterval = 400 * time.Millisecond
 )
 
 // storedLease is the value of a lease object.
@@ -97,7 +99,7 @@
 		return l.renew(ctx)
 	}
 	if l.Wanted != nil && !l.Wanted() {
-		return challengeInterval
+		return wantedInterval
 	}
 	return l.challenge(ctx)
 }
--- a/internal/placement/wish.go
+++ b/internal/placement/wish.go
@@ -11,17 +11,15 @@
 )
 
 const (
-	// fleetColdLoads is how many adapters the weight store serves at full speed,
-	// over all engines.
-	fleetColdLoads = 8
 	// stepInterval is the time between looks at an engine whose places are taken.
 	stepInterval = 15 * time.Millisecond
 	// refusedPause is the time after a refused order until the next.
 	refusedPause = 70 * time.Millisecond
 	// maxLoadWait is how long a load may take to be ordered.
 	maxLoadWait = 1500 * time.Millisecond
-	// maxWishes bounds the wishes that wait for the weight store.
-	maxWishes = 24
+	// waitersPerShare bounds the wishes that wait for the weight store, for each
+	// adapter that may be on its way: later ones would be late anyway.
+	waitersPerShare = 8
 )
 
 // wishKey names an adapter on an engine.
@@ -69,12 +67,13 @@
 // join returns the wish for an adapter and starts it if it is new. It reports
 // false when too many wait.
 func (h *Holder) join(key wishKey, version uint64) (*wish, bool) {
+	share := h.coldShare()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if w, ok := h.wishes.open[key]; ok && w.version >= version {
 		return w, true
 	}
-	if len(h.wishes.queue) >= maxWishes {
+	if len(h.wishes.queue) >= waitersPerShare*share {
 		h.Log.Info("adapter not loaded", zap.String("target", string(key.target)), zap.String("adapter", key.name.Adapter),
 			zap.String("reason", "too many wait for the weight store"), zap.Int("waiting", len(h.wishes.queue)))
 		return nil, false
@@ -207,6 +206,7 @@
 		h.wishes.queue = append(h.wishes.queue, w)
 	}
 	if position >= free {
+		h.Pace.Waited()
 		return false
 	}
 	h.leaveQueue(w)
@@ -220,11 +220,10 @@
 	return len(h.wishes.queue)
 }
 
-// ColdWait estimates the wait for the weight store behind other loads of a zone,
-// when the engines are in a number of zones.
-func ColdWait(waiting, zones int) time.Duration {
-	share := (fleetColdLoads + zones - 1) / max(zones, 1)
-	return time.Duration(waiting) * coldLoad / time.Duration(max(share, 1))
+// ColdWait estimates the wait for the weight store behind other loads of a zone
+// with a number of engines.
+func ColdWait(waiting, engines int) time.Duration {
+	return time.Duration(float64(waiting) * float64(coldLoad) / max(startPerEngine*float64(engines), 1))
 }
 
 // leaveQueue takes a wish out of the queue; the caller holds the lock.
@@ -234,17 +233,9 @@
 	}
 }
 
-// coldShare is this zone's part of the loads that the weight store serves at
-// full speed, rounded up.
-func (h *Holder) coldShare() int {
-	zones := map[string]bool{h.Zone: true}
-	for _, t := range h.Targets() {
-		if s := h.Service(t.Service); s != nil && s.Engine != nil {
-			zones[t.Zone] = true
-		}
-	}
-	return (fleetColdLoads + len(zones) - 1) / len(zones)
-}
+// coldShare is how many adapters may be on their way from the weight store to
+// the engines that this instance orders.
+func (h *Holder) coldShare() int { return h.Pace.Share(len(h.owned())) }
 
 func (h *Holder) coldComing(now time.Time) int {
 	h.mu.Lock()
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -41,10 +41,12 @@
 	b.filled = now
 }
 
-// peer is what another instance told of itself.
+// peer is what another instance told of itself, or a sum over several.
 type peer struct {
 	incarnation string
 	admitted    map[string]float64
+	// counted is what was counted of it here, over all its incarnations.
+	counted map[string]float64
 }
 
 // Meter admits requests against the teams' allowances. It is safe for
@@ -63,7 +65,9 @@
 	mu       sync.Mutex
 	buckets  map[string]*bucket
 	admitted map[string]float64
-	peers    map[string]*peer
+	// peers are observed one by one, sums over several.
+	peers map[string]*peer
+	sums  map[string]*peer
 }
 
 // Cost returns what a request counts against its team's allowance.
@@ -188,18 +192,81 @@
 	if m.peers == nil {
 		m.peers = map[string]*peer{}
 	}
-	known, ok := m.peers[id]
-	if !ok {
-		m.peers[id] = &peer{incarnation: incarnation, admitted: admitted}
-		return
-	}
+	known := meet(m.peers, id, incarnation, admitted)
 	if known.incarnation != incarnation {
 		known.incarnation, known.admitted = incarnation, nil
 	}
+	m.count(known, admitted)
+}
+
+// ObserveSum takes what several peers admitted, as a source has counted it.
+// Counts of another source start anew: what it counted before may be known here.
+func (m *Meter) ObserveSum(id, source string, admitted map[string]float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sums == nil {
+		m.sums = map[string]*peer{}
+	}
+	known := meet(m.sums, id, source, admitted)
+	if known.incarnation != source {
+		known.incarnation, known.admitted = source, admitted
+	}
+	m.count(known, admitted)
+}
+
+// meet returns what is known of a peer, from now on if nothing is.
+func meet(peers map[string]*peer, id, incarnation string, admitted map[string]float64) *peer {
+	known, ok := peers[id]
+	if !ok {
+		known = &peer{incarnation: incarnation, admitted: admitted, counted: map[string]float64{}}
+		peers[id] = known
+	}
+	return known
+}
+
+// count takes what was admitted since the last word off the buckets.
+func (m *Meter) count(known *peer, admitted map[string]float64) {
 	for team, total := range admitted {
+		since := total - known.admitted[team]
+		known.counted[team] += since
 		if b, ok := m.buckets[team]; ok {
-			b.level -= total - known.admitted[team]
+			b.level -= since
 		}
 	}
 	known.admitted = admitted
 }
+
+// Rebase forgets all peers: what they admitted so far is counted, and what they
+// admit from now on may come in another way.
+func (m *Meter) Rebase() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peers, m.sums = nil, nil
+}
+
+// Total returns what this instance and the peers that it observes one by one
+// admitted since this instance first heard of each.
+func (m *Meter) Total() map[string]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total := maps.Clone(m.admitted)
+	if total == nil {
+		total = map[string]float64{}
+	}
+	for _, p := range m.peers {
+		for team, counted := range p.counted {
+			total[team] += counted
+		}
+	}
+	return total
+}
+
+// From returns the part of Total that comes from a peer.
+func (m *Meter) From(id string) map[string]float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p, ok := m.peers[id]; ok {
+		return maps.Clone(p.counted)
+	}
+	return nil
+}
--- a/internal/quota/meter_test.go
+++ b/internal/quota/meter_test.go
@@ -117,7 +117,7 @@
 				f.runs[i]++
 				f.meters[i] = f.meter(i)
 			}
-			f.run(t, testExchange, pressure)
+			f.run(testExchange, pressure)
 			f.exchange()
 		}
 		if worst := f.worst(); worst > limit*(1+overshoot)+slack {
@@ -127,7 +127,7 @@
 }
 
 // run sends requests through random instances for a while.
-func (f *fleet) run(t *rapid.T, span time.Duration, pressure float64) {
+func (f *fleet) run(span time.Duration, pressure float64) {
 	const cost = 1500.0
 	requests := int(pressure * testTeam.RatePerSecond * span.Seconds() / cost)
 	for n := range requests {
--- a/internal/relay/register.go
+++ b/internal/relay/register.go
@@ -16,7 +16,9 @@
 const (
 	registerRetry = 500 * time.Millisecond
 	// discoverInterval is the time between looks for instances that nobody told of.
-	discoverInterval = 5 * time.Second
+	discoverInterval = time.Second
+	// heardInterval is the same for an instance that hears others, which tell it.
+	heardInterval = 20 * time.Second
 )
 
 // storedInstance is the value of an instance's object.
@@ -30,6 +32,9 @@
 	registered := false
 	for ctx.Err() == nil {
 		wait := discoverInterval
+		if r.network.Members() > 1 {
+			wait = heardInterval
+		}
 		if !registered {
 			err := r.writeInstance(ctx)
 			registered = err == nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -143,16 +143,17 @@
 		DecodeTarget:        r.Platform.Catalog.DecodeTarget,
 		DecodeVersion:       r.Platform.Catalog.DecodeVersion,
 		TargetsChanged:      r.keepTargets,
-		Confirms:            func() bool { return r.network.Rank() < confirming },
+		Confirms:            func() bool { return r.network.Rank() == 0 },
+		Relayed:             func() bool { return r.network.Relayed() },
 		Now:                 clock.Now,
 		Log:                 r.Log,
 	}
 	r.lease = &placement.Lease{
 		Store: r.Store, Kind: leaseKind, Name: s.Zone, Holder: s.InstanceID, Incarnation: incarnation,
-		QuietTime: s.OrderQuietTime.Duration + orderMargin, Now: clock.Now, Log: r.Log,
+		QuietTime: s.OrderQuietTime.Duration + orderMargin, Wanted: func() bool { return r.network.MayOrder() }, Now: clock.Now, Log: r.Log,
 	}
 	r.network = &peer.Network{
-		Self:        peer.Member{ID: s.InstanceID, Zone: s.Zone, Address: s.Listen.Peers},
+		Self:        peer.Member{ID: s.InstanceID, Zone: s.Zone, Address: s.Listen.Peers, Capacity: s.capacity()},
 		Incarnation: incarnation,
 		Seeds:       peerSeeds(s),
 		Catalog:     r.catalog,
@@ -180,10 +181,6 @@
 	r.server.Metrics = gateway.NewMetrics(r.Registry)
 }
 
-// confirming is how many of the instances that hear each other confirm the
-// configuration often; the others take their word.
-const confirming = 2
-
 // orderMargin is added to the time between two holders' orders, for an order
 // that is still on its way.
 const orderMargin = 200 * time.Millisecond
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -43,7 +43,7 @@
 	w.await("first adapter", func() bool { return w.ask(http.MethodPost, "/stream/", withAdapter("a1")).status == http.StatusOK })
 	for _, name := range []string{"a2", "a3", "a4", "a5", "a6", "a7", "a8", "a1"} {
 		got := w.ask(http.MethodPost, "/stream/", withAdapter(name))
-		if got.status != http.StatusOK || got.body != wholeStream(1, eventCount) {
+		if got.status != http.StatusOK || got.body != wholeStream(eventCount) {
 			t.Errorf("%s: %d %q", name, got.status, got.body)
 		}
 		// What was used just now makes no room.
@@ -62,7 +62,7 @@
 	w.engine.BreakAfter, w.other.BreakAfter = 2, 0
 	w.await("a stream through the breaking engine", func() bool {
 		got := w.ask(http.MethodPost, "/stream/", func(h http.Header) { withAdapter("a1")(h); h.Set("Model", "base") })
-		if got.status == http.StatusOK && (got.err != nil || got.body != wholeStream(1, eventCount)) {
+		if got.status == http.StatusOK && (got.err != nil || got.body != wholeStream(eventCount)) {
 			t.Fatalf("reply %+v", got)
 		}
 		return got.status == http.StatusOK && len(w.engine.Arrivals()) > 0
@@ -76,7 +76,7 @@
 	w := newWorld(t, 1)
 	w.engine.BreakAfter, w.other.BreakAfter = 2, 2
 	got := w.ask(http.MethodPost, "/draft/", func(h http.Header) { h.Set("Model", "base") })
-	if got.err == nil || got.body != wholeStream(1, 2) {
+	if got.err == nil || got.body != wholeStream(2) {
 		t.Errorf("reply %+v", got)
 	}
 	if n := runs(w.engine) + runs(w.other); n != 1 {
@@ -302,7 +302,7 @@
 		t.Errorf("a request just after the signal: status %d", got.status)
 	}
 	body, err := io.ReadAll(response.Body)
-	if err != nil || string(body) != wholeStream(1, eventCount) {
+	if err != nil || string(body) != wholeStream(eventCount) {
 		t.Errorf("body %q, error %v", body, err)
 	}
 }
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -33,6 +33,10 @@
 	OrderQuietTime settings.Duration `toml:"order_quiet_time"`
 	// ShutdownGrace is the time from SIGTERM to the end of the process.
 	ShutdownGrace settings.Duration `toml:"shutdown_grace"`
+	// CPUShare is the instance's part of a core, LinkMbps the rate of its link.
+	// Larger instances relay for smaller ones; zero is not known.
+	CPUShare float64 `toml:"cpu_share"`
+	LinkMbps float64 `toml:"link_mbps"`
 	// AllowanceWindow is the span over which a team may spend its rate and once
 	// its burst.
 	AllowanceWindow settings.Duration `toml:"allowance_window"`
@@ -111,6 +115,18 @@
 	return problems
 }
 
+// The processor and the link of an instance that carries the exchange of a small
+// zone beside its own work.
+const (
+	relayCPUShare = 0.4
+	relayLinkMbps = 50.0
+)
+
+// capacity says how much the instance can carry beside its own work.
+func (s *Settings) capacity() float64 {
+	return min(s.CPUShare/relayCPUShare, s.LinkMbps/relayLinkMbps)
+}
+
 const (
 	// keyMargin is how much before the limit keys are no longer vouched for: a
 	// request is still on its way to the target then.
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -196,11 +196,11 @@
 	}
 }
 
-// wholeStream is the body of a stream from the first event to the last.
-func wholeStream(first, last int) string {
+// wholeStream is the body of a stream of so many events.
+func wholeStream(last int) string {
 	text := ""
-	for i := first; i <= last; i++ {
-		text += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i)
+	for i := range last {
+		text += fmt.Sprintf("id: %d\ndata: piece %d\n\n", i+1, i+1)
 	}
 	return text
 }
