One caller for short HTTP calls; the gateway's delivery split by concern

The store's client, the engines' client and the product's object API each had a copy of the same call.

--- /dev/null
+++ b/internal/connection/caller.go
@@ -0,0 +1,120 @@
+package connection
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Call is one request of a Caller.
+type Call struct {
+	Method string
+	// URI is absolute: http://IP:port/path?query.
+	URI string
+	// Header has fields besides the content type; may be nil.
+	Header map[string]string
+	// Body is JSON; nil for none.
+	Body []byte
+	// Timeout bounds the call.
+	Timeout time.Duration
+}
+
+// Reply is the answer to a call.
+type Reply struct {
+	Status int
+	Body   []byte
+}
+
+// Caller makes short HTTP calls over pooled connections. Each call is sent once:
+// the HTTP library repeats none. After a call without answer the idle connections
+// may be as dead as the one that failed. Set the exported fields before the first
+// call; it is safe for concurrent use.
+type Caller struct {
+	// Dialer opens the connections.
+	Dialer Dialer
+	// MaxConnections bounds the connections to one address; zero is the library's
+	// default.
+	MaxConnections int
+	// MaxIdle is how long an idle connection is kept.
+	MaxIdle time.Duration
+	// MaxAnswerBytes bounds an answer; zero has no bound.
+	MaxAnswerBytes int
+	// CloseIdle closes the idle connections after a call without answer, for
+	// callers of one address.
+	CloseIdle bool
+	// Calls counts the calls that were sent.
+	Calls atomic.Uint64
+
+	once sync.Once
+	http *fasthttp.Client
+}
+
+func (c *Caller) client() *fasthttp.Client {
+	c.once.Do(func() {
+		c.http = &fasthttp.Client{
+			Dial:                      c.Dialer.Dial,
+			MaxConnsPerHost:           c.MaxConnections,
+			MaxIdleConnDuration:       c.MaxIdle,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                neverRetry,
+			MaxResponseBodySize:       c.MaxAnswerBytes,
+			NoDefaultUserAgentHeader:  true,
+		}
+	})
+	return c.http
+}
+
+func neverRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+
+// Do makes a call. It returns when ctx is done, although the call may still be
+// under way.
+func (c *Caller) Do(ctx context.Context, call Call) (Reply, error) {
+	if err := ctx.Err(); err != nil {
+		return Reply{}, err
+	}
+	type outcome struct {
+		reply Reply
+		err   error
+	}
+	outcomes := make(chan outcome, 1)
+	go func() {
+		reply, err := c.send(ctx, call)
+		outcomes <- outcome{reply, err}
+	}()
+	select {
+	case o := <-outcomes:
+		return o.reply, o.err
+	case <-ctx.Done():
+		return Reply{}, ctx.Err()
+	}
+}
+
+func (c *Caller) send(ctx context.Context, call Call) (Reply, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(call.Method)
+	request.SetRequestURI(call.URI)
+	for name, value := range call.Header {
+		request.Header.Set(name, value)
+	}
+	if call.Body != nil {
+		request.Header.SetContentType("application/json")
+		request.SetBody(call.Body)
+	}
+	deadline := time.Now().Add(call.Timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	c.Calls.Add(1)
+	if err := c.client().DoDeadline(request, response, deadline); err != nil {
+		if c.CloseIdle {
+			c.client().CloseIdleConnections()
+		}
+		return Reply{}, err
+	}
+	return Reply{Status: response.StatusCode(), Body: append([]byte(nil), response.Body()...)}, nil
+}
--- /dev/null
+++ b/internal/gateway/prepare.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"time"
+
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/placement"
+	"heatherrelay/internal/refusal"
+	"heatherrelay/internal/upstream"
+)
+
+// prepare chooses the target and has the adapter loaded there. A nil send
+// without refusal asks for another round.
+func (e *exchange) prepare() (*upstream.Send, *refusal.Error) {
+	service := e.server.Catalog.Configuration().Services[e.service]
+	if service == nil {
+		return nil, refusal.NotRun(refusal.CodeNoTarget, "service %s is not configured", e.service).After(retrySoon)
+	}
+	if service.Engine != nil && e.request.Adapter.Model != "" {
+		return e.prepareEngine(service)
+	}
+	return e.preparePlain(service)
+}
+
+// send returns how the request goes to a target.
+func (e *exchange) send(target deployment.Target) *upstream.Send {
+	e.target = target
+	s := &upstream.Send{
+		Target:      target.ID,
+		Deadline:    e.left(),
+		Priority:    e.route.Priority,
+		LastEventID: e.lastEvent,
+	}
+	if e.team != nil {
+		s.Team = e.team.Name
+		if e.team.Priority != nil {
+			s.Priority = *e.team.Priority
+		}
+	}
+	if e.route.Repeatable() && e.runs+1 < e.route.MaxAttempts {
+		switch e.route.Kind {
+		case deployment.Streaming:
+			s.SilenceLimit = firstEventLimit
+		case deployment.Idempotent:
+			s.SilenceLimit = max(time.Duration(repeatShare*float64(e.left())), e.route.Objective)
+		}
+	}
+	return s
+}
+
+// prepareEngine chooses an engine; if the adapter is not there it is loaded.
+func (e *exchange) prepareEngine(service *deployment.Service) (*upstream.Send, *refusal.Error) {
+	s := e.server
+	want := placement.Want{
+		Adapter:    e.request.Adapter,
+		Version:    s.Catalog.Version(e.request.Adapter),
+		Tokens:     e.request.PromptTokens + e.request.OutputTokens,
+		Zone:       s.Zone,
+		Repeatable: e.route.Repeatable(),
+		Now:        s.Now(),
+	}
+	candidates := e.engines(service)
+	choice, ok := placement.Choose(want, candidates)
+	if !ok {
+		return nil, refusal.NotRun(refusal.CodeNoTarget, "no engine can take the request").After(retrySoon)
+	}
+	if choice.Delay > longestStart {
+		return nil, refusal.NotRun(refusal.CodeOverloaded, "all engines are busy").After(choice.Delay / 2)
+	}
+	target := candidates[choice.Index].Target
+	e.expected = choice.Delay
+	if choice.NeedsLoad {
+		result := s.Network.Load(e.ctx, e.request.ID, target, want.Adapter, want.Version)
+		e.note("load", target.ID, resultNames[result])
+		if result != placement.Ready {
+			e.passedOver[target.ID] = true
+			return nil, nil
+		}
+	}
+	send := e.send(target)
+	if !e.awaitAdapter(target, want, send) {
+		return nil, nil
+	}
+	return send, nil
+}
+
+// awaitAdapter waits until an adapter that is on its way should be there.
+func (e *exchange) awaitAdapter(target deployment.Target, want placement.Want, send *upstream.Send) bool {
+	if want.Adapter.Adapter == "" {
+		return true
+	}
+	resident, ok := e.server.Directory.Resident(&target, want.Adapter)
+	if !ok {
+		return false
+	}
+	send.AdapterVersion = max(want.Version, resident.Version)
+	wait := resident.ReadyAt.Sub(e.server.Now())
+	e.awaited = wait > 0
+	if wait <= 0 {
+		return true
+	}
+	wait += readyMargin
+	e.server.Metrics.loadWait.Observe(wait.Seconds())
+	select {
+	case <-e.ctx.Done():
+		return false
+	case <-time.After(wait):
+	}
+	send.Deadline = e.left()
+	return true
+}
+
+// zoneOrders says whether and how soon adapters can be loaded in a zone, and how
+// many engines it has.
+type zoneOrders struct {
+	waiting int
+	ok      bool
+	engines int
+}
+
+func (e *exchange) zoneOrders(service *deployment.Service) map[string]zoneOrders {
+	zones := map[string]zoneOrders{}
+	for _, t := range e.server.Catalog.Targets() {
+		if t.Service != service.Name {
+			continue
+		}
+		z, known := zones[t.Zone]
+		if !known {
+			z.waiting, z.ok = e.server.Network.Orders(t.Zone)
+		}
+		z.engines++
+		zones[t.Zone] = z
+	}
+	return zones
+}
+
+// engines returns the service's engines as candidates.
+func (e *exchange) engines(service *deployment.Service) []placement.Candidate {
+	s := e.server
+	var candidates []placement.Candidate
+	zones := e.zoneOrders(service)
+	for id, t := range s.Catalog.Targets() {
+		if t.Service != service.Name || t.Draining || e.passedOver[id] {
+			continue
+		}
+		c := placement.Candidate{
+			Target:     t,
+			Use:        s.Network.Use(id),
+			Health:     s.Detector.Health(id),
+			ErrorShare: s.Detector.ErrorShare(id),
+			Slots:      service.Engine.Slots,
+			Memory:     service.Engine.MemoryTokens,
+			HasModel:   s.Directory.HoldsModel(&t, e.request.Adapter.Model),
+			Orderable:  zones[t.Zone].ok,
+			ColdWait:   placement.ColdWait(zones[t.Zone].waiting, zones[t.Zone].engines),
+			Warm:       s.Directory.Warm(&t, e.request.Adapter),
+		}
+		if r, ok := s.Directory.Resident(&t, e.request.Adapter); ok {
+			c.Resident = &r
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// preparePlain chooses the target of a plain service.
+func (e *exchange) preparePlain(service *deployment.Service) (*upstream.Send, *refusal.Error) {
+	s := e.server
+	var candidates []placement.Candidate
+	for id, t := range s.Catalog.Targets() {
+		if t.Service != service.Name || t.Draining || e.passedOver[id] {
+			continue
+		}
+		candidates = append(candidates, placement.Candidate{
+			Target:     t,
+			Use:        s.Network.Use(id),
+			Health:     s.Detector.Health(id),
+			ErrorShare: s.Detector.ErrorShare(id),
+			Slots:      t.Slots,
+		})
+	}
+	index, ok := placement.ChoosePlain(candidates, s.Zone, e.route.Repeatable())
+	if !ok {
+		return nil, refusal.NotRun(refusal.CodeNoTarget, "no target can take the request").After(retrySoon)
+	}
+	return e.send(candidates[index].Target), nil
+}
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -12,8 +12,9 @@
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
+
+	"heatherrelay/internal/connection"
 )
 
 // The client's defaults and bounds.
@@ -33,22 +34,14 @@
 	// CallTimeout bounds a call, a watch beyond its wait; zero is DefaultCallTimeout.
 	CallTimeout time.Duration
 
-	once sync.Once
-	http *fasthttp.HostClient
+	once   sync.Once
+	caller *connection.Caller
 }
 
 // Store returns the calls on the platform.
 func (c *Client) Store() Store {
 	c.once.Do(func() {
-		c.http = &fasthttp.HostClient{
-			Addr:                      c.Address.String(),
-			MaxConns:                  maxConnections,
-			MaxIdleConnDuration:       maxIdleConnection,
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                neverRetry,
-			MaxResponseBodySize:       maxAnswerBytes,
-			NoDefaultUserAgentHeader:  true,
-		}
+		c.caller = &connection.Caller{MaxConnections: maxConnections, MaxIdle: maxIdleConnection, MaxAnswerBytes: maxAnswerBytes, CloseIdle: true}
 		if c.CallTimeout == 0 {
 			c.CallTimeout = DefaultCallTimeout
 		}
@@ -64,8 +57,6 @@
 	}
 }
 
-func neverRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
-
 // call is one request to the platform.
 type call struct {
 	method string
@@ -76,13 +67,6 @@
 	wait time.Duration
 }
 
-// answer is what the platform said.
-type answer struct {
-	status int
-	body   []byte
-	err    error
-}
-
 func objectPath(key string) string {
 	segments := strings.Split(key, "/")
 	for i, s := range segments {
@@ -146,35 +130,16 @@
 // do sends a call and decodes the answer. It returns when ctx is done, although
 // the call may still be under way.
 func (c *Client) do(ctx context.Context, l call, into any) error {
-	if err := ctx.Err(); err != nil {
-		return ErrUnavailable.Wrap(err)
-	}
-	answers := make(chan answer, 1)
-	go func() { answers <- c.send(ctx, l) }()
-	select {
-	case a := <-answers:
-		return decode(l, a, into)
-	case <-ctx.Done():
-		return ErrUnavailable.Wrap(ctx.Err())
-	}
-}
-
-func (c *Client) send(ctx context.Context, l call) answer {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(l.method)
-	request.SetRequestURI("http://" + c.Address.String() + l.path + "?" + l.query.Encode())
-	request.SetBody(l.body)
-	deadline := time.Now().Add(c.CallTimeout + l.wait)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
-	}
-	if err := c.http.DoDeadline(request, response, deadline); err != nil {
-		c.http.CloseIdleConnections()
-		return answer{err: err}
+	reply, err := c.caller.Do(ctx, connection.Call{
+		Method:  l.method,
+		URI:     "http://" + c.Address.String() + l.path + "?" + l.query.Encode(),
+		Body:    l.body,
+		Timeout: c.CallTimeout + l.wait,
+	})
+	if err != nil {
+		return ErrUnavailable.New("%s %s: %w", l.method, l.path, err)
 	}
-	return answer{status: response.StatusCode(), body: append([]byte(nil), response.Body()...)}
+	return decode(l, reply, into)
 }
 
 // kinds maps the platform's refusals; all other answers leave the outcome open.
@@ -186,21 +151,18 @@
 	http.StatusGone:                  &ErrCompacted,
 }
 
-func decode(l call, a answer, into any) error {
-	if a.err != nil {
-		return ErrUnavailable.New("%s %s: %w", l.method, l.path, a.err)
-	}
-	if a.status != http.StatusOK {
-		kind, ok := kinds[a.status]
+func decode(l call, reply connection.Reply, into any) error {
+	if reply.Status != http.StatusOK {
+		kind, ok := kinds[reply.Status]
 		if !ok {
 			kind = &ErrUnavailable
 		}
-		return kind.New("%s %s: status %d", l.method, l.path, a.status)
+		return kind.New("%s %s: status %d", l.method, l.path, reply.Status)
 	}
 	if into == nil {
 		return nil
 	}
-	if err := json.Unmarshal(a.body, into); err != nil {
+	if err := json.Unmarshal(reply.Body, into); err != nil {
 		return ErrUnavailable.Wrap(fmt.Errorf("%s %s: unreadable answer: %w", l.method, l.path, err))
 	}
 	return nil
