--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -220,14 +220,9 @@
 		listed[id] = t
 		if _, ok := c.unlisted[id]; !ok {
 			c.Log.Info("target not listed after an outage of the store, kept for now", zap.String("target", string(id)))
-			time.AfterFunc(until.Sub(now), c.dropUnlisted)
+			// Those that are not listed again in time are dropped then.
+			time.AfterFunc(until.Sub(now), c.targets.Repeat)
 		}
 		c.unlisted[id] = until
 	}
 }
-
-// dropUnlisted drops the targets that were not listed again in time.
-func (c *Catalog) dropUnlisted() {
-	_, objects := c.targets.Snapshot()
-	c.takeTargets(objects)
-}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -39,12 +39,15 @@
 	Pause time.Duration
 	// Clean is applied to each object as it comes from the store; may be nil.
 	Clean func(object.Object) object.Object
-	// Changed is called after each change, under no lock.
+	// Changed is called after each change, in their order.
 	Changed func([]object.Object)
 	// Now is the clock.
 	Now func() time.Time
 	Log *zap.Logger
 
+	// telling is held while the copy changes and Changed is told of it, so that
+	// changes are told in their order.
+	telling sync.Mutex
 	mu      sync.Mutex
 	replica Replica
 	// lost is when the store stopped answering; regained when it answered again.
@@ -161,7 +164,17 @@
 	return f.regained
 }
 
+// Repeat tells of the copy again.
+func (f *Follower) Repeat() {
+	f.telling.Lock()
+	defer f.telling.Unlock()
+	_, objects := f.Snapshot()
+	f.Changed(objects)
+}
+
 func (f *Follower) update(change func(*Replica) bool) bool {
+	f.telling.Lock()
+	defer f.telling.Unlock()
 	f.mu.Lock()
 	changed := change(&f.replica)
 	var objects []object.Object
--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -52,6 +52,10 @@
 	QuietTime time.Duration
 	// Wanted says whether this instance should hold the lease; may be nil.
 	Wanted func() bool
+	// Lapsed says that an instance is heard and holds no lease any more, by its own
+	// clock. It sends no order before it has renewed the lease, which fails once
+	// another has taken it. May be nil.
+	Lapsed func(holder string) bool
 	Now    func() time.Time
 	Log    *zap.Logger
 
@@ -173,7 +177,7 @@
 	if o.Revision != l.seen {
 		l.seen, l.seenAt = o.Revision, l.Now()
 	}
-	if stored.Released {
+	if stored.Released || l.Lapsed != nil && l.Lapsed(stored.Holder) {
 		return l.take(ctx, o, l.QuietTime)
 	}
 	if asked.Sub(l.seenAt) >= leaseTerm {
--- a/internal/placement/lease_test.go
+++ b/internal/placement/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,6 +28,31 @@
 	return &placement.Lease{Store: store, Name: "zone", Holder: holder, Incarnation: incarnation, QuietTime: testQuiet, Now: time.Now, Log: zap.NewNop()}
 }
 
+// cut wraps a store whose calls fail while away is set.
+func cut(store object.Store, away *atomic.Bool) object.Store {
+	refuse := func() error {
+		if away.Load() {
+			return object.ErrRefused.New("away")
+		}
+		return nil
+	}
+	return object.Store{
+		Get: func(ctx context.Context, kind object.Kind, name string) (object.Object, error) {
+			if err := refuse(); err != nil {
+				return object.Object{}, err
+			}
+			return store.Get(ctx, kind, name)
+		},
+		Create: store.Create,
+		Replace: func(ctx context.Context, kind object.Kind, name string, revision uint64, value any) (object.Object, error) {
+			if err := refuse(); err != nil {
+				return object.Object{}, err
+			}
+			return store.Replace(ctx, kind, name, revision, value)
+		},
+	}
+}
+
 func held(l *placement.Lease) bool {
 	_, ok := l.Held(time.Now())
 	return ok
@@ -38,7 +64,8 @@
 func TestSecondHolderWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &memoryStore{}
-		first, second := newLease(store.store(), "a", "1"), newLease(store.store(), "b", "1")
+		var away atomic.Bool
+		first, second := newLease(cut(store.store(), &away), "a", "1"), newLease(store.store(), "b", "1")
 		firstCtx, stopFirst := context.WithCancel(context.Background())
 		secondCtx, stopSecond := context.WithCancel(context.Background())
 		go first.Run(firstCtx)
@@ -50,14 +77,7 @@
 		}
 		fencing, _ := first.Held(time.Now())
 		// The holder's calls fail from now on; the challenger's reach the store.
-		first.Store = object.Store{
-			Replace: func(context.Context, object.Kind, string, uint64, any) (object.Object, error) {
-				return object.Object{}, object.ErrRefused.New("away")
-			},
-			Get: func(context.Context, object.Kind, string) (object.Object, error) {
-				return object.Object{}, object.ErrRefused.New("away")
-			},
-		}
+		away.Store(true)
 		var lastFirst, firstSecond time.Time
 		for range 3000 {
 			time.Sleep(10 * time.Millisecond)
@@ -131,3 +151,35 @@
 		synctest.Wait()
 	})
 }
+
+// TestLapsedHolderIsReplacedSoon answers the pattern of a holder that is cut off
+// from the store alone: it says itself that it holds nothing any more, and is
+// replaced without the whole term, but after the quiet time.
+func TestLapsedHolderIsReplacedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memoryStore{}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var away atomic.Bool
+		first := newLease(cut(store.store(), &away), "a", "1")
+		go first.Run(ctx)
+		time.Sleep(time.Second)
+		away.Store(true)
+		second := newLease(store.store(), "b", "1")
+		second.Wanted = func() bool { return !held(first) }
+		second.Lapsed = func(holder string) bool { return holder == "a" && !held(first) }
+		go second.Run(ctx)
+		for held(first) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		lapsed := time.Now()
+		for !held(second) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if gap := time.Since(lapsed); gap < testQuiet || gap > testQuiet+time.Second {
+			t.Errorf("replaced after %s", gap)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
