--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -127,6 +127,9 @@
 		if send == nil {
 			continue
 		}
+		if refused := e.maySend(); refused != nil {
+			return e.given(refused)
+		}
 		switch e.attempt(send) {
 		case answered:
 			return nil
@@ -148,7 +151,11 @@
 // given returns a refusal that says no more than what is certain.
 func (e *exchange) given(refused *refusal.Error) *refusal.Error {
 	if e.ran && refused.NotRun {
-		return refusal.MayHaveRun(refusal.CodeMayHaveRun, "%s", refused.Message).Because(refused.Cause)
+		code := refusal.CodeMayHaveRun
+		if refused.Code == refusal.CodeCallerGone {
+			code = refused.Code
+		}
+		return refusal.MayHaveRun(code, "%s", refused.Message).Because(refused.Cause)
 	}
 	return refused
 }
@@ -157,7 +164,7 @@
 func (e *exchange) mayGoOn() *refusal.Error {
 	switch cause := context.Cause(e.ctx); {
 	case errors.Is(cause, errClientGone):
-		return refusal.MayHaveRun(refusal.CodeCallerGone, "client gone").Because(cause)
+		return e.given(refusal.NotRun(refusal.CodeCallerGone, "client gone").Because(cause))
 	case cause != nil || e.left() < leastTime:
 		if e.ran {
 			return refusal.MayHaveRun(refusal.CodeDeadline, "no time left")
@@ -167,6 +174,20 @@
 	return nil
 }
 
+// maySend refuses a request right before it is sent: its key may have been
+// withdrawn while it waited, and repeats are bounded over all instances.
+func (e *exchange) maySend() *refusal.Error {
+	if refused := e.checkKey(); refused != nil {
+		e.note("key", e.target.ID, string(refused.Code))
+		return refused
+	}
+	if e.sends > 0 && !e.server.Budget.Take(e.service) {
+		e.note("retry", e.target.ID, "no_budget")
+		return refusal.NotRun(refusal.CodeNoTarget, "no repeat is left").After(retrySoon)
+	}
+	return nil
+}
+
 // note adds a step to the trail.
 func (e *exchange) note(step string, target deployment.TargetID, outcome string) {
 	e.trail = append(e.trail, step+" "+string(target)+" "+outcome)
@@ -182,16 +203,6 @@
 // attempt sends the request once.
 func (e *exchange) attempt(send *upstream.Send) attemptEnd {
 	s := e.server
-	if refused := e.checkKey(); refused != nil {
-		e.note("key", e.target.ID, string(refused.Code))
-		e.passedOver[e.target.ID] = true
-		return notRun
-	}
-	if e.sends > 0 && !s.Budget.Take(e.service) {
-		e.note("retry", e.target.ID, "no_budget")
-		e.exhaust()
-		return notRun
-	}
 	if s.Detector.Health(e.target.ID) != outlier.Sound {
 		s.Detector.Try(e.target.ID)
 	}
@@ -216,10 +227,3 @@
 }
 
 var endNames = map[attemptEnd]string{answered: "answered", notRun: "not_run", unclear: "unclear", tooEarly: "too_early"}
-
-// exhaust passes all targets over: there is no budget to send once more.
-func (e *exchange) exhaust() {
-	for id := range e.server.Catalog.Targets() {
-		e.passedOver[id] = true
-	}
-}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"heatherrelay/platform/platformtest"
 )
 
 // TestRequestIsPassedOnUnchanged checks what a target sees of a request, and that
@@ -185,6 +187,31 @@
 	w.await("key withdrawn", func() bool { return w.ask(http.MethodGet, "/read/", nil).status == http.StatusUnauthorized })
 }
 
+// TestKeyWithdrawnWhileWaiting checks that a request whose key is withdrawn while
+// it waits for its adapter is refused then, once, and runs nowhere.
+func TestKeyWithdrawnWhileWaiting(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 1)
+	for _, engine := range []*platformtest.Target{w.engine, w.other} {
+		engine.Inject(func(e *platformtest.Target) { e.LoadTime = 2 * time.Second })
+	}
+	replies := make(chan reply, 1)
+	w.await("orders held", func() bool {
+		return w.ask(http.MethodPost, "/stream/", func(h http.Header) { h.Set("Model", "base") }).status == http.StatusOK
+	})
+	before := runs(w.engine) + runs(w.other)
+	go func() { replies <- w.ask(http.MethodPost, "/stream/", withAdapter("a1")) }()
+	time.Sleep(100 * time.Millisecond)
+	w.config.Version, w.config.Keys = 2, map[string]string{"another": "roads"}
+	w.config.Publish(w.store)
+	if got := <-replies; got.status != http.StatusUnauthorized {
+		t.Errorf("status %d: %s", got.status, got.body)
+	}
+	if n := runs(w.engine) + runs(w.other) - before; n != 0 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
 // TestLostStoreIsFollowedAgain checks that changes are seen after an outage in
 // which the store forgot its history.
 func TestLostStoreIsFollowedAgain(t *testing.T) {
