--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -72,9 +72,9 @@
 	targets       Follower
 	versions      Follower
 
-	current  atomic.Pointer[deployment.Configuration]
-	versionM atomic.Pointer[map[deployment.AdapterName]uint64]
-	targetM  atomic.Pointer[map[deployment.TargetID]deployment.Target]
+	current       atomic.Pointer[deployment.Configuration]
+	versionByName atomic.Pointer[map[deployment.AdapterName]uint64]
+	targetByID    atomic.Pointer[map[deployment.TargetID]deployment.Target]
 
 	mu sync.Mutex
 	// unlisted are targets that vanished around an outage of the store, with the
@@ -89,8 +89,8 @@
 		c.configuration.Clean = c.HashKeys
 		c.targets = c.follower(c.Kinds.Targets, targetsWait, targetsPause, c.takeTargets)
 		c.versions = c.follower(c.Kinds.Versions, versionsWait, versionsPause, c.takeVersions)
-		c.versionM.Store(&map[deployment.AdapterName]uint64{})
-		c.targetM.Store(&map[deployment.TargetID]deployment.Target{})
+		c.versionByName.Store(&map[deployment.AdapterName]uint64{})
+		c.targetByID.Store(&map[deployment.TargetID]deployment.Target{})
 		c.unlisted = map[deployment.TargetID]time.Time{}
 	})
 }
@@ -142,16 +142,10 @@
 }
 
 // Version returns the newest announced version of an adapter; zero without one.
-func (c *Catalog) Version(name deployment.AdapterName) uint64 { return (*c.versionM.Load())[name] }
-
-// Target returns a target by its id.
-func (c *Catalog) Target(id deployment.TargetID) (deployment.Target, bool) {
-	t, ok := (*c.targetM.Load())[id]
-	return t, ok
-}
+func (c *Catalog) Version(name deployment.AdapterName) uint64 { return (*c.versionByName.Load())[name] }
 
 // Targets returns all targets. The map must not be changed.
-func (c *Catalog) Targets() map[deployment.TargetID]deployment.Target { return *c.targetM.Load() }
+func (c *Catalog) Targets() map[deployment.TargetID]deployment.Target { return *c.targetByID.Load() }
 
 func (c *Catalog) takeConfiguration(objects []object.Object) {
 	for _, o := range objects {
@@ -181,7 +175,7 @@
 			versions[v.AdapterName] = v.Version
 		}
 	}
-	c.versionM.Store(&versions)
+	c.versionByName.Store(&versions)
 }
 
 func (c *Catalog) takeTargets(objects []object.Object) {
@@ -196,7 +190,7 @@
 	}
 	c.mu.Lock()
 	c.keepUnlisted(listed)
-	c.targetM.Store(&listed)
+	c.targetByID.Store(&listed)
 	c.mu.Unlock()
 	if c.TargetsChanged != nil {
 		c.TargetsChanged(listed)
@@ -208,7 +202,7 @@
 func (c *Catalog) keepUnlisted(listed map[deployment.TargetID]deployment.Target) {
 	now := c.Now()
 	until := c.targets.Regained().Add(reappearTime)
-	for id, t := range *c.targetM.Load() {
+	for id, t := range *c.targetByID.Load() {
 		if _, ok := listed[id]; ok {
 			delete(c.unlisted, id)
 			continue
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -10,10 +10,9 @@
 	"heatherrelay/internal/upstream"
 )
 
+// targetField names a target in a line of the log.
 func targetField(id deployment.TargetID) zap.Field { return zap.String("target", string(id)) }
 
-func errorField(err error) zap.Field { return zap.Error(err) }
-
 // passWhole reads the answer to its end before the client sees any of it. One
 // that breaks is sent for again if that is allowed.
 func (e *exchange) passWhole() {
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -8,7 +8,6 @@
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/load"
 	"heatherrelay/internal/outlier"
-	"heatherrelay/internal/placement"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/upstream"
 )
@@ -193,13 +192,6 @@
 	e.trail = append(e.trail, step+" "+string(target)+" "+outcome)
 }
 
-var resultNames = map[placement.Result]string{
-	placement.Ready:     "ready",
-	placement.Full:      "full",
-	placement.NotHolder: "not_holder",
-	placement.Failed:    "failed",
-}
-
 // attempt sends the request once.
 func (e *exchange) attempt(send *upstream.Send) attemptEnd {
 	s := e.server
--- a/internal/gateway/judge.go
+++ b/internal/gateway/judge.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 
+	"go.uber.org/zap"
+
 	"heatherrelay/internal/upstream"
 )
 
@@ -56,7 +58,7 @@
 // failed notes that the target could not be reached or gave no whole answer.
 func (e *exchange) failed(err error) {
 	if e.server.Detector.Failed(e.target.ID) {
-		e.server.Log.Info("target ejected", targetField(e.target.ID), errorField(err))
+		e.server.Log.Info("target ejected", targetField(e.target.ID), zap.Error(err))
 	}
 }
 
--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -71,7 +71,7 @@
 	e.expected = choice.Delay
 	if choice.NeedsLoad {
 		result := s.Network.Load(e.ctx, e.request.ID, target, want.Adapter, want.Version)
-		e.note("load", target.ID, resultNames[result])
+		e.note("load", target.ID, result.String())
 		if result != placement.Ready {
 			e.passedOver[target.ID] = true
 			return nil, nil
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -30,21 +30,6 @@
 	modelLoadGap = 350 * time.Millisecond
 )
 
-// Result is what became of a wish for an adapter.
-type Result int
-
-// The results.
-const (
-	// Ready says that the adapter is there or on its way.
-	Ready Result = iota
-	// Full says that all places are taken by adapters in use.
-	Full
-	// NotHolder says that this instance may not order the engine now.
-	NotHolder
-	// Failed says that the engine did not carry the order out.
-	Failed
-)
-
 // Holder orders the engines of one zone while it holds the zone's lease. Each
 // engine's orders are sent one at a time. It keeps nothing that reports and the
 // other instances' counts do not rebuild. Set the exported fields before Run.
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -81,3 +81,24 @@
 
 // String returns the outcome's name.
 func (o Outcome) String() string { return outcomeNames[o] }
+
+// Result is what became of a wish for an adapter.
+type Result int
+
+// The results.
+const (
+	// Ready says that the adapter is there or on its way.
+	Ready Result = iota
+	// Full says that all places are taken by adapters in use, or that too many
+	// wait for the weight store.
+	Full
+	// NotHolder says that this instance may not order the engine now.
+	NotHolder
+	// Failed says that the engine did not carry the order out.
+	Failed
+)
+
+var resultNames = map[Result]string{Ready: "ready", Full: "full", NotHolder: "not_holder", Failed: "failed"}
+
+// String returns the result's name.
+func (r Result) String() string { return resultNames[r] }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -135,13 +134,3 @@
 	defer func() { _ = response.Body.Close() }()
 	return response.StatusCode == http.StatusOK
 }
-
-// Describe names the process for the report.
-func (p *Process) Describe() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.command == nil {
-		return p.ID + " (ended)"
-	}
-	return p.ID + " (" + strconv.Itoa(p.command.Process.Pid) + ")"
-}
