--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -67,8 +67,6 @@
 	leaving     bool
 	holds       bool
 	waiting     int
-	// ordersAt is when it was last heard to order engines, or first heard.
-	ordersAt time.Time
 	// heardAt is when this instance, or one that told of it, last heard of it.
 	heardAt time.Time
 	// uses and admitted are what it told this instance itself, at toldAt.
@@ -277,14 +275,6 @@
 	}
 	r.heardAt, r.leaving, r.holds, r.waiting = heardAt, m.GetLeaving(), m.GetHoldsOrders(), int(m.GetWaitingLoads())
 	r.Capacity = m.GetCapacity()
-	r.noteOrders(heardAt)
-}
-
-// noteOrders notes when the instance was heard to order engines.
-func (r *remote) noteOrders(heardAt time.Time) {
-	if r.holds || r.ordersAt.IsZero() {
-		r.ordersAt = heardAt
-	}
 }
 
 // Learn adds an instance that was not known.
@@ -336,14 +326,10 @@
 		if !r.leaving && s.GetMember().GetLeaving() {
 			n.Log.Info("instance leaves", zap.String("peer", m.ID))
 		}
-		if r.incarnation != s.GetIncarnation() {
-			r.ordersAt = time.Time{}
-		}
 		r.Member, r.incarnation, r.sequence = m, s.GetIncarnation(), s.GetSequence()
 		r.leaving, r.holds, r.waiting = s.GetMember().GetLeaving(), s.GetMember().GetHoldsOrders(), int(s.GetMember().GetWaitingLoads())
 		r.heardAt, r.toldAt = n.Now(), n.Now()
 		r.uses, r.admitted = usesFrom(s.GetTargets()), admitted
-		r.noteOrders(r.heardAt)
 	}
 	direct := n.countsDirectly(r)
 	n.mu.Unlock()
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -86,20 +86,6 @@
 	return rank >= 0 && rank < relaysPerZone
 }
 
-// lapseTime is how long an instance must say that it orders no engines: one that
-// has just started takes its orders up again.
-const lapseTime = time.Second
-
-// HoldsNothing says that an instance is heard and has said for a while that it
-// orders no engines.
-func (n *Network) HoldsNothing(id string) bool {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	r, ok := n.remotes[id]
-	now := n.Now()
-	return ok && !r.holds && r.heard(now) && now.Sub(r.ordersAt) > lapseTime
-}
-
 // holder returns the instance that orders a zone's engines.
 func (n *Network) holder(zone string) (remote, bool) {
 	n.mu.RLock()
--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -52,10 +52,6 @@
 	QuietTime time.Duration
 	// Wanted says whether this instance should hold the lease; may be nil.
 	Wanted func() bool
-	// Lapsed says that an instance is heard and holds no lease any more, by its own
-	// clock. It sends no order before it has renewed the lease, which fails once
-	// another has taken it. May be nil.
-	Lapsed func(holder string) bool
 	Now    func() time.Time
 	Log    *zap.Logger
 
@@ -118,6 +114,7 @@
 	case err == nil:
 		l.renewed(written.Revision, sent)
 	case object.ErrConflict.Has(err), object.ErrNotFound.Has(err):
+		l.suspend()
 		return l.settle(ctx, sent)
 	case object.ErrUnavailable.Has(err):
 		l.Log.Warn("lease renewal unanswered", zap.String("lease", l.Name), zap.Error(err))
@@ -129,6 +126,14 @@
 	return renewInterval
 }
 
+// suspend ends the right to order until the lease has been read back: somebody
+// else wrote it.
+func (l *Lease) suspend() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.until = time.Time{}
+}
+
 func (l *Lease) renewed(revision uint64, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -177,7 +182,7 @@
 	if o.Revision != l.seen {
 		l.seen, l.seenAt = o.Revision, l.Now()
 	}
-	if stored.Released || l.Lapsed != nil && l.Lapsed(stored.Holder) {
+	if stored.Released {
 		return l.take(ctx, o, l.QuietTime)
 	}
 	if asked.Sub(l.seenAt) >= leaseTerm {
--- a/internal/placement/lease_test.go
+++ b/internal/placement/lease_test.go
@@ -152,32 +152,33 @@
 	})
 }
 
-// TestLapsedHolderIsReplacedSoon answers the pattern of a holder that is cut off
-// from the store alone: it says itself that it holds nothing any more, and is
-// replaced without the whole term, but after the quiet time.
-func TestLapsedHolderIsReplacedSoon(t *testing.T) {
+// TestConflictEndsOrdersAtOnce answers the pattern of a lease that was taken over
+// while its former holder cannot read it back: the refused renewal alone must end
+// its orders.
+func TestConflictEndsOrdersAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &memoryStore{}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		var away atomic.Bool
-		first := newLease(cut(store.store(), &away), "a", "1")
+		first := newLease(store.store(), "a", "1")
+		first.Store.Get = func(ctx context.Context, kind object.Kind, name string) (object.Object, error) {
+			if store.revision > 1 {
+				return object.Object{}, object.ErrRefused.New("away")
+			}
+			return store.get(ctx, kind, name)
+		}
 		go first.Run(ctx)
 		time.Sleep(time.Second)
-		away.Store(true)
-		second := newLease(store.store(), "b", "1")
-		second.Wanted = func() bool { return !held(first) }
-		second.Lapsed = func(holder string) bool { return holder == "a" && !held(first) }
-		go second.Run(ctx)
-		for held(first) {
-			time.Sleep(10 * time.Millisecond)
+		o, err := store.get(ctx, "", "zone")
+		if err != nil || !held(first) {
+			t.Fatalf("held %v, %v", held(first), err)
 		}
-		lapsed := time.Now()
-		for !held(second) {
-			time.Sleep(10 * time.Millisecond)
+		if _, err := store.replace(ctx, "", "zone", o.Revision, map[string]string{"holder": "b"}); err != nil {
+			t.Fatal(err)
 		}
-		if gap := time.Since(lapsed); gap < testQuiet || gap > testQuiet+time.Second {
-			t.Errorf("replaced after %s", gap)
+		time.Sleep(time.Second)
+		if held(first) {
+			t.Error("orders go on after the renewal was refused")
 		}
 		cancel()
 		synctest.Wait()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -152,7 +152,6 @@
 		Store: r.Store, Kind: leaseKind, Name: s.Zone, Holder: s.InstanceID, Incarnation: incarnation,
 		QuietTime: s.OrderQuietTime.Duration + orderMargin, Now: clock.Now, Log: r.Log,
 		Wanted: func() bool { return r.network.MayOrder() },
-		Lapsed: func(holder string) bool { return r.network.HoldsNothing(holder) },
 	}
 	r.network = &peer.Network{
 		Self:        peer.Member{ID: s.InstanceID, Zone: s.Zone, Address: s.Listen.Peers, Capacity: s.capacity()},
