--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -76,10 +76,9 @@
 	versionByName atomic.Pointer[map[deployment.AdapterName]uint64]
 	targetByID    atomic.Pointer[map[deployment.TargetID]deployment.Target]
 
-	mu sync.Mutex
-	// unlisted are targets that vanished around an outage of the store, with the
-	// time after which they count as gone.
-	unlisted map[deployment.TargetID]time.Time
+	// unlisted are targets that vanished around an outage of the store and are kept
+	// for now. Only takeTargets uses it, which is called once at a time.
+	unlisted map[deployment.TargetID]bool
 }
 
 func (c *Catalog) init() {
@@ -91,7 +90,7 @@
 		c.versions = c.follower(c.Kinds.Versions, versionsWait, versionsPause, c.takeVersions)
 		c.versionByName.Store(&map[deployment.AdapterName]uint64{})
 		c.targetByID.Store(&map[deployment.TargetID]deployment.Target{})
-		c.unlisted = map[deployment.TargetID]time.Time{}
+		c.unlisted = map[deployment.TargetID]bool{}
 	})
 }
 
@@ -188,10 +187,8 @@
 		}
 		listed[t.ID] = t
 	}
-	c.mu.Lock()
 	c.keepUnlisted(listed)
 	c.targetByID.Store(&listed)
-	c.mu.Unlock()
 	if c.TargetsChanged != nil {
 		c.TargetsChanged(listed)
 	}
@@ -212,11 +209,11 @@
 			continue
 		}
 		listed[id] = t
-		if _, ok := c.unlisted[id]; !ok {
+		if !c.unlisted[id] {
 			c.Log.Info("target not listed after an outage of the store, kept for now", zap.String("target", string(id)))
 			// Those that are not listed again in time are dropped then.
 			time.AfterFunc(until.Sub(now), c.targets.Repeat)
 		}
-		c.unlisted[id] = until
+		c.unlisted[id] = true
 	}
 }
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/object"
+	"heatherrelay/internal/wait"
 )
 
 // The pace of a follower.
@@ -62,7 +63,9 @@
 	listed := false
 	for ctx.Err() == nil {
 		if f.idle() {
-			sleep(ctx, idlePause)
+			if wait.Sleep(ctx, idlePause) != nil {
+				return
+			}
 			continue
 		}
 		changed, err := f.step(ctx, &listed)
@@ -76,7 +79,9 @@
 		default:
 			retry = firstRetry
 		}
-		sleep(ctx, pause)
+		if wait.Sleep(ctx, pause) != nil {
+			return
+		}
 	}
 }
 
@@ -98,15 +103,15 @@
 		f.clean(page)
 		return f.update(func(r *Replica) bool { return r.List(page, sentAt) }), nil
 	}
-	from, wait := f.State().Position, f.Wait
+	from, longest := f.State().Position, f.Wait
 	if f.WaitNow != nil {
-		wait = f.WaitNow()
+		longest = f.WaitNow()
 	}
 	if f.lostStore() {
 		// A call that waits longer would notice late that the store is back.
-		wait = probeWait
+		longest = probeWait
 	}
-	page, err := f.Store.Watch(ctx, f.Kind, from, wait)
+	page, err := f.Store.Watch(ctx, f.Kind, from, longest)
 	if object.ErrCompacted.Has(err) {
 		*listed = false
 		f.Log.Info("watch history compacted, listing again", zap.String("kind", string(f.Kind)), zap.Uint64("revision", from))
@@ -205,13 +210,3 @@
 		f.Log.Info("store regained", zap.String("kind", string(f.Kind)), zap.Duration("after", now.Sub(f.lost)))
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -24,7 +24,6 @@
 		}
 		e.note("read", e.target.ID, "broken")
 		e.ticket.end()
-		e.ran = true
 		e.passedOver[e.target.ID] = true
 		if e.ctx.Err() == nil {
 			e.failed(err)
@@ -43,10 +42,7 @@
 // passAnswer passes a whole answer on, unchanged.
 func (e *exchange) passAnswer(a *wholeAnswer) {
 	r := &e.client.Response
-	r.SetStatusCode(a.Status)
-	for _, h := range a.Headers {
-		r.Header.Add(h.Name, h.Value)
-	}
+	e.passHead(&a.Answer)
 	if e.request.Method == http.MethodHead {
 		r.SkipBody = true
 	}
@@ -56,7 +52,7 @@
 	e.log("answered", targetField(e.target.ID), zap.Int("status", a.Status), zap.Int("bytes", len(a.body)))
 }
 
-// passHead sets the status and the headers of a stream.
+// passHead sets the status and the headers of an answer.
 func (e *exchange) passHead(a *upstream.Answer) {
 	r := &e.client.Response
 	r.SetStatusCode(a.Status)
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -60,8 +60,7 @@
 type delivery struct {
 	// sends counts the arrivals at targets.
 	sends int
-	// ran says that a target may have run the request, runs how many.
-	ran  bool
+	// runs counts the targets that may have run the request.
 	runs int
 	// trail lists what was tried, for the log.
 	trail []string
@@ -133,7 +132,6 @@
 		case answered:
 			return nil
 		case unclear:
-			e.ran = true
 			if !e.mayRepeat() {
 				return refusal.MayHaveRun(refusal.CodeMayHaveRun, "no whole answer of the target")
 			}
@@ -149,7 +147,7 @@
 
 // given returns a refusal that says no more than what is certain.
 func (e *exchange) given(refused *refusal.Error) *refusal.Error {
-	if e.ran && refused.NotRun {
+	if e.runs > 0 && refused.NotRun {
 		code := refusal.CodeMayHaveRun
 		if refused.Code == refusal.CodeCallerGone {
 			code = refused.Code
@@ -165,7 +163,7 @@
 	case errors.Is(cause, errClientGone):
 		return e.given(refusal.NotRun(refusal.CodeCallerGone, "client gone").Because(cause))
 	case cause != nil || e.left() < leastTime:
-		if e.ran {
+		if e.runs > 0 {
 			return refusal.MayHaveRun(refusal.CodeDeadline, "no time left")
 		}
 		return refusal.NotRun(refusal.CodeOverloaded, "no time left").After(retrySoon)
--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -7,6 +7,7 @@
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/upstream"
+	"heatherrelay/internal/wait"
 )
 
 // prepare chooses the target and has the adapter loaded there. A nil send
@@ -94,17 +95,15 @@
 		return false
 	}
 	send.AdapterVersion = max(want.Version, resident.Version)
-	wait := resident.ReadyAt.Sub(e.server.Now())
-	e.awaited = wait > 0
-	if wait <= 0 {
+	left := resident.ReadyAt.Sub(e.server.Now())
+	e.awaited = left > 0
+	if left <= 0 {
 		return true
 	}
-	wait += readyMargin
-	e.server.Metrics.loadWait.Observe(wait.Seconds())
-	select {
-	case <-e.ctx.Done():
+	left += readyMargin
+	e.server.Metrics.loadWait.Observe(left.Seconds())
+	if wait.Sleep(e.ctx, left) != nil {
 		return false
-	case <-time.After(wait):
 	}
 	send.Deadline = e.left()
 	return true
@@ -134,52 +133,48 @@
 	return zones
 }
 
-// engines returns the service's engines as candidates.
-func (e *exchange) engines(service *deployment.Service) []placement.Candidate {
+// candidates returns the service's targets that the request may still be sent to.
+func (e *exchange) candidates(service *deployment.Service) []placement.Candidate {
 	s := e.server
 	var candidates []placement.Candidate
-	zones := e.zoneOrders(service)
 	for id, t := range s.Catalog.Targets() {
 		if t.Service != service.Name || t.Draining || e.passedOver[id] {
 			continue
 		}
-		c := placement.Candidate{
+		candidates = append(candidates, placement.Candidate{
 			Target:     t,
 			Use:        s.Network.Use(id),
 			Health:     s.Detector.Health(id),
 			ErrorShare: s.Detector.ErrorShare(id),
-			Slots:      service.Engine.Slots,
-			Memory:     service.Engine.MemoryTokens,
-			HasModel:   s.Directory.HoldsModel(&t, e.request.Adapter.Model),
-			Orderable:  zones[t.Zone].ok,
-			ColdWait:   placement.ColdWait(zones[t.Zone].waiting, zones[t.Zone].engines),
-			Warm:       s.Directory.Warm(&t, e.request.Adapter),
-		}
-		if r, ok := s.Directory.Resident(&t, e.request.Adapter); ok {
+			Slots:      t.Slots,
+		})
+	}
+	return candidates
+}
+
+// engines returns the service's engines as candidates.
+func (e *exchange) engines(service *deployment.Service) []placement.Candidate {
+	directory := e.server.Directory
+	zones := e.zoneOrders(service)
+	candidates := e.candidates(service)
+	for i := range candidates {
+		c := &candidates[i]
+		zone := zones[c.Zone]
+		c.Slots, c.Memory = service.Engine.Slots, service.Engine.MemoryTokens
+		c.HasModel = directory.HoldsModel(&c.Target, e.request.Adapter.Model)
+		c.Warm = directory.Warm(&c.Target, e.request.Adapter)
+		c.Orderable, c.ColdWait = zone.ok, placement.ColdWait(zone.waiting, zone.engines)
+		if r, ok := directory.Resident(&c.Target, e.request.Adapter); ok {
 			c.Resident = &r
 		}
-		candidates = append(candidates, c)
 	}
 	return candidates
 }
 
 // preparePlain chooses the target of a plain service.
 func (e *exchange) preparePlain(service *deployment.Service) (*upstream.Send, *refusal.Error) {
-	s := e.server
-	var candidates []placement.Candidate
-	for id, t := range s.Catalog.Targets() {
-		if t.Service != service.Name || t.Draining || e.passedOver[id] {
-			continue
-		}
-		candidates = append(candidates, placement.Candidate{
-			Target:     t,
-			Use:        s.Network.Use(id),
-			Health:     s.Detector.Health(id),
-			ErrorShare: s.Detector.ErrorShare(id),
-			Slots:      t.Slots,
-		})
-	}
-	index, ok := placement.ChoosePlain(candidates, s.Zone, e.route.Repeatable())
+	candidates := e.candidates(service)
+	index, ok := placement.ChoosePlain(candidates, e.server.Zone, e.route.Repeatable())
 	if !ok {
 		return nil, refusal.NotRun(refusal.CodeNoTarget, "no target can take the request").After(retrySoon)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -21,6 +21,7 @@
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/retry"
 	"heatherrelay/internal/upstream"
+	"heatherrelay/internal/wait"
 )
 
 // The bounds of connections from clients.
@@ -60,13 +61,11 @@
 	Metrics *Metrics
 	Now     func() time.Time
 	Log     *zap.Logger
-
-	http *fasthttp.Server
 }
 
-// Serve answers clients on a listener until Shutdown.
+// Serve answers clients on a listener until that is closed.
 func (s *Server) Serve(listener net.Listener) error {
-	s.http = &fasthttp.Server{
+	server := &fasthttp.Server{
 		Handler:                       s.handle,
 		MaxRequestBodySize:            maxBodyBytes,
 		ReadBufferSize:                headerBytes,
@@ -78,7 +77,7 @@
 		DisableHeaderNamesNormalizing: true,
 		Logger:                        discard{},
 	}
-	return s.http.Serve(listener)
+	return server.Serve(listener)
 }
 
 // discard drops the library's own lines: every request has a line of ours.
@@ -92,10 +91,9 @@
 
 // Drain waits until no request is under way, or ctx ends.
 func (s *Server) Drain(ctx context.Context) {
-	for s.Underway() > 0 && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(drainPollEvery):
+	for s.Underway() > 0 {
+		if wait.Sleep(ctx, drainPollEvery) != nil {
+			return
 		}
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -145,7 +145,6 @@
 func (s *stream) elsewhere(cause error) *refusal.Error {
 	s.response.Close()
 	s.ticket.end()
-	s.ran = true
 	s.passedOver[s.target.ID] = true
 	if s.ctx.Err() == nil {
 		s.failed(cause)
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -69,12 +69,11 @@
 	waiting     int
 	// heardAt is when this instance, or one that told of it, last heard of it.
 	heardAt time.Time
-	// uses and admitted are what it told this instance itself, at toldAt.
-	uses     map[deployment.TargetID]load.TargetUse
-	admitted map[string]float64
-	toldAt   time.Time
-	calling  bool
-	client   heatherrelayv1connect.FleetServiceClient
+	// uses are what it told this instance itself, at toldAt.
+	uses    map[deployment.TargetID]load.TargetUse
+	toldAt  time.Time
+	calling bool
+	client  heatherrelayv1connect.FleetServiceClient
 	// engines is the last change of engines that it relayed.
 	engines uint64
 }
@@ -273,8 +272,12 @@
 	if !heardAt.After(r.heardAt) {
 		return
 	}
-	r.heardAt, r.leaving, r.holds, r.waiting = heardAt, m.GetLeaving(), m.GetHoldsOrders(), int(m.GetWaitingLoads())
-	r.Capacity = m.GetCapacity()
+	r.heardAt, r.Capacity = heardAt, m.GetCapacity()
+	r.takeStatus(m)
+}
+
+func (r *remote) takeStatus(m *v1.Member) {
+	r.leaving, r.holds, r.waiting = m.GetLeaving(), m.GetHoldsOrders(), int(m.GetWaitingLoads())
 }
 
 // Learn adds an instance that was not known.
@@ -314,7 +317,6 @@
 	if m.ID == "" || m.ID == n.Self.ID || !m.Address.IsValid() {
 		return
 	}
-	admitted := admittedFrom(s.GetTeams())
 	n.mu.Lock()
 	r, ok := n.remotes[m.ID]
 	if !ok || r.Address != m.Address {
@@ -327,9 +329,9 @@
 			n.Log.Info("instance leaves", zap.String("peer", m.ID))
 		}
 		r.Member, r.incarnation, r.sequence = m, s.GetIncarnation(), s.GetSequence()
-		r.leaving, r.holds, r.waiting = s.GetMember().GetLeaving(), s.GetMember().GetHoldsOrders(), int(s.GetMember().GetWaitingLoads())
+		r.takeStatus(s.GetMember())
 		r.heardAt, r.toldAt = n.Now(), n.Now()
-		r.uses, r.admitted = usesFrom(s.GetTargets()), admitted
+		r.uses = usesFrom(s.GetTargets())
 	}
 	direct := n.countsDirectly(r)
 	n.mu.Unlock()
@@ -338,7 +340,7 @@
 	}
 	if direct {
 		n.noteUses(s.GetTargets())
-		n.Meter.Observe(m.ID, s.GetIncarnation(), admitted)
+		n.Meter.Observe(m.ID, s.GetIncarnation(), admittedFrom(s.GetTeams()))
 	}
 	for _, e := range s.GetEngines() {
 		n.engines.take(e)
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"heatherrelay/internal/deployment"
@@ -45,7 +46,7 @@
 
 func (r *resident) popularity(now time.Time) float64 {
 	age := now.Sub(r.lastCounted).Seconds() / useHalfLife.Seconds()
-	return r.uses * halfPower(age)
+	return r.uses * math.Exp2(-age)
 }
 
 // Engine is what the holder of an engine's orders knows of it: which adapters
@@ -152,9 +153,6 @@
 	return first
 }
 
-// HasModel says that the engine holds a base model.
-func (e *Engine) HasModel(model string) bool { return e.models[model] }
-
 // Used notes that an adapter is used, by a number of requests that may be a
 // fraction.
 func (e *Engine) Used(name deployment.AdapterName, requests float64, now time.Time) {
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/wait"
 )
 
 // The pace of a holder.
@@ -262,9 +265,8 @@
 		if h.sync(ctx, t, e) {
 			return true
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(settleInterval):
+		if wait.Sleep(ctx, settleInterval) != nil {
+			break
 		}
 	}
 	return false
@@ -335,6 +337,13 @@
 	e.state.Used(name, requests, h.Now())
 }
 
+// all returns the engines that this instance orders.
+func (h *Holder) all() []*heldEngine {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Collect(maps.Values(h.engines))
+}
+
 // EngineState is an engine's state for the other instances.
 type EngineState struct {
 	Target    deployment.TargetID
@@ -348,14 +357,8 @@
 	if !h.Holds() {
 		return nil
 	}
-	h.mu.Lock()
-	engines := make([]*heldEngine, 0, len(h.engines))
-	for _, e := range h.engines {
-		engines = append(engines, e)
-	}
-	h.mu.Unlock()
 	var states []EngineState
-	for _, e := range engines {
+	for _, e := range h.all() {
 		e.mu.Lock()
 		if e.state.models != nil {
 			residents, models := e.state.Residents()
--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/object"
+	"heatherrelay/internal/wait"
 )
 
 // The terms of a lease.
@@ -80,10 +81,8 @@
 // Run takes and renews the lease until ctx ends, and gives it up then.
 func (l *Lease) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := l.step(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
+		if wait.Sleep(ctx, l.step(ctx)) != nil {
+			break
 		}
 	}
 	l.release()
--- a/internal/placement/wish.go
+++ b/internal/placement/wish.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/wait"
 )
 
 const (
@@ -116,9 +117,8 @@
 			e.mu.Unlock()
 			return result
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(stepInterval):
+		if wait.Sleep(ctx, stepInterval) != nil {
+			break
 		}
 	}
 	h.logNotLoaded(w, "no turn in time")
@@ -238,14 +238,8 @@
 func (h *Holder) coldShare() int { return h.Pace.Share(len(h.owned())) }
 
 func (h *Holder) coldComing(now time.Time) int {
-	h.mu.Lock()
-	engines := make([]*heldEngine, 0, len(h.engines))
-	for _, e := range h.engines {
-		engines = append(engines, e)
-	}
-	h.mu.Unlock()
 	n := 0
-	for _, e := range engines {
+	for _, e := range h.all() {
 		e.mu.Lock()
 		n += e.state.ColdComing(now)
 		e.mu.Unlock()
--- a/internal/relay/register.go
+++ b/internal/relay/register.go
@@ -10,6 +10,7 @@
 
 	"heatherrelay/internal/object"
 	"heatherrelay/internal/peer"
+	"heatherrelay/internal/wait"
 )
 
 // The pace of the registration.
@@ -31,24 +32,23 @@
 func (r *Relay) register(ctx context.Context) {
 	registered := false
 	for ctx.Err() == nil {
-		wait := discoverInterval
+		pause := discoverInterval
 		if r.network.Members() > 1 {
-			wait = heardInterval
+			pause = heardInterval
 		}
 		if !registered {
 			err := r.writeInstance(ctx)
 			registered = err == nil
 			if err != nil {
-				wait = registerRetry
+				pause = registerRetry
 				r.Log.Warn("instance not registered", zap.Error(err))
 			}
 		}
 		if err := r.discover(ctx, r.network.Members() > 1); err != nil {
 			r.Log.Debug("instances not listed", zap.Error(err))
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
+		if wait.Sleep(ctx, pause) != nil {
+			return
 		}
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,7 @@
 	"heatherrelay/internal/quota"
 	"heatherrelay/internal/retry"
 	"heatherrelay/internal/upstream"
+	"heatherrelay/internal/wait"
 )
 
 // The kinds of this project's own objects in the store.
@@ -292,11 +293,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.Settings.ShutdownGrace.Duration-shutdownMargin)
 	defer cancel()
 	r.network.Farewell(ctx)
-	select {
-	case <-ctx.Done():
-	case <-time.After(leastDrain):
+	if wait.Sleep(ctx, leastDrain) == nil {
+		r.server.Drain(ctx)
 	}
-	r.server.Drain(ctx)
 }
 
 // housekeep closes connections that were idle for too long and prepares the
