Pass on what each instance admitted, with its origin, in place of sums

Cause of the red TestAdmissionsAreCountedOnce (large fleet): relays told sums of what their zones admitted. Whenever the relay that an instance goes by changed, or its own role, the sums started anew, and what was admitted in between was never taken off its buckets. Shown by TestAdmissionsAreCountedWhenRelaysEnd, which failed on the former code in its first run (admissions while two relays end: not reached in 15 s). Now each instance's own counts travel with incarnation and sequence number, and a relay passes on those that changed since the asker's last exchange; taking the same word twice, or by two ways, counts once. Sums, their rebasing and their base points are gone. Ruled out: loss on the direct way (the small fleet's case never failed).

--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -30,11 +30,11 @@
 	}
 	now := n.Now()
 	for _, e := range n.Holder.States() {
-		n.Directory.Update(e)
 		m := engineMessage(e, now)
-		n.engines.take(m)
+		n.takeEngine(m, now)
 		s.Engines = append(s.Engines, m)
 	}
+	n.originals.spendings.take(n.Self.ID+"#"+n.Incarnation, spendingOf(s), newerSpending, sameSpending)
 	return s
 }
 
@@ -43,7 +43,8 @@
 	request := &v1.ExchangeRequest{Sender: n.state(), Beliefs: n.beliefStates(), WantsAdapters: n.Holder.Holds()}
 	n.mu.RLock()
 	if r, ok := n.remotes[id]; ok {
-		request.EnginesSource, request.EnginesAfter = r.incarnation, r.engines
+		request.ChangesSource = r.incarnation
+		request.EnginesAfter, request.SpendingsAfter = r.received.engines, r.received.spendings
 	}
 	relays := n.role == relaying
 	request.WantsAdapters = request.WantsAdapters || relays
@@ -140,7 +141,13 @@
 }
 
 func engineMessage(e placement.EngineState, now time.Time) *v1.EngineState {
-	m := &v1.EngineState{TargetId: string(e.Target), Born: e.Born, Models: e.Models}
+	m := &v1.EngineState{
+		TargetId:      string(e.Target),
+		Born:          e.Born,
+		Models:        e.Models,
+		FencingNumber: e.FencingNumber,
+		Sequence:      e.Sequence,
+	}
 	for _, r := range e.Residents {
 		m.Adapters = append(m.Adapters, &v1.AdapterState{
 			Model:     r.Model,
@@ -156,7 +163,7 @@
 	e := placement.EngineState{Target: deployment.TargetID(m.GetTargetId()), Born: m.GetBorn(), Models: m.GetModels()}
 	for _, a := range m.GetAdapters() {
 		e.Residents = append(e.Residents, placement.Resident{
-			AdapterName: deployment.AdapterName{Model: a.GetModel(), Adapter: a.GetAdapter()},
+			AdapterName: adapterName(a),
 			Version:     a.GetVersion(),
 			ReadyAt:     now.Add(time.Duration(a.GetReadyInMs()) * time.Millisecond),
 		})
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -74,8 +74,8 @@
 	toldAt  time.Time
 	calling bool
 	client  heatherrelayv1connect.FleetServiceClient
-	// engines is the last change of engines that it relayed.
-	engines uint64
+	// received is what it relayed last.
+	received received
 }
 
 // Network is this instance's part in the exchange. Set the exported fields
@@ -106,9 +106,9 @@
 	// zones are the sums of zones that others relay.
 	zones map[string]*zoneSum
 	// uses are the sums of the others' uses.
-	uses    map[deployment.TargetID]load.TargetUse
-	engines engineLog
-	waits   map[string]waits
+	uses      map[deployment.TargetID]load.TargetUse
+	originals originals
+	waits     map[string]waits
 }
 
 func (n *Network) init() {
@@ -246,7 +246,7 @@
 	}
 	n.hear(response.GetResponder())
 	n.learnMembers(response.GetMembers(), sentAt)
-	n.takeEngines(response)
+	n.takeRelayed(response)
 	n.takeZones(response, sentAt)
 	for _, b := range response.GetBeliefs() {
 		n.takeBelief(b, sentAt)
@@ -306,6 +306,8 @@
 		}
 		if silence := now.Sub(r.heardAt); silence > limit {
 			delete(n.remotes, id)
+			n.originals.spendings.drop(func(s *v1.Spending) bool { return s.GetInstanceId() == id })
+			n.Meter.Forget(id)
 			n.Log.Info("instance forgotten", zap.String("peer", id), zap.Duration("silence", silence), zap.Bool("leaving", r.leaving))
 		}
 	}
@@ -340,11 +342,10 @@
 	}
 	if direct {
 		n.noteUses(s.GetTargets())
-		n.Meter.Observe(m.ID, s.GetIncarnation(), admittedFrom(s.GetTeams()))
 	}
+	n.takeSpending(spendingOf(s))
 	for _, e := range s.GetEngines() {
-		n.engines.take(e)
-		n.Directory.Update(engineFrom(e, n.Now()))
+		n.takeEngine(e, n.Now())
 	}
 }
 
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -181,3 +181,46 @@
 		})
 	}
 }
+
+// TestAdmissionsAreCountedWhenRelaysEnd checks that what instances admit while
+// the relays that they exchange with end reaches all others' buckets, once, by
+// way of the relays that follow.
+func TestAdmissionsAreCountedWhenRelaysEnd(t *testing.T) {
+	t.Parallel()
+	const size = 24
+	fleet := newFleet(t, size)
+	await(t, "all know each other", func() bool {
+		return everyone(fleet, func(m *member) bool { return m.Members() == size && m.Fraction() == 1 })
+	})
+	time.Sleep(2 * time.Second)
+	var left []*member
+	for _, m := range fleet {
+		if m.Self.Capacity == 4 {
+			m.stop()
+			continue
+		}
+		left = append(left, m)
+	}
+	before := map[string]float64{}
+	for _, m := range left {
+		before[m.Self.ID] = m.Meter.Level(testTeam)
+	}
+	const cost = 1000
+	for _, m := range left {
+		if ok, _ := m.Meter.Admit(testTeam, cost); !ok {
+			t.Fatal("refused")
+		}
+	}
+	want := float64(len(left) * cost)
+	near := func(m *member) bool {
+		spent := before[m.Self.ID] - m.Meter.Level(testTeam)
+		return spent > want-100 && spent < want+100
+	}
+	await(t, "all admissions are counted", func() bool { return everyone(left, near) })
+	time.Sleep(time.Second)
+	for _, m := range left {
+		if !near(m) {
+			t.Errorf("%s counted %.0f, admitted were %.0f", m.Self.ID, before[m.Self.ID]-m.Meter.Level(testTeam), want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/originals.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"time"
+
+	"heatherrelay/internal/deployment"
+	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+)
+
+// originals are the states that relays pass on one by one, each with its origin:
+// what instances admitted, and what the holders of orders know of engines.
+type originals struct {
+	spendings changes[*v1.Spending]
+	engines   changes[*v1.EngineState]
+}
+
+// received are the numbers of the last changes that a relay passed on.
+type received struct{ spendings, engines uint64 }
+
+// takeSpending takes what an instance admitted, from itself or through a relay.
+func (n *Network) takeSpending(s *v1.Spending) {
+	if s.GetInstanceId() == "" || s.GetInstanceId() == n.Self.ID {
+		return
+	}
+	if n.originals.spendings.take(s.GetInstanceId()+"#"+s.GetIncarnation(), s, newerSpending, sameSpending) {
+		n.Meter.Observe(s.GetInstanceId(), s.GetIncarnation(), admittedFrom(s.GetTeams()))
+	}
+}
+
+// takeEngine takes what a holder of orders knows of an engine, from the holder
+// or through a relay.
+func (n *Network) takeEngine(e *v1.EngineState, now time.Time) {
+	if n.originals.engines.take(e.GetTargetId(), e, newerEngine, sameEngine) {
+		n.Directory.Update(engineFrom(e, now))
+	}
+}
+
+// takeRelayed takes what a relay passed on.
+func (n *Network) takeRelayed(response *v1.ExchangeResponse) {
+	now := n.Now()
+	for _, s := range response.GetSpendings() {
+		n.takeSpending(s)
+	}
+	for _, e := range response.GetEngines() {
+		n.takeEngine(e, now)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r, ok := n.remotes[response.GetResponder().GetMember().GetInstanceId()]; ok {
+		r.received = received{spendings: response.GetSpendingsChange(), engines: response.GetEnginesChange()}
+	}
+}
+
+// passOn adds what an instance that asked lacks of the relayed states. Relays of
+// other zones hear from their own instances themselves.
+func (n *Network) passOn(response *v1.ExchangeResponse, request *v1.ExchangeRequest, asker Member) {
+	var has received
+	if request.GetChangesSource() == n.Incarnation {
+		has = received{spendings: request.GetSpendingsAfter(), engines: request.GetEnginesAfter()}
+	}
+	wanted := func(s *v1.Spending) bool {
+		return s.GetInstanceId() != asker.ID && (asker.Zone == n.Self.Zone || s.GetZone() == n.Self.Zone)
+	}
+	any := func(*v1.EngineState) bool { return true }
+	response.Spendings, response.SpendingsChange = n.originals.spendings.after(has.spendings, wanted)
+	response.Engines, response.EnginesChange = n.originals.engines.after(has.engines, any)
+}
+
+// spendingOf returns the part of an instance's state that relays pass on.
+func spendingOf(s *v1.InstanceState) *v1.Spending {
+	return &v1.Spending{
+		InstanceId:  s.GetMember().GetInstanceId(),
+		Zone:        s.GetMember().GetZone(),
+		Incarnation: s.GetIncarnation(),
+		Sequence:    s.GetSequence(),
+		Teams:       s.GetTeams(),
+	}
+}
+
+func newerSpending(known, next *v1.Spending) bool { return next.GetSequence() > known.GetSequence() }
+
+func sameSpending(known, next *v1.Spending) bool {
+	if len(known.GetTeams()) != len(next.GetTeams()) {
+		return false
+	}
+	admitted := admittedFrom(known.GetTeams())
+	for _, t := range next.GetTeams() {
+		if known, ok := admitted[t.GetTeam()]; !ok || known != t.GetAdmitted() {
+			return false
+		}
+	}
+	return true
+}
+
+func newerEngine(known, next *v1.EngineState) bool {
+	switch {
+	case known.GetBorn() != next.GetBorn():
+		return next.GetBorn() > known.GetBorn()
+	case known.GetFencingNumber() != next.GetFencingNumber():
+		return next.GetFencingNumber() > known.GetFencingNumber()
+	}
+	return next.GetSequence() > known.GetSequence()
+}
+
+// sameEngine compares what lasts: the time to a load's end passes by itself.
+func sameEngine(a, b *v1.EngineState) bool {
+	if a.GetBorn() != b.GetBorn() || len(a.GetAdapters()) != len(b.GetAdapters()) || len(a.GetModels()) != len(b.GetModels()) {
+		return false
+	}
+	versions := make(map[deployment.AdapterName]uint64, len(a.GetAdapters()))
+	for _, r := range a.GetAdapters() {
+		versions[adapterName(r)] = r.GetVersion() + 1
+	}
+	for _, r := range b.GetAdapters() {
+		if versions[adapterName(r)] != r.GetVersion()+1 {
+			return false
+		}
+	}
+	return true
+}
+
+func adapterName(a *v1.AdapterState) deployment.AdapterName {
+	return deployment.AdapterName{Model: a.GetModel(), Adapter: a.GetAdapter()}
+}
--- a/internal/peer/roles.go
+++ b/internal/peer/roles.go
@@ -32,8 +32,7 @@
 
 var roleNames = map[role]string{meshed: "meshed", relaying: "relaying", relayed: "relayed"}
 
-// settleRole takes the role that the known instances ask for. Counts of what
-// others admitted start anew with a role, since they come from others then.
+// settleRole takes the role that the known instances ask for.
 func (n *Network) settleRole() {
 	n.mu.Lock()
 	former := n.role
@@ -52,7 +51,6 @@
 	next := n.role
 	n.mu.Unlock()
 	if changed {
-		n.Meter.Rebase()
 		n.Log.Info("role changed", zap.String("role", roleNames[next]))
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -29,11 +29,7 @@
 		Zones:     n.summaries(asker, request.GetWantsAdapters()),
 	}
 	if response.Zones != nil {
-		after := request.GetEnginesAfter()
-		if request.GetEnginesSource() != n.Incarnation {
-			after = 0
-		}
-		response.Engines, response.EnginesChange = n.engines.after(after)
+		n.passOn(response, request, asker)
 	}
 	return response, nil
 }
--- a/internal/peer/summary.go
+++ b/internal/peer/summary.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"sync"
 	"time"
 
 	"heatherrelay/internal/deployment"
@@ -9,12 +8,11 @@
 	"heatherrelay/internal/load"
 )
 
-// zoneSum is what the instances of a zone have under way and admitted, as one of
-// the zone's relays has heard it.
+// zoneSum is what the instances of a zone have under way, as one of the zone's
+// relays has heard it.
 type zoneSum struct {
 	source string
 	at     time.Time
-	teams  map[string]float64
 	uses   map[deployment.TargetID]load.TargetUse
 }
 
@@ -26,12 +24,10 @@
 		sum := &zoneSum{
 			source: z.GetSource(),
 			at:     sentAt.Add(-time.Duration(z.GetAgeMs()) * time.Millisecond),
-			teams:  admittedFrom(z.GetTeams()),
 			uses:   usesFrom(z.GetTargets()),
 		}
 		if n.keepZone(z.GetZone(), response.GetResponder().GetMember().GetInstanceId(), sum) {
 			n.noteUses(z.GetTargets())
-			n.Meter.ObserveSum(z.GetZone(), sum.source, sum.teams)
 		}
 	}
 }
@@ -102,18 +98,13 @@
 		return nil
 	}
 	now := n.Now()
-	mine := &zoneSum{source: n.Self.ID + "#" + n.Incarnation, at: now, teams: n.Meter.Total(), uses: map[deployment.TargetID]load.TargetUse{}}
+	mine := &zoneSum{source: n.Self.ID + "#" + n.Incarnation, at: now, uses: map[deployment.TargetID]load.TargetUse{}}
 	addUses(mine.uses, own)
 	for _, r := range n.remotes {
 		if r.Zone == n.Self.Zone && r.ID != asker.ID && now.Sub(r.toldAt) <= useTime {
 			addUses(mine.uses, r.uses)
 		}
 	}
-	if asker.Zone == n.Self.Zone {
-		for team, admitted := range n.Meter.From(asker.ID) {
-			mine.teams[team] -= admitted
-		}
-	}
 	summaries := []*v1.ZoneSummary{summaryMessage(n.Self.Zone, mine, now, wantsAdapters)}
 	if asker.Zone == n.Self.Zone {
 		for zone, z := range n.zones {
@@ -124,7 +115,7 @@
 }
 
 func summaryMessage(zone string, z *zoneSum, now time.Time, wantsAdapters bool) *v1.ZoneSummary {
-	m := &v1.ZoneSummary{Zone: zone, Source: z.source, AgeMs: now.Sub(z.at).Milliseconds(), Teams: teamMessages(z.teams)}
+	m := &v1.ZoneSummary{Zone: zone, Source: z.source, AgeMs: now.Sub(z.at).Milliseconds()}
 	for id, u := range z.uses {
 		if !wantsAdapters {
 			u.Adapters = nil
@@ -133,74 +124,3 @@
 	}
 	return m
 }
-
-// engineLog numbers the changes of the engines' states, so that a relay passes
-// on only what the asker does not have.
-type engineLog struct {
-	mu      sync.Mutex
-	last    uint64
-	engines map[string]engineChange
-}
-
-type engineChange struct {
-	state  *v1.EngineState
-	number uint64
-}
-
-// take notes a state if it differs from the one known.
-func (l *engineLog) take(e *v1.EngineState) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.engines == nil {
-		l.engines = map[string]engineChange{}
-	}
-	if known, ok := l.engines[e.GetTargetId()]; ok && sameEngine(known.state, e) {
-		return
-	}
-	l.last++
-	l.engines[e.GetTargetId()] = engineChange{state: e, number: l.last}
-}
-
-// sameEngine compares what lasts: the time to a load's end passes by itself.
-func sameEngine(a, b *v1.EngineState) bool {
-	if a.GetBorn() != b.GetBorn() || len(a.GetAdapters()) != len(b.GetAdapters()) || len(a.GetModels()) != len(b.GetModels()) {
-		return false
-	}
-	versions := make(map[string]uint64, len(a.GetAdapters()))
-	for _, r := range a.GetAdapters() {
-		versions[r.GetModel()+"/"+r.GetAdapter()] = r.GetVersion() + 1
-	}
-	for _, r := range b.GetAdapters() {
-		if versions[r.GetModel()+"/"+r.GetAdapter()] != r.GetVersion()+1 {
-			return false
-		}
-	}
-	return true
-}
-
-// after returns the engines that changed after a number, and the last number.
-func (l *engineLog) after(number uint64) ([]*v1.EngineState, uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var changed []*v1.EngineState
-	for _, c := range l.engines {
-		if c.number > number {
-			changed = append(changed, c.state)
-		}
-	}
-	return changed, l.last
-}
-
-// takeEngines takes the engines' states that a relay passed on.
-func (n *Network) takeEngines(response *v1.ExchangeResponse) {
-	now := n.Now()
-	for _, e := range response.GetEngines() {
-		n.engines.take(e)
-		n.Directory.Update(engineFrom(e, now))
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if r, ok := n.remotes[response.GetResponder().GetMember().GetInstanceId()]; ok {
-		r.engines = response.GetEnginesChange()
-	}
-}
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -58,6 +58,9 @@
 	// reports that were asked for.
 	Loads, Unloads, Reports atomic.Uint64
 
+	// told is the number of times that the engines' states were told.
+	told atomic.Uint64
+
 	mu        sync.Mutex
 	engines   map[deployment.TargetID]*heldEngine
 	modelLoad time.Time
@@ -346,23 +349,30 @@
 
 // EngineState is an engine's state for the other instances.
 type EngineState struct {
-	Target    deployment.TargetID
-	Born      int64
-	Residents []Resident
-	Models    []string
+	Target deployment.TargetID
+	Born   int64
+	// FencingNumber and Sequence order the states of one start of an engine.
+	FencingNumber uint64
+	Sequence      uint64
+	Residents     []Resident
+	Models        []string
 }
 
 // States returns the states of the engines that this instance orders.
 func (h *Holder) States() []EngineState {
-	if !h.Holds() {
+	fencing, ok := h.mayOrder()
+	if !ok {
 		return nil
 	}
+	sequence := h.told.Add(1)
 	var states []EngineState
 	for _, e := range h.all() {
 		e.mu.Lock()
 		if e.state.models != nil {
 			residents, models := e.state.Residents()
-			states = append(states, EngineState{Target: e.state.ID, Born: e.state.Born, Residents: residents, Models: models})
+			states = append(states, EngineState{
+				Target: e.state.ID, Born: e.state.Born, FencingNumber: fencing, Sequence: sequence, Residents: residents, Models: models,
+			})
 		}
 		e.mu.Unlock()
 	}
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,14 +42,16 @@
 	b.filled = now
 }
 
-// peer is what another instance told of itself, or a sum over several.
-type peer struct {
+// run is what an instance told of one run of its process.
+type run struct {
 	incarnation string
 	admitted    map[string]float64
-	// counted is what was counted of it here, over all its incarnations.
-	counted map[string]float64
 }
 
+// maxRuns is how many runs of an instance are known; late word of an earlier one
+// must not be counted twice.
+const maxRuns = 4
+
 // Meter admits requests against the teams' allowances. It is safe for
 // concurrent use. Set the exported fields before the first use.
 type Meter struct {
@@ -65,9 +68,8 @@
 	mu       sync.Mutex
 	buckets  map[string]*bucket
 	admitted map[string]float64
-	// peers are observed one by one, sums over several.
-	peers map[string]*peer
-	sums  map[string]*peer
+	// peers are the latest runs of the other instances, by instance.
+	peers map[string][]*run
 }
 
 // Cost returns what a request counts against its team's allowance.
@@ -184,89 +186,41 @@
 	return maps.Clone(m.admitted)
 }
 
-// Observe takes what a peer admitted since it started. What it admitted before
-// this instance first heard of it was before this instance's buckets filled.
+// Observe takes what a run of a peer admitted since it started. What it admitted
+// before this instance first heard of the peer was before this instance's
+// buckets filled; of a later run of a known peer all counts.
 func (m *Meter) Observe(id, incarnation string, admitted map[string]float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.peers == nil {
-		m.peers = map[string]*peer{}
-	}
-	known := meet(m.peers, id, incarnation, admitted)
-	if known.incarnation != incarnation {
-		known.incarnation, known.admitted = incarnation, nil
-	}
-	m.count(known, admitted)
-}
-
-// ObserveSum takes what several peers admitted, as a source has counted it.
-// Counts of another source start anew: what it counted before may be known here.
-func (m *Meter) ObserveSum(id, source string, admitted map[string]float64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.sums == nil {
-		m.sums = map[string]*peer{}
-	}
-	known := meet(m.sums, id, source, admitted)
-	if known.incarnation != source {
-		known.incarnation, known.admitted = source, admitted
+		m.peers = map[string][]*run{}
 	}
-	m.count(known, admitted)
-}
-
-// meet returns what is known of a peer, from now on if nothing is.
-func meet(peers map[string]*peer, id, incarnation string, admitted map[string]float64) *peer {
-	known, ok := peers[id]
-	if !ok {
-		known = &peer{incarnation: incarnation, admitted: admitted, counted: map[string]float64{}}
-		peers[id] = known
+	known := m.peers[id]
+	i := slices.IndexFunc(known, func(r *run) bool { return r.incarnation == incarnation })
+	switch {
+	case len(known) == 0:
+		m.peers[id] = []*run{{incarnation: incarnation, admitted: admitted}}
+	case i < 0:
+		m.take(nil, admitted)
+		m.peers[id] = append(known[max(len(known)+1-maxRuns, 0):], &run{incarnation: incarnation, admitted: admitted})
+	default:
+		m.take(known[i].admitted, admitted)
+		known[i].admitted = admitted
 	}
-	return known
 }
 
-// count takes what was admitted since the last word off the buckets.
-func (m *Meter) count(known *peer, admitted map[string]float64) {
+// take takes what was admitted since the last word off the buckets.
+func (m *Meter) take(before, admitted map[string]float64) {
 	for team, total := range admitted {
-		since := total - known.admitted[team]
-		known.counted[team] += since
 		if b, ok := m.buckets[team]; ok {
-			b.level -= since
+			b.level -= total - before[team]
 		}
 	}
-	known.admitted = admitted
 }
 
-// Rebase forgets all peers: what they admitted so far is counted, and what they
-// admit from now on may come in another way.
-func (m *Meter) Rebase() {
+// Forget forgets a peer.
+func (m *Meter) Forget(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.peers, m.sums = nil, nil
-}
-
-// Total returns what this instance and the peers that it observes one by one
-// admitted since this instance first heard of each.
-func (m *Meter) Total() map[string]float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	total := maps.Clone(m.admitted)
-	if total == nil {
-		total = map[string]float64{}
-	}
-	for _, p := range m.peers {
-		for team, counted := range p.counted {
-			total[team] += counted
-		}
-	}
-	return total
-}
-
-// From returns the part of Total that comes from a peer.
-func (m *Meter) From(id string) map[string]float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if p, ok := m.peers[id]; ok {
-		return maps.Clone(p.counted)
-	}
-	return nil
+	delete(m.peers, id)
 }
--- a/internal/quota/meter_test.go
+++ b/internal/quota/meter_test.go
@@ -182,3 +182,24 @@
 		t.Errorf("level %.0f after %.0f, admitted %v", after, before, m.Admitted())
 	}
 }
+
+// TestLateWordOfAnEarlierRunIsCountedOnce checks that what an instance admitted
+// is counted once when word of it before its restart comes after word of it since.
+func TestLateWordOfAnEarlierRunIsCountedOnce(t *testing.T) {
+	f := newFleet(1)
+	m := f.meters[0]
+	m.Prepare([]*deployment.Team{testTeam})
+	f.now = f.now.Add(10 * time.Second)
+	before := m.Level(testTeam)
+	observe := func(run string, admitted float64) {
+		m.Observe("peer", run, map[string]float64{testTeam.Name: admitted})
+	}
+	observe("first", 100)
+	observe("first", 1100)
+	observe("second", 500)
+	observe("first", 1300)
+	observe("second", 700)
+	if spent := before - m.Level(testTeam); spent != 1900 {
+		t.Errorf("counted %.0f, admitted were 1900", spent)
+	}
+}
