--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -91,6 +91,9 @@
 	e.watch()
 	e.passedOver = map[deployment.TargetID]bool{}
 	e.lastEvent = e.request.LastEventID
+	if e.request.Adapter.Model != "" {
+		e.server.Demand.Note(e.request.Adapter)
+	}
 	if refused := e.obtain(); refused != nil {
 		e.conclude(refused)
 		return
--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/refusal"
@@ -10,6 +13,9 @@
 	"heatherrelay/internal/wait"
 )
 
+// copyTimeout bounds the load of a further copy that no request waits for.
+const copyTimeout = 2 * time.Second
+
 // prepare chooses the target and has the adapter loaded there. A nil send
 // without refusal asks for another round.
 func (e *exchange) prepare() (*upstream.Send, *refusal.Error) {
@@ -61,6 +67,7 @@
 		Now:        s.Now(),
 	}
 	candidates := e.engines(service)
+	want.Copies = s.Demand.Copies(want.Adapter, len(candidates))
 	choice, ok := placement.Choose(want, candidates)
 	if !ok {
 		return nil, refusal.NotRun(refusal.CodeNoTarget, "no engine can take the request").After(retrySoon)
@@ -78,6 +85,9 @@
 			return nil, nil
 		}
 	}
+	if choice.Copy >= 0 {
+		e.copyAdapter(candidates[choice.Copy].Target, want)
+	}
 	send := e.send(target)
 	if !e.awaitAdapter(target, want, send) {
 		return nil, nil
@@ -85,6 +95,23 @@
 	return send, nil
 }
 
+// copyAdapter has a further copy of an adapter loaded, for later requests. It
+// does not wait.
+func (e *exchange) copyAdapter(target deployment.Target, want placement.Want) {
+	s := e.server
+	if !s.Demand.MayCopy(want.Adapter) {
+		return
+	}
+	e.note("copy", target.ID, "asked")
+	go func(id string) {
+		ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+		defer cancel()
+		result := s.Network.Load(ctx, id, target, want.Adapter, want.Version)
+		s.Log.Info("copy of an adapter asked for", zap.String("request_id", id), targetField(target.ID),
+			zap.String("adapter", want.Adapter.Adapter), zap.Float64("copies_wanted", want.Copies), zap.Stringer("result", result))
+	}(e.request.ID)
+}
+
 // awaitAdapter waits until an adapter that is on its way should be there.
 func (e *exchange) awaitAdapter(target deployment.Target, want placement.Want, send *upstream.Send) bool {
 	if want.Adapter.Adapter == "" {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -50,6 +50,7 @@
 	Detector  *outlier.Detector
 	Tracker   *load.Tracker
 	Directory *placement.Directory
+	Demand    *placement.Demand
 	Upstream  *upstream.Client
 	// DecodeRequest reads a client's request; EncodeRefusal writes the fields of
 	// an answer of this instance's own.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -31,6 +31,9 @@
 	// copyDelay is what a further copy of an adapter must gain besides its load: a
 	// copy takes a place that another adapter needs.
 	copyDelay = 500 * time.Millisecond
+	// spreadDelay is the expected wait from which an adapter that is asked for more
+	// than its copies should carry gets a further one.
+	spreadDelay = 50 * time.Millisecond
 	// homeSlack is how much longer than elsewhere a request may wait at the
 	// engine that hashing names: an engine that had the adapter loads it faster.
 	homeSlack = 150 * time.Millisecond
@@ -48,7 +51,9 @@
 	Zone    string
 	// Repeatable requests may be sent again when they fail.
 	Repeatable bool
-	Now        time.Time
+	// Copies is how many engines should hold the adapter by the demand for it.
+	Copies float64
+	Now    time.Time
 }
 
 // Candidate is an engine as the choice sees it.
@@ -89,6 +94,9 @@
 	Delay time.Duration
 	// Full says that the engine has no room for the request now.
 	Full bool
+	// Copy is the engine that should load a further copy of the adapter, for later
+	// requests; -1 is none.
+	Copy int
 }
 
 // Choose returns the engine for a request: the one with the adapter where it
@@ -104,25 +112,31 @@
 }
 
 func choose(want Want, candidates []Candidate, worst outlier.Health) (Choice, bool) {
-	copyChoice, hasCopy := Choice{}, false
+	copyChoice, hasCopy, copies := Choice{}, false, 0
 	homeChoice, hasHome := chooseHome(want, candidates, worst)
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Health > worst || !c.HasModel || !c.serves(want) {
 			continue
 		}
+		copies++
 		delay := c.delay(want)
 		if r := c.Resident; r != nil && r.ReadyAt.After(want.Now) {
 			delay += r.ReadyAt.Sub(want.Now)
 		}
 		if !hasCopy || delay < copyChoice.Delay {
-			copyChoice, hasCopy = Choice{Index: i, Delay: delay, Full: c.full(want)}, true
+			copyChoice, hasCopy = Choice{Index: i, Delay: delay, Full: c.full(want), Copy: -1}, true
 		}
 	}
 	switch {
 	case !hasCopy:
 		return homeChoice, hasHome
-	case !hasHome || copyChoice.Delay <= homeChoice.Delay+copyDelay:
+	case !hasHome:
+		return copyChoice, true
+	case copyChoice.Delay <= homeChoice.Delay+copyDelay:
+		if float64(copies) < want.Copies && copyChoice.Delay > spreadDelay {
+			copyChoice.Copy = homeChoice.Index
+		}
 		return copyChoice, true
 	}
 	return homeChoice, true
@@ -157,7 +171,7 @@
 		return Choice{}, false
 	}
 	name := xxhash.Sum64String(want.Adapter.Model + "/" + want.Adapter.Adapter)
-	best, bestScore := Choice{NeedsLoad: true}, uint64(0)
+	best, bestScore := Choice{NeedsLoad: true, Copy: -1}, uint64(0)
 	found := false
 	for i := range candidates {
 		c := &candidates[i]
--- /dev/null
+++ b/internal/placement/choose_test.go
@@ -0,0 +1,101 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/load"
+	"heatherrelay/internal/placement"
+)
+
+var (
+	popular = deployment.AdapterName{Model: "base", Adapter: "a1"}
+	rare    = deployment.AdapterName{Model: "base", Adapter: "a2"}
+)
+
+// engines returns idle engines with the base model and without adapters.
+func engines(n int) []placement.Candidate {
+	candidates := make([]placement.Candidate, n)
+	for i := range candidates {
+		candidates[i] = placement.Candidate{
+			Target:   deployment.Target{ID: deployment.TargetID(fmt.Sprint("engine-", i)), Zone: "zone-0"},
+			Slots:    24,
+			Memory:   87_000,
+			HasModel: true, Orderable: true,
+		}
+	}
+	return candidates
+}
+
+// TestDemandNamesMuchAskedAdapters answers the pattern in which one adapter gets
+// a fifth of all requests and most others are asked for once: the one should be
+// on a fifth of the engines, the others need no further copy.
+func TestDemandNamesMuchAskedAdapters(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := &placement.Demand{Now: func() time.Time { return now }}
+	for i := range 500 {
+		now = now.Add(20 * time.Millisecond)
+		name := popular
+		if i%5 != 0 {
+			name = deployment.AdapterName{Model: "base", Adapter: fmt.Sprint("b", i)}
+		}
+		d.Note(name)
+	}
+	if copies := d.Copies(popular, 90); copies < 14 || copies > 19 {
+		t.Errorf("%.1f copies of an adapter with a fifth of the requests, on 90 engines", copies)
+	}
+	d.Note(rare)
+	if copies := d.Copies(rare, 90); copies > 1 {
+		t.Errorf("%.1f copies of an adapter that was asked for once", copies)
+	}
+	now = now.Add(time.Minute)
+	d.Note(rare)
+	if copies := d.Copies(popular, 90); copies > 1 {
+		t.Errorf("%.1f copies a minute after the demand moved away", copies)
+	}
+}
+
+// TestOneCopyAtATime checks that an instance asks for copies of an adapter at a
+// bounded pace.
+func TestOneCopyAtATime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := &placement.Demand{Now: func() time.Time { return now }}
+	if !d.MayCopy(popular) || d.MayCopy(popular) || !d.MayCopy(rare) {
+		t.Error("a first copy is refused, or a second one at once is not")
+	}
+	now = now.Add(2 * time.Second)
+	if !d.MayCopy(popular) {
+		t.Error("no further copy later")
+	}
+}
+
+// TestBusyCopiesGetOneMore checks that an adapter that is asked for more than its
+// copies should carry is copied for later requests, while the request at hand
+// goes to the engine that has it.
+func TestBusyCopiesGetOneMore(t *testing.T) {
+	candidates := engines(12)
+	candidates[3].Resident = &placement.Resident{AdapterName: popular, Version: 1}
+	want := placement.Want{Adapter: popular, Tokens: 1000, Zone: "zone-0", Copies: 2.4, Now: time.Unix(1000, 0)}
+	choose := func() placement.Choice {
+		t.Helper()
+		choice, ok := placement.Choose(want, candidates)
+		if !ok {
+			t.Fatal("no engine")
+		}
+		return choice
+	}
+	if choice := choose(); choice.Index != 3 || choice.Copy >= 0 {
+		t.Errorf("idle copy: %+v", choice)
+	}
+	candidates[3].Use = load.Use{Requests: 6, WaitingTokens: 1500, Tokens: 9000}
+	choice := choose()
+	if choice.Index != 3 || choice.NeedsLoad || choice.Copy < 0 || choice.Copy == 3 {
+		t.Errorf("busy copy: %+v", choice)
+	}
+	want.Copies = 0.8
+	if choice := choose(); choice.Copy >= 0 {
+		t.Errorf("busy copy of an adapter that needs one: %+v", choice)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -179,6 +179,7 @@
 	r.server.Zone, r.server.KeyLimit = s.Zone, s.KeyLimit.Duration-keyMargin
 	r.server.Catalog, r.server.Network, r.server.Meter, r.server.Budget = r.catalog, r.network, r.meter, r.budget
 	r.server.Detector, r.server.Tracker, r.server.Directory, r.server.Upstream = r.detector, tracker, r.directory, r.client
+	r.server.Demand = &placement.Demand{Now: clock.Now}
 	r.server.Leaving, r.server.Now, r.server.Log = r.leavingFor, clock.Now, r.Log
 	r.server.Metrics = gateway.NewMetrics(r.Registry)
 }
