--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,19 +18,18 @@
 // waits only bound how long a silent connection goes unnoticed, and how old a
 // confirmation gets.
 const (
-	// confirmWait is the wait of the instances that confirm the configuration for
-	// the others; ownWait is that of the others.
-	confirmWait  = time.Second
-	ownWait      = 3 * time.Second
-	targetsWait  = 2 * time.Second
-	versionsWait = 4 * time.Second
+	configurationWait = time.Second
+	targetsWait       = time.Second
+	versionsWait      = 2 * time.Second
 	// targetsPause is the time between changes of targets: entries change with
 	// each adapter that an engine loads.
 	targetsPause  = 800 * time.Millisecond
 	versionsPause = 200 * time.Millisecond
-	// overdue is the age of the configuration from which an instance confirms it
-	// by itself.
-	overdue = 2500 * time.Millisecond
+	// versionsLimit is how long after their announcement versions must be known.
+	versionsLimit = 4 * time.Second
+	// limitShare is the part of a limit from which an instance that counts on others
+	// reads the store itself: the change must be in force in time.
+	limitShare = 0.8
 	// reappearTime is how long after an outage of the store a target that is
 	// alive may take to be listed again.
 	reappearTime = 2 * time.Second
@@ -52,16 +51,19 @@
 	Store object.Store
 	// HashKeys replaces the keys in a configuration object by their hashes.
 	HashKeys func(object.Object) object.Object
+	// TrimTarget leaves in a target's object what DecodeTarget reads; may be nil.
+	TrimTarget func(object.Object) object.Object
 	// DecodeConfiguration, DecodeTarget and DecodeVersion read stored values.
 	DecodeConfiguration func(json.RawMessage) (*deployment.Configuration, error)
 	DecodeTarget        func(name string, value json.RawMessage) (deployment.Target, error)
 	DecodeVersion       func(name string, value json.RawMessage) (deployment.AdapterVersion, error)
-	// Confirms says that this instance confirms the configuration for others; nil
-	// means that it does.
-	Confirms func() bool
-	// Relayed says that this instance takes the word of others for what the store
-	// holds, as long as it is new; nil means that it does not.
-	Relayed func() bool
+	// Reads says that this instance reads the store for others; one that does not
+	// takes the word of others as long as it is new. Nil means that it does.
+	Reads func() bool
+	// ConfigurationLimit and TargetsLimit are how long after their change the
+	// configuration and the targets must be in force.
+	ConfigurationLimit time.Duration
+	TargetsLimit       time.Duration
 	// TargetsChanged is called with the targets after each change; may be nil.
 	TargetsChanged func(map[deployment.TargetID]deployment.Target)
 	Now            func() time.Time
@@ -83,33 +85,26 @@
 
 func (c *Catalog) init() {
 	c.once.Do(func() {
-		c.configuration = c.follower(c.Kinds.Configuration, ownWait, 0, c.takeConfiguration)
-		c.configuration.WaitNow = c.configurationWait
+		c.configuration = c.follower(c.Kinds.Configuration, configurationWait, c.ConfigurationLimit, c.takeConfiguration)
 		c.configuration.Clean = c.HashKeys
-		c.targets = c.follower(c.Kinds.Targets, targetsWait, targetsPause, c.takeTargets)
-		c.versions = c.follower(c.Kinds.Versions, versionsWait, versionsPause, c.takeVersions)
+		c.targets = c.follower(c.Kinds.Targets, targetsWait, c.TargetsLimit, c.takeTargets)
+		c.targets.Clean, c.targets.Pause = c.TrimTarget, targetsPause
+		c.versions = c.follower(c.Kinds.Versions, versionsWait, versionsLimit, c.takeVersions)
+		c.versions.Pause = versionsPause
 		c.versionByName.Store(&map[deployment.AdapterName]uint64{})
 		c.targetByID.Store(&map[deployment.TargetID]deployment.Target{})
 		c.unlisted = map[deployment.TargetID]bool{}
 	})
 }
 
-func (c *Catalog) follower(kind object.Kind, wait, pause time.Duration, changed func([]object.Object)) Follower {
+func (c *Catalog) follower(kind object.Kind, wait, limit time.Duration, changed func([]object.Object)) Follower {
+	overdue := time.Duration(limitShare * float64(limit))
 	return Follower{
-		Store: c.Store, Kind: kind, Wait: wait, Pause: pause, Changed: changed, Now: c.Now, Log: c.Log,
-		Idle: func(age time.Duration) bool { return c.Relayed != nil && c.Relayed() && age < overdue },
+		Store: c.Store, Kind: kind, Wait: wait, Changed: changed, Now: c.Now, Log: c.Log,
+		Idle: func(age time.Duration) bool { return c.Reads != nil && !c.Reads() && age < overdue },
 	}
 }
 
-// configurationWait is how long a watch of the configuration may be held back.
-func (c *Catalog) configurationWait() time.Duration {
-	age, ok := c.ConfigurationAge()
-	if c.Confirms == nil || c.Confirms() || !ok || age > overdue {
-		return confirmWait
-	}
-	return ownWait
-}
-
 // Run follows the store until ctx ends.
 func (c *Catalog) Run(ctx context.Context) {
 	c.init()
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -30,13 +30,11 @@
 	// Wait is how long a watch may be held back, and so the longest time between
 	// two confirmations.
 	Wait time.Duration
-	// WaitNow returns the wait of the next watch, if it changes; may be nil.
-	WaitNow func() time.Duration
 	// Idle says that others keep the copy near the store, as its age shows, and
 	// that this instance need not; may be nil.
 	Idle func(age time.Duration) bool
-	// Pause is the time between a change and the next watch, so that changes
-	// come in batches.
+	// Pause is the time between an answer with events and the next watch, so that
+	// events come in batches.
 	Pause time.Duration
 	// Clean is applied to each object as it comes from the store; may be nil.
 	Clean func(object.Object) object.Object
@@ -51,7 +49,8 @@
 	telling sync.Mutex
 	mu      sync.Mutex
 	replica Replica
-	// lost is when the store stopped answering; regained when it answered again.
+	// lost is when the store stopped answering this instance; regained when it
+	// answered again, this instance or the others.
 	lost     time.Time
 	regained time.Time
 	failed   bool
@@ -68,13 +67,13 @@
 			}
 			continue
 		}
-		changed, err := f.step(ctx, &listed)
+		early, err := f.step(ctx, &listed)
 		f.noteCall(err)
 		pause := f.Pause
 		switch {
 		case err != nil:
 			pause, retry = retry, min(2*retry, lastRetry)
-		case !changed:
+		case !early:
 			pause, retry = 0, firstRetry
 		default:
 			retry = firstRetry
@@ -91,7 +90,8 @@
 	return f.Idle != nil && !state.ConfirmedAt.IsZero() && f.Idle(f.Now().Sub(state.ConfirmedAt))
 }
 
-// step lists once, then watches. A watch whose history is gone lists again.
+// step lists once, then watches. A watch whose history is gone lists again. It
+// reports whether the store answered since something was written, changed or not.
 func (f *Follower) step(ctx context.Context, listed *bool) (bool, error) {
 	sentAt := f.Now()
 	if !*listed {
@@ -101,12 +101,10 @@
 		}
 		*listed = true
 		f.clean(page)
-		return f.update(func(r *Replica) bool { return r.List(page, sentAt) }), nil
+		f.update(func(r *Replica) bool { return r.List(page, sentAt) })
+		return true, nil
 	}
 	from, longest := f.State().Position, f.Wait
-	if f.WaitNow != nil {
-		longest = f.WaitNow()
-	}
 	if f.lostStore() {
 		// A call that waits longer would notice late that the store is back.
 		longest = probeWait
@@ -121,7 +119,8 @@
 		return false, err
 	}
 	f.clean(page)
-	return f.update(func(r *Replica) bool { return r.Watch(from, page, sentAt) }), nil
+	f.update(func(r *Replica) bool { return r.Watch(from, page, sentAt) })
+	return len(page.Objects) > 0, nil
 }
 
 func (f *Follower) clean(page object.Page) {
@@ -159,12 +158,18 @@
 	return f.failed
 }
 
+// outageGap is the time between two confirmations, by anyone, that shows that the
+// store was away: no watch is held back for so long.
+const outageGap = 2400 * time.Millisecond
+
 // Regained returns when the store answered again after it had not; zero before.
+// It is now while the store answers neither this instance nor the others.
 func (f *Follower) Regained() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.failed {
-		return f.Now()
+	now := f.Now()
+	if confirmed := f.replica.ConfirmedAt; !confirmed.IsZero() && now.Sub(confirmed) > outageGap {
+		return now
 	}
 	return f.regained
 }
@@ -177,11 +182,15 @@
 	f.Changed(objects)
 }
 
-func (f *Follower) update(change func(*Replica) bool) bool {
+func (f *Follower) update(change func(*Replica) bool) {
 	f.telling.Lock()
 	defer f.telling.Unlock()
 	f.mu.Lock()
+	before := f.replica.ConfirmedAt
 	changed := change(&f.replica)
+	if !before.IsZero() && f.replica.ConfirmedAt.Sub(before) > outageGap {
+		f.regained = f.Now()
+	}
 	var objects []object.Object
 	var state State
 	if changed {
@@ -189,11 +198,10 @@
 	}
 	f.mu.Unlock()
 	if changed {
-		f.Log.Info("copy changed", zap.String("kind", string(f.Kind)), zap.Uint64("revision", state.Changed),
+		f.Log.Info("copy changed", zap.String("kind", string(f.Kind)), zap.Uint64("revision", state.Position),
 			zap.Int("objects", len(objects)), zap.Duration("age", f.Now().Sub(state.ConfirmedAt)))
 		f.Changed(objects)
 	}
-	return changed
 }
 
 // noteCall logs when the store is lost and when it is regained.
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heatherrelay/internal/object"
 )
 
@@ -15,9 +17,9 @@
 type State struct {
 	// Position is the store's revision that the copy is complete up to.
 	Position uint64
-	// Changed is the revision of the last change in the copy; copies with the
-	// same value hold the same objects.
-	Changed uint64
+	// Content is a hash of the objects' names and values; copies with the same
+	// hash hold the same.
+	Content uint64
 	// ConfirmedAt is from before the read was sent that last showed the copy to be
 	// complete; zero when there was none.
 	ConfirmedAt time.Time
@@ -44,13 +46,25 @@
 	for _, o := range page.Objects {
 		listed[o.Name] = o
 	}
-	changed := !r.Known() || !maps.EqualFunc(r.objects, listed, sameRevision)
-	r.objects = listed
-	r.advance(page.Revision, changed, sentAt)
+	content := uint64(0)
+	for _, o := range listed {
+		content += contentOf(o)
+	}
+	changed := !r.Known() || content != r.Content
+	r.objects, r.Content = listed, content
+	r.advance(page.Revision, sentAt)
 	return changed
 }
 
-func sameRevision(a, b object.Object) bool { return a.Revision == b.Revision }
+// contentOf hashes an object. Hashes are added up, so that the order of objects
+// does not matter.
+func contentOf(o object.Object) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(o.Name)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(o.Value)
+	return d.Sum64()
+}
 
 // Watch takes the changes after the position that the watch was asked from. It
 // reports whether objects changed.
@@ -58,25 +72,28 @@
 	if !r.Known() || from > r.Position || page.Revision < r.Position {
 		return false
 	}
-	changed := false
+	before := r.Content
 	for _, o := range page.Objects {
-		changed = r.apply(o) || changed
+		r.apply(o)
 	}
-	r.advance(page.Revision, changed, sentAt)
-	return changed
+	r.advance(page.Revision, sentAt)
+	return r.Content != before
 }
 
-func (r *Replica) apply(o object.Object) bool {
+func (r *Replica) apply(o object.Object) {
 	current, ok := r.objects[o.Name]
-	switch {
-	case ok && o.Revision < current.Revision, ok && o.Revision == current.Revision && !o.Deleted, !ok && o.Deleted:
-		return false
-	case o.Deleted:
+	if ok && o.Revision < current.Revision || !ok && o.Deleted {
+		return
+	}
+	if ok {
+		r.Content -= contentOf(current)
+	}
+	if o.Deleted {
 		delete(r.objects, o.Name)
-	default:
-		r.objects[o.Name] = o
+		return
 	}
-	return true
+	r.objects[o.Name] = o
+	r.Content += contentOf(o)
 }
 
 // Merge takes a peer's copy. The objects may be left out when the peer's
@@ -86,17 +103,14 @@
 	switch {
 	case complete && (!r.Known() || peer.Position > r.Position):
 		return r.List(object.Page{Objects: objects, Revision: peer.Position}, peer.ConfirmedAt)
-	case r.Known() && peer.Changed == r.Changed:
-		r.advance(peer.Position, false, peer.ConfirmedAt)
+	case r.Known() && peer.Content == r.Content:
+		r.advance(peer.Position, peer.ConfirmedAt)
 	}
 	return false
 }
 
-func (r *Replica) advance(position uint64, changed bool, confirmedAt time.Time) {
+func (r *Replica) advance(position uint64, confirmedAt time.Time) {
 	r.Position = max(r.Position, position)
-	if changed {
-		r.Changed = r.Position
-	}
 	if confirmedAt.After(r.ConfirmedAt) {
 		r.ConfirmedAt = confirmedAt
 	}
--- a/internal/catalog/replica_test.go
+++ b/internal/catalog/replica_test.go
@@ -126,7 +126,7 @@
 				i := pick(t)
 				from, to := replicas[i], replicas[1-i]
 				if from.Known() {
-					to.Merge(from.State, from.Changed != to.Changed, from.Objects())
+					to.Merge(from.State, from.Content != to.Content, from.Objects())
 				}
 			},
 			"": func(t *rapid.T) {
--- a/internal/peer/changes.go
+++ b/internal/peer/changes.go
@@ -20,7 +20,7 @@
 }
 
 // take keeps a state that is newer than the one known, and reports whether it
-// was. One that is the same but for its age gets no new number.
+// changes anything. One that is the same but for its age gets no new number.
 func (c *changes[T]) take(name string, state T, newer, same func(known, next T) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -31,12 +31,13 @@
 	if ok && !newer(known.state, state) {
 		return false
 	}
-	if !ok || !same(known.state, state) {
+	changed := !ok || !same(known.state, state)
+	if changed {
 		c.last++
 		known.number = c.last
 	}
 	c.entries[name] = change[T]{state: state, number: known.number}
-	return true
+	return changed
 }
 
 // after returns the states that changed after a number and that a filter keeps,
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -28,11 +29,9 @@
 	for id, u := range n.Tracker.All() {
 		s.Targets = append(s.Targets, useMessage(id, u))
 	}
-	now := n.Now()
-	for _, e := range n.Holder.States() {
-		m := engineMessage(e, now)
-		n.takeEngine(m, now)
-		s.Engines = append(s.Engines, m)
+	engines := n.ownEngines()
+	if n.currentRole() == relayed {
+		s.Engines = engines
 	}
 	n.originals.spendings.take(n.Self.ID+"#"+n.Incarnation, spendingOf(s), newerSpending, sameSpending)
 	return s
@@ -46,16 +45,29 @@
 		request.ChangesSource = r.incarnation
 		request.EnginesAfter, request.SpendingsAfter = r.received.engines, r.received.spendings
 	}
-	relays := n.role == relaying
-	request.WantsAdapters = request.WantsAdapters || relays
-	meshed := n.role == meshed
+	role := n.role
 	n.mu.RUnlock()
-	if relays || meshed {
-		request.Members = n.memberMessages()
+	request.WantsAdapters = request.WantsAdapters || role == relaying
+	if role != relayed {
+		request.Members = n.someMembers(role)
 	}
 	return request
 }
 
+// membersEvery is how many exchanges of a small fleet carry the instances that
+// were heard once: each instance exchanges with all, and hears of those that it
+// cannot reach from several others.
+const membersEvery = 4
+
+// someMembers returns the instances that were heard, but in a small fleet not
+// with every exchange.
+func (n *Network) someMembers(role role) []*v1.Member {
+	if role == meshed && rand.IntN(membersEvery) > 0 {
+		return nil
+	}
+	return n.memberMessages()
+}
+
 func teamMessages(teams map[string]float64) []*v1.TeamUse {
 	messages := make([]*v1.TeamUse, 0, len(teams))
 	for team, admitted := range teams {
@@ -140,11 +152,12 @@
 	return admitted
 }
 
-func engineMessage(e placement.EngineState, now time.Time) *v1.EngineState {
+func engineMessage(e placement.EngineState, zone string, now time.Time) *v1.EngineState {
 	m := &v1.EngineState{
 		TargetId:      string(e.Target),
 		Born:          e.Born,
 		Models:        e.Models,
+		Zone:          zone,
 		FencingNumber: e.FencingNumber,
 		Sequence:      e.Sequence,
 	}
@@ -172,7 +185,7 @@
 }
 
 func stateMessage(kind object.Kind, s catalog.State, now time.Time) *v1.BeliefState {
-	m := &v1.BeliefState{Kind: string(kind), Position: s.Position, Changed: s.Changed, ConfirmedAgeMs: -1}
+	m := &v1.BeliefState{Kind: string(kind), Position: s.Position, Content: s.Content, ConfirmedAgeMs: -1}
 	if !s.ConfirmedAt.IsZero() {
 		// Rounded up: an age must never be understated.
 		m.ConfirmedAgeMs = now.Sub(s.ConfirmedAt).Milliseconds() + 1
@@ -181,7 +194,7 @@
 }
 
 func stateFrom(m *v1.BeliefState, sentAt time.Time) catalog.State {
-	s := catalog.State{Position: m.GetPosition(), Changed: m.GetChanged()}
+	s := catalog.State{Position: m.GetPosition(), Content: m.GetContent()}
 	if m.GetConfirmedAgeMs() >= 0 {
 		s.ConfirmedAt = sentAt.Add(-time.Duration(m.GetConfirmedAgeMs()) * time.Millisecond)
 	}
--- a/internal/peer/originals.go
+++ b/internal/peer/originals.go
@@ -51,19 +51,41 @@
 	}
 }
 
-// passOn adds what an instance that asked lacks of the relayed states. Relays of
-// other zones hear from their own instances themselves.
+// ownEngines returns the states of the engines that this instance orders, and
+// takes them itself.
+func (n *Network) ownEngines() []*v1.EngineState {
+	now := n.Now()
+	var own []*v1.EngineState
+	for _, e := range n.Holder.States() {
+		m := engineMessage(e, n.Self.Zone, now)
+		n.takeEngine(m, now)
+		own = append(own, m)
+	}
+	return own
+}
+
+// passOn adds what an instance that asked lacks: from a relay what all instances
+// admitted and all engines, to other zones those of its own zone; from an
+// instance that is asked by all others the engines that it orders.
 func (n *Network) passOn(response *v1.ExchangeResponse, request *v1.ExchangeRequest, asker Member) {
 	var has received
 	if request.GetChangesSource() == n.Incarnation {
 		has = received{spendings: request.GetSpendingsAfter(), engines: request.GetEnginesAfter()}
 	}
-	wanted := func(s *v1.Spending) bool {
-		return s.GetInstanceId() != asker.ID && (asker.Zone == n.Self.Zone || s.GetZone() == n.Self.Zone)
+	role := n.currentRole()
+	if role == relayed || role == meshed && !n.Holder.Holds() {
+		return
+	}
+	everything := role == relaying && asker.Zone == n.Self.Zone
+	response.Engines, response.EnginesChange = n.originals.engines.after(has.engines, func(e *v1.EngineState) bool {
+		return everything || e.GetZone() == n.Self.Zone
+	})
+	if role == meshed {
+		return
 	}
-	any := func(*v1.EngineState) bool { return true }
-	response.Spendings, response.SpendingsChange = n.originals.spendings.after(has.spendings, wanted)
-	response.Engines, response.EnginesChange = n.originals.engines.after(has.engines, any)
+	response.Spendings, response.SpendingsChange = n.originals.spendings.after(has.spendings, func(s *v1.Spending) bool {
+		return s.GetInstanceId() != asker.ID && (everything || s.GetZone() == n.Self.Zone)
+	})
 }
 
 // spendingOf returns the part of an instance's state that relays pass on.
--- a/internal/peer/roles.go
+++ b/internal/peer/roles.go
@@ -55,6 +55,12 @@
 	}
 }
 
+func (n *Network) currentRole() role {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.role
+}
+
 // ranked is an instance in the order in which instances relay; the remote of
 // this instance itself is nil.
 type ranked struct {
@@ -143,13 +149,21 @@
 func (n *Network) Rank() int {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
+	return n.rank()
+}
+
+// rank is Rank for a caller that holds the lock; -1 when this instance leaves.
+func (n *Network) rank() int {
 	return slices.IndexFunc(n.rankedIn(n.Self.Zone), func(m ranked) bool { return m.remote == nil })
 }
 
-// Relayed says that this instance takes the word of relays for what the store
-// holds, as long as their word is new.
-func (n *Network) Relayed() bool {
+// Reads says that this instance reads the store for the others of its zone: in a
+// small fleet the first of the zone, in a large one those that relay.
+func (n *Network) Reads() bool {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	return n.role == relayed
+	if n.role == meshed {
+		return n.rank() <= 0
+	}
+	return n.role == relaying
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -25,12 +25,15 @@
 	response := &v1.ExchangeResponse{
 		Responder: n.state(),
 		Beliefs:   n.beliefsFor(request.GetBeliefs()),
-		Members:   n.memberMessages(),
 		Zones:     n.summaries(asker, request.GetWantsAdapters()),
 	}
-	if response.Zones != nil {
-		n.passOn(response, request, asker)
+	if request.GetChangesSource() == n.Incarnation {
+		response.Members = n.someMembers(n.currentRole())
+	} else {
+		// The asker does not know this instance yet, nor maybe the others.
+		response.Members = n.memberMessages()
 	}
+	n.passOn(response, request, asker)
 	return response, nil
 }
 
@@ -77,7 +80,7 @@
 	if state.ConfirmedAt.IsZero() {
 		return nil
 	}
-	if state.Changed == known.GetChanged() || state.Position <= known.GetPosition() {
+	if state.Content == known.GetContent() || state.Position <= known.GetPosition() {
 		return &v1.Belief{State: stateMessage(f.Kind, state, n.Now())}
 	}
 	state, objects := f.Snapshot()
--- a/internal/placement/directory.go
+++ b/internal/placement/directory.go
@@ -16,17 +16,51 @@
 
 // listing is what is known of one engine.
 type listing struct {
-	born     int64
+	born int64
+	// adapters are those that the holder of the engine's orders tells of.
 	adapters map[deployment.AdapterName]Resident
 	models   map[string]bool
-	// noted are adapters whose load this instance asked for; absent are those
-	// that the engine just said that it lacks. Both carry when they were learned.
-	noted  map[deployment.AdapterName]time.Time
+	// noted are adapters whose load this instance asked for, absent are those that
+	// the engine just said that it lacks. Both go before what the holder tells, for
+	// a while from when they were learned.
+	noted  map[deployment.AdapterName]note
 	absent map[deployment.AdapterName]time.Time
 	// held are adapters that left, with the time at which they did.
 	held map[deployment.AdapterName]time.Time
 }
 
+// note is an adapter whose load this instance asked for.
+type note struct {
+	Resident
+	at time.Time
+}
+
+// resident returns an adapter that the engine holds or will hold.
+func (l *listing) resident(name deployment.AdapterName, now time.Time) (Resident, bool) {
+	if at, ok := l.absent[name]; ok && now.Sub(at) <= noteTime {
+		return Resident{}, false
+	}
+	if r, ok := l.adapters[name]; ok {
+		return r, true
+	}
+	n, ok := l.noted[name]
+	return n.Resident, ok && now.Sub(n.at) <= noteTime
+}
+
+// expire forgets what this instance learned by itself long ago.
+func (l *listing) expire(now time.Time) {
+	for name, n := range l.noted {
+		if now.Sub(n.at) > noteTime {
+			delete(l.noted, name)
+		}
+	}
+	for name, at := range l.absent {
+		if now.Sub(at) > noteTime {
+			delete(l.absent, name)
+		}
+	}
+}
+
 // Directory is an instance's view of which engine holds which adapters. It is
 // safe for concurrent use. Set Now before the first use.
 type Directory struct {
@@ -46,7 +80,7 @@
 			born:     born,
 			adapters: map[deployment.AdapterName]Resident{},
 			models:   map[string]bool{},
-			noted:    map[deployment.AdapterName]time.Time{},
+			noted:    map[deployment.AdapterName]note{},
 			absent:   map[deployment.AdapterName]time.Time{},
 			held:     map[deployment.AdapterName]time.Time{},
 		}
@@ -64,18 +98,10 @@
 	}
 	l := d.listing(state.Target, state.Born)
 	now := d.Now()
+	l.expire(now)
 	adapters := make(map[deployment.AdapterName]Resident, len(state.Residents))
 	for _, r := range state.Residents {
-		if at, ok := l.absent[r.AdapterName]; !ok || now.Sub(at) > noteTime {
-			adapters[r.AdapterName] = r
-		}
-	}
-	for name, at := range l.noted {
-		if now.Sub(at) > noteTime {
-			delete(l.noted, name)
-		} else if _, ok := adapters[name]; !ok {
-			adapters[name] = l.adapters[name]
-		}
+		adapters[r.AdapterName] = r
 	}
 	for name := range l.adapters {
 		if _, ok := adapters[name]; !ok {
@@ -97,9 +123,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.listing(target.ID, target.Born)
-	l.adapters[r.AdapterName] = r
-	l.noted[r.AdapterName] = d.Now()
+	l.noted[r.AdapterName] = note{Resident: r, at: d.Now()}
 	delete(l.absent, r.AdapterName)
+	if known, ok := l.adapters[r.AdapterName]; ok && known.Version < r.Version {
+		l.adapters[r.AdapterName] = r
+	}
 }
 
 // NoteLate takes that an engine still lacks an adapter that should be there by
@@ -111,13 +139,17 @@
 	if !ok {
 		return false
 	}
-	r, ok := l.adapters[name]
 	now := d.Now()
+	r, ok := l.resident(name, now)
 	if !ok || now.Sub(r.ReadyAt) > lateLimit {
 		return false
 	}
 	r.ReadyAt = now.Add(lateLoad)
-	l.adapters[name] = r
+	if _, listed := l.adapters[name]; listed {
+		l.adapters[name] = r
+	} else {
+		l.noted[name] = note{Resident: r, at: l.noted[name].at}
+	}
 	return true
 }
 
@@ -126,7 +158,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if l, ok := d.engines[id]; ok {
-		delete(l.adapters, name)
 		delete(l.noted, name)
 		l.absent[name] = d.Now()
 	}
@@ -140,8 +171,7 @@
 	if !ok || l.born != target.Born {
 		return Resident{}, false
 	}
-	r, ok := l.adapters[name]
-	return r, ok
+	return l.resident(name, d.Now())
 }
 
 // Warm says that an engine held an adapter lately, so that it loads it fast.
--- /dev/null
+++ b/internal/placement/directory_test.go
@@ -0,0 +1,51 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/placement"
+)
+
+// TestOwnWordHoldsForAWhile checks that what an instance learned of an engine by
+// itself goes before what the holder of its orders told, for a while, and that
+// the holder's word counts again after that though it is not repeated.
+func TestOwnWordHoldsForAWhile(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := &placement.Directory{Now: func() time.Time { return now }}
+	engine := deployment.Target{ID: "engine-1", Born: 1}
+	has := func(name deployment.AdapterName) bool {
+		_, ok := d.Resident(&engine, name)
+		return ok
+	}
+	d.Update(placement.EngineState{
+		Target: engine.ID, Born: 1, Models: []string{"base"},
+		Residents: []placement.Resident{{AdapterName: popular, Version: 1}},
+	})
+	d.NoteAbsent(engine.ID, popular)
+	d.Note(engine, placement.Resident{AdapterName: rare, Version: 1, ReadyAt: now})
+	if has(popular) || !has(rare) {
+		t.Errorf("just learned: popular %v, rare %v", has(popular), has(rare))
+	}
+	now = now.Add(5 * time.Second)
+	if !has(popular) || has(rare) {
+		t.Errorf("seconds later: popular %v, rare %v", has(popular), has(rare))
+	}
+}
+
+// TestNewerVersionIsNoted checks that a load of a newer version that this
+// instance asked for counts before the holder tells of it.
+func TestNewerVersionIsNoted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := &placement.Directory{Now: func() time.Time { return now }}
+	engine := deployment.Target{ID: "engine-1", Born: 1}
+	d.Update(placement.EngineState{
+		Target: engine.ID, Born: 1, Models: []string{"base"},
+		Residents: []placement.Resident{{AdapterName: popular, Version: 1}},
+	})
+	d.Note(engine, placement.Resident{AdapterName: popular, Version: 2, ReadyAt: now.Add(time.Second)})
+	if r, ok := d.Resident(&engine, popular); !ok || r.Version != 2 {
+		t.Errorf("%+v, %v", r, ok)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -89,6 +89,7 @@
 // Decoders read the store's objects.
 type Decoders struct {
 	HashKeys            func(object.Object) object.Object
+	TrimTarget          func(object.Object) object.Object
 	DecodeConfiguration func(json.RawMessage) (*deployment.Configuration, error)
 	DecodeTarget        func(name string, value json.RawMessage) (deployment.Target, error)
 	DecodeVersion       func(name string, value json.RawMessage) (deployment.AdapterVersion, error)
@@ -144,8 +145,10 @@
 		DecodeTarget:        r.Platform.Catalog.DecodeTarget,
 		DecodeVersion:       r.Platform.Catalog.DecodeVersion,
 		TargetsChanged:      r.keepTargets,
-		Confirms:            func() bool { return r.network.Rank() == 0 },
-		Relayed:             func() bool { return r.network.Relayed() },
+		TrimTarget:          r.Platform.Catalog.TrimTarget,
+		Reads:               func() bool { return r.network.Reads() },
+		ConfigurationLimit:  s.ConfigurationLimit.Duration,
+		TargetsLimit:        s.TargetsLimit.Duration,
 		Now:                 clock.Now,
 		Log:                 r.Log,
 	}
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -29,6 +29,10 @@
 	Seeds []netip.AddrPort `toml:"seeds"`
 	// KeyLimit is how long a withdrawn key may work at most.
 	KeyLimit settings.Duration `toml:"key_limit"`
+	// ConfigurationLimit and TargetsLimit are how long after its change at the
+	// store a configuration, or a target that leaves, must be in force.
+	ConfigurationLimit settings.Duration `toml:"configuration_limit"`
+	TargetsLimit       settings.Duration `toml:"targets_limit"`
 	// OrderQuietTime is the least time between orders of two holders to one engine.
 	OrderQuietTime settings.Duration `toml:"order_quiet_time"`
 	// ShutdownGrace is the time from SIGTERM to the end of the process.
@@ -107,6 +111,8 @@
 	require(s.Listen.Peers.IsValid(), "listen.peers", "must be an address, such as 10.0.0.5:7600")
 	require(s.Store.IsValid(), "store", "must be an address, such as 10.0.0.9:8225")
 	require(s.KeyLimit.Duration > keyMargin, "key_limit", fmt.Sprintf("must be more than %s", keyMargin))
+	require(s.ConfigurationLimit.Duration > 0, "configuration_limit", "must be more than 0s")
+	require(s.TargetsLimit.Duration > 0, "targets_limit", "must be more than 0s")
 	require(s.OrderQuietTime.Duration >= 0, "order_quiet_time", "must not be negative")
 	require(s.ShutdownGrace.Duration > shutdownMargin, "shutdown_grace", fmt.Sprintf("must be more than %s", shutdownMargin))
 	require(s.AllowanceWindow.Duration > 0, "allowance_window", "must be more than 0s")
--- a/internal/relay/settings_test.go
+++ b/internal/relay/settings_test.go
@@ -14,6 +14,8 @@
 zone = "north"
 store = "10.0.0.9:8225"
 key_limit = "5s"
+configuration_limit = "2s"
+targets_limit = "2s"
 order_quiet_time = "3s"
 shutdown_grace = "8s"
 allowance_window = "8s"
@@ -36,6 +38,7 @@
 	cases := map[string]struct{ from, to, field string }{
 		"missing zone":   {`zone = "north"`, "", "zone"},
 		"bad store":      {`"10.0.0.9:8225"`, `"nowhere"`, "store"},
+		"no limit":       {`targets_limit = "2s"`, ``, "targets_limit"},
 		"short limit":    {`key_limit = "5s"`, `key_limit = "100ms"`, "key_limit"},
 		"no peers":       {`peers = "10.0.0.5:7600"`, "", "listen.peers"},
 		"negative ratio": {"ratio = 0.2", "ratio = -1", "retry.ratio"},
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -96,12 +96,14 @@
 		Listen: relay.Listen{
 			Clients: freeAddress(w.t), Ready: freeAddress(w.t), Peers: freeAddress(w.t),
 		},
-		Store:           w.store.Address(),
-		KeyLimit:        settings.Duration{Duration: 3 * time.Second},
-		OrderQuietTime:  settings.Duration{Duration: 100 * time.Millisecond},
-		ShutdownGrace:   settings.Duration{Duration: 5 * time.Second},
-		AllowanceWindow: settings.Duration{Duration: 8 * time.Second},
-		Retry:           relay.Retry{Ratio: 0.2, Extra: 50},
+		Store:              w.store.Address(),
+		ConfigurationLimit: settings.Duration{Duration: 2 * time.Second},
+		TargetsLimit:       settings.Duration{Duration: 2 * time.Second},
+		KeyLimit:           settings.Duration{Duration: 3 * time.Second},
+		OrderQuietTime:     settings.Duration{Duration: 100 * time.Millisecond},
+		ShutdownGrace:      settings.Duration{Duration: 5 * time.Second},
+		AllowanceWindow:    settings.Duration{Duration: 8 * time.Second},
+		Retry:              relay.Retry{Ratio: 0.2, Extra: 50},
 	}
 	r := &relay.Relay{Settings: i.settings, Log: zap.NewNop(), Registry: prometheus.NewRegistry()}
 	platform.Connect(r)
