--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -64,6 +65,7 @@
 		Tokens:     e.request.PromptTokens + e.request.OutputTokens,
 		Zone:       s.Zone,
 		Repeatable: e.route.Repeatable(),
+		Random:     rand.IntN,
 		Now:        s.Now(),
 	}
 	candidates := e.engines(service)
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -69,6 +69,8 @@
 	waiting     int
 	// heardAt is when this instance, or one that told of it, last heard of it.
 	heardAt time.Time
+	// failedAt is when a call to it last failed.
+	failedAt time.Time
 	// uses are what it told this instance itself, at toldAt.
 	uses    map[deployment.TargetID]load.TargetUse
 	toldAt  time.Time
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -12,8 +12,13 @@
 	"heatherrelay/internal/placement"
 )
 
-// loadCallTimeout bounds the wish for an adapter.
-const loadCallTimeout = 2 * time.Second
+const (
+	// loadCallTimeout bounds the wish for an adapter.
+	loadCallTimeout = 2 * time.Second
+	// failedPause is how long a holder of orders is not asked after a call failed:
+	// an instance may be cut off from it though others hear it.
+	failedPause = 500 * time.Millisecond
+)
 
 // Use returns what all instances have under way at a target.
 func (n *Network) Use(id deployment.TargetID) load.Use {
@@ -92,7 +97,7 @@
 	defer n.mu.RUnlock()
 	now := n.Now()
 	for _, r := range n.remotes {
-		if r.Zone == zone && r.holds && r.heard(now) {
+		if r.Zone == zone && r.holds && r.heard(now) && now.Sub(r.failedAt) > failedPause {
 			return *r, true
 		}
 	}
@@ -155,10 +160,10 @@
 	if !ok {
 		return placement.NotHolder, time.Time{}, 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, loadCallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, loadCallTimeout)
 	defer cancel()
 	late, timely := n.takeWaits(target.Zone)
-	response, err := holder.client.LoadAdapter(ctx, &v1.LoadAdapterRequest{
+	response, err := holder.client.LoadAdapter(callCtx, &v1.LoadAdapterRequest{
 		TargetId:  string(target.ID),
 		Model:     name.Model,
 		Adapter:   name.Adapter,
@@ -168,9 +173,21 @@
 		Timely:    int64(timely),
 	})
 	if err != nil {
+		if ctx.Err() == nil {
+			n.noteFailed(holder.ID)
+		}
 		n.Log.Warn("no answer from the holder of the orders", zap.String("request_id", requestID), zap.String("target", string(target.ID)), zap.Error(err))
 		return placement.Failed, time.Time{}, 0
 	}
 	readyAt := n.Now().Add(time.Duration(response.GetReadyInMs()) * time.Millisecond)
 	return resultFrom(response.GetResult()), readyAt, response.GetVersion()
 }
+
+// noteFailed notes that a call to an instance failed.
+func (n *Network) noteFailed(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r, ok := n.remotes[id]; ok {
+		r.failedAt = n.Now()
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -14,8 +14,10 @@
 const (
 	// prefillTokensPerMS is what an engine reads of prompts beside its other work.
 	prefillTokensPerMS = 12.0
-	// batchDelay is what each request under way adds to the time of a step.
-	batchDelay = 600 * time.Microsecond
+	// requestDelay is what each request under way adds: it makes each step longer,
+	// and an engine with many of them is sent further prompts before their number
+	// is known here.
+	requestDelay = 4 * time.Millisecond
 	// fullDelay is what a full batch or a full memory adds.
 	fullDelay = 2 * time.Second
 	// trialDelay keeps requests from a target that failed lately.
@@ -31,9 +33,12 @@
 	// copyDelay is what a further copy of an adapter must gain besides its load: a
 	// copy takes a place that another adapter needs.
 	copyDelay = 500 * time.Millisecond
-	// spreadDelay is the expected wait from which an adapter that is asked for more
-	// than its copies should carry gets a further one.
-	spreadDelay = 50 * time.Millisecond
+	// spreadDelay is how much longer than elsewhere a request may wait at the copies
+	// of an adapter that is asked for more than they should carry.
+	spreadDelay = 40 * time.Millisecond
+	// copiesHeadroom is how many more copies there may be than the demand asks for:
+	// engines with a copy have other adapters too.
+	copiesHeadroom = 1.25
 	// homeSlack is how much longer than elsewhere a request may wait at the
 	// engine that hashing names: an engine that had the adapter loads it faster.
 	homeSlack = 150 * time.Millisecond
@@ -53,6 +58,8 @@
 	Repeatable bool
 	// Copies is how many engines should hold the adapter by the demand for it.
 	Copies float64
+	// Random returns a number from 0 to n-1; nil compares all copies.
+	Random func(n int) int
 	Now    time.Time
 }
 
@@ -112,34 +119,67 @@
 }
 
 func choose(want Want, candidates []Candidate, worst outlier.Health) (Choice, bool) {
-	copyChoice, hasCopy, copies := Choice{}, false, 0
-	homeChoice, hasHome := chooseHome(want, candidates, worst)
+	copies := chooseCopies(want, candidates, worst)
+	home, hasHome := chooseHome(want, candidates, worst)
+	if len(copies) == 0 {
+		return home, hasHome
+	}
+	best := soonest(want, copies)
+	if !hasHome {
+		return best, true
+	}
+	if best.Delay > home.Delay+copyDelay {
+		return home, true
+	}
+	elsewhere := home.Delay - candidates[home.Index].loadDelay()
+	if float64(len(copies)) < want.Copies*copiesHeadroom && best.Delay > elsewhere+spreadDelay {
+		best.Copy = home.Index
+	}
+	return best, true
+}
+
+// chooseCopies returns the engines that have the adapter or soon will.
+func chooseCopies(want Want, candidates []Candidate, worst outlier.Health) []Choice {
+	var copies []Choice
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Health > worst || !c.HasModel || !c.serves(want) {
 			continue
 		}
-		copies++
 		delay := c.delay(want)
 		if r := c.Resident; r != nil && r.ReadyAt.After(want.Now) {
 			delay += r.ReadyAt.Sub(want.Now)
 		}
-		if !hasCopy || delay < copyChoice.Delay {
-			copyChoice, hasCopy = Choice{Index: i, Delay: delay, Full: c.full(want), Copy: -1}, true
-		}
+		copies = append(copies, Choice{Index: i, Delay: delay, Full: c.full(want), Copy: -1})
 	}
-	switch {
-	case !hasCopy:
-		return homeChoice, hasHome
-	case !hasHome:
-		return copyChoice, true
-	case copyChoice.Delay <= homeChoice.Delay+copyDelay:
-		if float64(copies) < want.Copies && copyChoice.Delay > spreadDelay {
-			copyChoice.Copy = homeChoice.Index
+	return copies
+}
+
+// soonest returns the copy where the request starts soonest, of two that are
+// drawn if there are more: what is under way is known late, and all instances
+// would send to the same engine until they hear of each other's requests.
+func soonest(want Want, copies []Choice) Choice {
+	if n := len(copies); n > 2 && want.Random != nil {
+		i, j := want.Random(n), want.Random(n-1)
+		if j >= i {
+			j++
 		}
-		return copyChoice, true
+		if drawn := sooner(copies[i], copies[j]); !drawn.Full {
+			return drawn
+		}
+	}
+	best := copies[0]
+	for _, c := range copies[1:] {
+		best = sooner(best, c)
+	}
+	return best
+}
+
+func sooner(a, b Choice) Choice {
+	if b.Delay < a.Delay {
+		return b
 	}
-	return homeChoice, true
+	return a
 }
 
 // serves says that the engine can run the request as it is.
@@ -150,7 +190,8 @@
 	return c.Resident != nil && c.Resident.Version >= want.Version
 }
 
-// chooseHome returns the engine that should load the adapter.
+// chooseHome returns the engine that should load the adapter: of those that are
+// not busier than the mean, the one that hashing names.
 func chooseHome(want Want, candidates []Candidate, worst outlier.Health) (Choice, bool) {
 	if want.Adapter.Adapter == "" {
 		return Choice{}, false
@@ -159,27 +200,40 @@
 		// An older version in place would have to be replaced, and may be in use.
 		return c.Health <= worst && c.HasModel && c.Orderable && c.Resident == nil
 	}
-	least := time.Duration(-1)
+	least, requests, engines := time.Duration(-1), 0, 0
 	for i := range candidates {
 		if c := &candidates[i]; usable(c) {
+			requests, engines = requests+c.Requests, engines+1
 			if delay := c.delay(want) + c.loadDelay(); least < 0 || delay < least {
 				least = delay
 			}
 		}
 	}
-	if least < 0 {
+	if engines == 0 {
 		return Choice{}, false
 	}
+	idle := func(c *Candidate) bool {
+		return usable(c) && (c.Warm || c.Requests*engines <= requests+engines)
+	}
+	latest := least + homeSlack
+	if home, ok := nameHome(want, candidates, latest, idle); ok {
+		return home, true
+	}
+	return nameHome(want, candidates, latest, usable)
+}
+
+// nameHome returns the engine that hashing names of those that a filter accepts
+// and that have the adapter ready in time.
+func nameHome(want Want, candidates []Candidate, latest time.Duration, accepts func(*Candidate) bool) (Choice, bool) {
 	name := xxhash.Sum64String(want.Adapter.Model + "/" + want.Adapter.Adapter)
-	best, bestScore := Choice{NeedsLoad: true, Copy: -1}, uint64(0)
-	found := false
+	best, bestScore, found := Choice{NeedsLoad: true, Copy: -1}, uint64(0), false
 	for i := range candidates {
 		c := &candidates[i]
-		if !usable(c) {
+		if !accepts(c) {
 			continue
 		}
 		delay := c.delay(want) + c.loadDelay()
-		if delay > least+homeSlack {
+		if delay > latest {
 			continue
 		}
 		if score := rendezvous(name, string(c.ID)); !found || score > bestScore {
@@ -212,7 +266,7 @@
 // delay estimates when the engine starts the request.
 func (c *Candidate) delay(want Want) time.Duration {
 	delay := time.Duration(float64(c.WaitingTokens)/prefillTokensPerMS*float64(time.Millisecond)) +
-		time.Duration(c.Requests)*batchDelay +
+		time.Duration(c.Requests)*requestDelay +
 		time.Duration(c.ErrorShare*float64(errorDelay))
 	if c.full(want) {
 		delay += fullDelay
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -99,3 +100,59 @@
 		t.Errorf("busy copy of an adapter that needs one: %+v", choice)
 	}
 }
+
+// TestLateCountsDoNotGatherRequests answers the pattern of many instances that
+// send requests for one adapter before they hear of each other's: they must not
+// all take the engine that looked least busy.
+func TestLateCountsDoNotGatherRequests(t *testing.T) {
+	candidates := engines(18)
+	for i := range candidates {
+		candidates[i].Resident = &placement.Resident{AdapterName: popular, Version: 1}
+		candidates[i].Requests = 7
+	}
+	candidates[4].Requests = 6
+	random := rand.New(rand.NewPCG(1, 2))
+	want := placement.Want{Adapter: popular, Tokens: 1000, Zone: "zone-0", Random: random.IntN, Now: time.Unix(1000, 0)}
+	const requests = 1800
+	sent := make([]int, len(candidates))
+	for range requests {
+		choice, ok := placement.Choose(want, candidates)
+		if !ok {
+			t.Fatal("no engine")
+		}
+		sent[choice.Index]++
+	}
+	for i, n := range sent {
+		if n > 3*requests/len(candidates) {
+			t.Errorf("engine %d gets %d of %d requests", i, n, requests)
+		}
+	}
+}
+
+// TestNewAdaptersGoToEnginesThatAreNotBusy answers the pattern in which a few
+// engines hold the adapters that are asked for most: others that are asked for
+// once go to the rest.
+func TestNewAdaptersGoToEnginesThatAreNotBusy(t *testing.T) {
+	candidates := engines(12)
+	for i := range candidates {
+		candidates[i].Requests = 6
+		if i < 3 {
+			candidates[i].Requests = 14
+		}
+	}
+	used := map[int]bool{}
+	for i := range 200 {
+		name := deployment.AdapterName{Model: "base", Adapter: fmt.Sprint("b", i)}
+		choice, ok := placement.Choose(placement.Want{Adapter: name, Tokens: 1000, Zone: "zone-0", Now: time.Unix(1000, 0)}, candidates)
+		if !ok || !choice.NeedsLoad {
+			t.Fatalf("%+v, %v", choice, ok)
+		}
+		if choice.Index < 3 {
+			t.Fatalf("%s goes to an engine with twice the mean's requests", name.Adapter)
+		}
+		used[choice.Index] = true
+	}
+	if len(used) != 9 {
+		t.Errorf("only %d of 9 engines are used", len(used))
+	}
+}
