--- a/internal/peer/engines_test.go
+++ b/internal/peer/engines_test.go
@@ -91,3 +91,20 @@
 		t.Errorf("after newer word of the holder: a2 %v, a3 %v", holds("a2"), holds("a3"))
 	}
 }
+
+// TestWordOfOthersCountsAtOnce checks that what another instance has under way is
+// seen with its next word, not an exchange later.
+func TestWordOfOthersCountsAtOnce(t *testing.T) {
+	p := newTestPeer(t)
+	for sequence, requests := range []int64{3, 5} {
+		p.tell(t, &v1.InstanceState{
+			Member:      &v1.Member{InstanceId: "other", Zone: "zone-0", Address: "127.0.0.1:2"},
+			Incarnation: "other-1",
+			Sequence:    uint64(sequence + 1),
+			Targets:     []*v1.TargetUse{{TargetId: string(testTarget), Requests: requests}},
+		})
+		if use := p.Use(testTarget); use.Requests != int(requests) {
+			t.Errorf("%d requests are seen, %d were told of", use.Requests, requests)
+		}
+	}
+}
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -107,8 +107,10 @@
 	role     role
 	// zones are the sums of zones that others relay.
 	zones map[string]*zoneSum
-	// uses are the sums of the others' uses.
-	uses      map[deployment.TargetID]load.TargetUse
+	// uses are the sums of the others' uses; summed says that they hold what was
+	// told last.
+	uses      map[deployment.TargetID]load.Use
+	summed    bool
 	originals originals
 	waits     map[string]waits
 }
@@ -179,7 +181,7 @@
 		}
 		n.forget()
 		n.settleRole()
-		n.sum()
+		n.unsum()
 	}
 }
 
@@ -336,6 +338,7 @@
 		r.takeStatus(s.GetMember())
 		r.heardAt, r.toldAt = n.Now(), n.Now()
 		r.uses = usesFrom(s.GetTargets())
+		n.summed = false
 	}
 	direct := n.countsDirectly(r)
 	n.mu.Unlock()
--- a/internal/peer/summary.go
+++ b/internal/peer/summary.go
@@ -50,28 +50,58 @@
 		return false
 	}
 	n.zones[zone] = sum
+	n.summed = false
 	return true
 }
 
-// sum adds up what the others have under way.
-func (n *Network) sum() {
+// unsum has the sums made anew when they are next asked for: what silent
+// instances had under way expires.
+func (n *Network) unsum() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.summed = false
+}
+
+// othersUse returns what the others have under way at a target.
+func (n *Network) othersUse(id deployment.TargetID) load.Use {
+	n.mu.RLock()
+	use, summed := n.uses[id], n.summed
+	n.mu.RUnlock()
+	if summed {
+		return use
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.summed {
+		n.sum()
+	}
+	return n.uses[id]
+}
+
+// sum adds up what the others have under way. The caller holds the lock.
+func (n *Network) sum() {
 	now := n.Now()
-	uses := map[deployment.TargetID]load.TargetUse{}
+	n.uses, n.summed = map[deployment.TargetID]load.Use{}, true
+	add := func(uses map[deployment.TargetID]load.TargetUse) {
+		for id, u := range uses {
+			total := n.uses[id]
+			total.Add(u.Use)
+			n.uses[id] = total
+		}
+	}
 	for _, r := range n.remotes {
 		if n.countsDirectly(r) && now.Sub(r.toldAt) <= useTime {
-			addUses(uses, r.uses)
+			add(r.uses)
 		}
 	}
-	if n.role != meshed {
-		for _, z := range n.zones {
-			if now.Sub(z.at) <= useTime {
-				addUses(uses, z.uses)
-			}
+	if n.role == meshed {
+		return
+	}
+	for _, z := range n.zones {
+		if now.Sub(z.at) <= useTime {
+			add(z.uses)
 		}
 	}
-	n.uses = uses
 }
 
 func addUses(total, more map[deployment.TargetID]load.TargetUse) {
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -23,9 +23,7 @@
 // Use returns what all instances have under way at a target.
 func (n *Network) Use(id deployment.TargetID) load.Use {
 	use := n.Tracker.Target(id)
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	use.Add(n.uses[id].Use)
+	use.Add(n.othersUse(id))
 	return use
 }
 
