--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -49,20 +48,34 @@
 	n.mu.RUnlock()
 	request.WantsAdapters = request.WantsAdapters || role == relaying
 	if role != relayed {
-		request.Members = n.someMembers(role)
+		request.Members = n.membersFor(id)
 	}
 	return request
 }
 
-// membersEvery is how many exchanges of a small fleet carry the instances that
-// were heard once: each instance exchanges with all, and hears of those that it
+// The times between two exchanges with an instance that carry which others were
+// heard. In a small fleet each exchanges with all, and hears of those that it
 // cannot reach from several others.
-const membersEvery = 4
+const (
+	membersInterval = 280 * time.Millisecond
+	meshedInterval  = 1150 * time.Millisecond
+)
 
-// someMembers returns the instances that were heard, but in a small fleet not
-// with every exchange.
-func (n *Network) someMembers(role role) []*v1.Member {
-	if role == meshed && rand.IntN(membersEvery) > 0 {
+// membersFor returns the instances that were heard, if another one has not been
+// told of them lately.
+func (n *Network) membersFor(id string) []*v1.Member {
+	n.mu.Lock()
+	now, interval := n.Now(), membersInterval
+	if n.role == meshed {
+		interval = meshedInterval
+	}
+	r, ok := n.remotes[id]
+	due := !ok || now.Sub(r.membersAt) >= interval
+	if ok && due {
+		r.membersAt = now
+	}
+	n.mu.Unlock()
+	if !due {
 		return nil
 	}
 	return n.memberMessages()
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -31,11 +31,17 @@
 
 // The pace of the exchange between instances.
 const (
+	// tick is the time between looks at which exchanges are due.
+	tick = 50 * time.Millisecond
 	// exchangeInterval is the time between two exchanges that an instance starts
 	// with each other one; each instance starts its own, so news travel in half
 	// of it on average.
 	exchangeInterval = 300 * time.Millisecond
-	exchangeTimeout  = 700 * time.Millisecond
+	// relayInterval is the same towards the first relay of the own zone, which the
+	// sums of all zones come from; zoneInterval towards that of another zone.
+	relayInterval   = 100 * time.Millisecond
+	zoneInterval    = 150 * time.Millisecond
+	exchangeTimeout = 700 * time.Millisecond
 	// newsInterval is the least time between exchanges that news start at once.
 	newsInterval = 60 * time.Millisecond
 	// heardTime is how long an instance counts as heard after its last word.
@@ -69,13 +75,17 @@
 	waiting     int
 	// heardAt is when this instance, or one that told of it, last heard of it.
 	heardAt time.Time
+	// membersAt is when it was last told of the others.
+	membersAt time.Time
 	// failedAt is when a call to it last failed.
 	failedAt time.Time
 	// uses are what it told this instance itself, at toldAt.
 	uses    map[deployment.TargetID]load.TargetUse
 	toldAt  time.Time
 	calling bool
-	client  heatherrelayv1connect.FleetServiceClient
+	// calledAt is when the last exchange with it was started.
+	calledAt time.Time
+	client   heatherrelayv1connect.FleetServiceClient
 	// received is what it relayed last.
 	received received
 }
@@ -97,14 +107,15 @@
 	Now     func() time.Time
 	Log     *zap.Logger
 
-	once     sync.Once
-	news     chan struct{}
-	http     *http.Client
-	mu       sync.RWMutex
-	sequence uint64
-	remotes  map[string]*remote
-	seeds    map[netip.AddrPort]heatherrelayv1connect.FleetServiceClient
-	role     role
+	once       sync.Once
+	news       chan struct{}
+	http       *http.Client
+	mu         sync.RWMutex
+	sequence   uint64
+	remotes    map[string]*remote
+	seeds      map[netip.AddrPort]heatherrelayv1connect.FleetServiceClient
+	seedsAsked time.Time
+	role       role
 	// zones are the sums of zones that others relay.
 	zones map[string]*zoneSum
 	// uses are the sums of the others' uses; summed says that they hold what was
@@ -166,18 +177,21 @@
 	n.init()
 	var group conc.WaitGroup
 	defer group.Wait()
-	ticker := time.NewTicker(exchangeInterval)
+	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	told := false
 	for {
-		for _, call := range n.due() {
+		for _, call := range n.due(told) {
 			group.Go(func() { n.exchange(ctx, call) })
 		}
+		told = false
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		case <-n.news:
 			time.Sleep(newsInterval)
+			told = true
 		}
 		n.forget()
 		n.settleRole()
@@ -197,7 +211,7 @@
 // Farewell tells the others at once that this instance leaves.
 func (n *Network) Farewell(ctx context.Context) {
 	var group conc.WaitGroup
-	for _, call := range n.due() {
+	for _, call := range n.due(true) {
 		group.Go(func() { n.exchange(ctx, call) })
 	}
 	group.Wait()
@@ -209,9 +223,10 @@
 	client heatherrelayv1connect.FleetServiceClient
 }
 
-// due returns the instances to exchange with, without those that have not
-// answered the last exchange yet. Seeds are asked until they are known by name.
-func (n *Network) due() []outgoing {
+// due returns the instances to exchange with now, all of them if there are news,
+// without those that have not answered the last exchange yet. Seeds are asked
+// until they are known by name.
+func (n *Network) due(news bool) []outgoing {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var calls []outgoing
@@ -219,12 +234,17 @@
 	for _, r := range n.remotes {
 		known[r.Address] = true
 	}
-	for _, r := range n.partners() {
-		if !r.calling {
-			r.calling = true
-			calls = append(calls, outgoing{id: r.ID, client: r.client})
+	now := n.Now()
+	for _, p := range n.partners() {
+		if !p.calling && (news || now.Sub(p.calledAt) >= p.interval-tick/2) {
+			p.calling, p.calledAt = true, now
+			calls = append(calls, outgoing{id: p.ID, client: p.client})
 		}
 	}
+	if !news && now.Sub(n.seedsAsked) < exchangeInterval {
+		return calls
+	}
+	n.seedsAsked = now
 	for address, client := range n.seeds {
 		if !known[address] {
 			calls = append(calls, outgoing{client: client})
@@ -330,6 +350,7 @@
 		n.remotes[m.ID] = r
 	}
 	stale := r.incarnation == s.GetIncarnation() && s.GetSequence() <= r.sequence
+	since := n.Now().Sub(r.toldAt)
 	if !stale {
 		if !r.leaving && s.GetMember().GetLeaving() {
 			n.Log.Info("instance leaves", zap.String("peer", m.ID))
@@ -346,7 +367,7 @@
 		return
 	}
 	if direct {
-		n.noteUses(s.GetTargets())
+		n.noteUses(s.GetTargets(), since)
 	}
 	n.takeSpending(spendingOf(s))
 	for _, e := range s.GetEngines() {
@@ -354,16 +375,18 @@
 	}
 }
 
-// sightingWeight is what one sighting of a running request counts as use: a
-// request is seen in a few exchanges.
-const sightingWeight = 0.2
+// usualDuration is about how long a request runs. A request that is seen under
+// way counts as used by the part of it that passed since the last sighting.
+const usualDuration = 1500 * time.Millisecond
 
-// noteUses tells the holder of orders which adapters other instances use.
-func (n *Network) noteUses(uses []*v1.TargetUse) {
+// noteUses tells the holder of orders which adapters other instances use, as seen
+// a while after the last sighting.
+func (n *Network) noteUses(uses []*v1.TargetUse, since time.Duration) {
+	weight := float64(min(max(since, 0), exchangeInterval)) / float64(usualDuration)
 	for _, u := range uses {
 		for _, a := range u.GetAdapters() {
 			name := deployment.AdapterName{Model: a.GetModel(), Adapter: a.GetAdapter()}
-			n.Holder.Used(deployment.TargetID(u.GetTargetId()), name, sightingWeight*float64(a.GetRequests()))
+			n.Holder.Used(deployment.TargetID(u.GetTargetId()), name, weight*float64(a.GetRequests()))
 		}
 	}
 }
--- a/internal/peer/roles.go
+++ b/internal/peer/roles.go
@@ -96,27 +96,49 @@
 
 func (r *remote) heard(now time.Time) bool { return now.Sub(r.heardAt) <= heardTime }
 
+// partner is an instance that this one starts exchanges with, every interval.
+type partner struct {
+	*remote
+	interval time.Duration
+}
+
 // partners returns the instances that this one starts exchanges with. The caller
 // holds the lock.
-func (n *Network) partners() []*remote {
+func (n *Network) partners() []partner {
 	if n.role == meshed {
-		return n.all()
+		return everyInterval(n.all())
 	}
-	var partners []*remote
+	var partners []partner
 	for zone := range n.knownZones() {
 		if n.role == relayed && zone != n.Self.Zone {
 			continue
 		}
-		for _, m := range n.relays(zone) {
-			if m.remote != nil {
-				partners = append(partners, m.remote)
+		for i, m := range n.relays(zone) {
+			if m.remote == nil {
+				continue
 			}
+			p := partner{remote: m.remote, interval: exchangeInterval}
+			switch {
+			case i == 0 && n.role == relayed:
+				p.interval = relayInterval
+			case i == 0:
+				p.interval = zoneInterval
+			}
+			partners = append(partners, p)
 		}
 	}
 	if len(partners) == 0 {
 		// Nobody is heard: ask some, to find those that live.
 		all := n.all()
-		return all[:min(len(all), meshLimit)]
+		return everyInterval(all[:min(len(all), meshLimit)])
+	}
+	return partners
+}
+
+func everyInterval(remotes []*remote) []partner {
+	partners := make([]partner, 0, len(remotes))
+	for _, r := range remotes {
+		partners = append(partners, partner{remote: r, interval: exchangeInterval})
 	}
 	return partners
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -28,7 +28,7 @@
 		Zones:     n.summaries(asker, request.GetWantsAdapters()),
 	}
 	if request.GetChangesSource() == n.Incarnation {
-		response.Members = n.someMembers(n.currentRole())
+		response.Members = n.membersFor(asker.ID)
 	} else {
 		// The asker does not know this instance yet, nor maybe the others.
 		response.Members = n.memberMessages()
--- a/internal/peer/summary.go
+++ b/internal/peer/summary.go
@@ -26,32 +26,37 @@
 			at:     sentAt.Add(-time.Duration(z.GetAgeMs()) * time.Millisecond),
 			uses:   usesFrom(z.GetTargets()),
 		}
-		if n.keepZone(z.GetZone(), response.GetResponder().GetMember().GetInstanceId(), sum) {
-			n.noteUses(z.GetTargets())
+		if since, ok := n.keepZone(z.GetZone(), response.GetResponder().GetMember().GetInstanceId(), sum); ok {
+			n.noteUses(z.GetTargets(), since)
 		}
 	}
 }
 
-// keepZone keeps a sum if its source is the one to go by.
-func (n *Network) keepZone(zone, responder string, sum *zoneSum) bool {
+// keepZone keeps a sum if its source is the one to go by. It returns the time
+// since the sum before it.
+func (n *Network) keepZone(zone, responder string, sum *zoneSum) (time.Duration, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.role == meshed || n.role == relaying && zone == n.Self.Zone {
-		return false
+		return 0, false
 	}
 	from := zone
 	if n.role == relayed {
 		from = n.Self.Zone
 	}
 	if relays := n.relays(from); len(relays) > 0 && relays[0].ID != responder {
-		return false
+		return 0, false
 	}
-	if known, ok := n.zones[zone]; ok && known.source == sum.source && !sum.at.After(known.at) {
-		return false
+	since := exchangeInterval
+	if known, ok := n.zones[zone]; ok {
+		if known.source == sum.source && !sum.at.After(known.at) {
+			return 0, false
+		}
+		since = sum.at.Sub(known.at)
 	}
 	n.zones[zone] = sum
 	n.summed = false
-	return true
+	return since, true
 }
 
 // unsum has the sums made anew when they are next asked for: what silent
@@ -128,6 +133,12 @@
 		return nil
 	}
 	now := n.Now()
+	// Whoever orders engines orders those of its own zone.
+	listed := func(id deployment.TargetID) bool { return false }
+	if wantsAdapters {
+		targets := n.Catalog.Targets()
+		listed = func(id deployment.TargetID) bool { return targets[id].Zone == asker.Zone }
+	}
 	mine := &zoneSum{source: n.Self.ID + "#" + n.Incarnation, at: now, uses: map[deployment.TargetID]load.TargetUse{}}
 	addUses(mine.uses, own)
 	for _, r := range n.remotes {
@@ -135,19 +146,21 @@
 			addUses(mine.uses, r.uses)
 		}
 	}
-	summaries := []*v1.ZoneSummary{summaryMessage(n.Self.Zone, mine, now, wantsAdapters)}
+	summaries := []*v1.ZoneSummary{summaryMessage(n.Self.Zone, mine, now, listed)}
 	if asker.Zone == n.Self.Zone {
 		for zone, z := range n.zones {
-			summaries = append(summaries, summaryMessage(zone, z, now, wantsAdapters))
+			summaries = append(summaries, summaryMessage(zone, z, now, listed))
 		}
 	}
 	return summaries
 }
 
-func summaryMessage(zone string, z *zoneSum, now time.Time, wantsAdapters bool) *v1.ZoneSummary {
+// summaryMessage returns a sum, with the adapters in use on the targets that a
+// filter picks.
+func summaryMessage(zone string, z *zoneSum, now time.Time, withAdapters func(deployment.TargetID) bool) *v1.ZoneSummary {
 	m := &v1.ZoneSummary{Zone: zone, Source: z.source, AgeMs: now.Sub(z.at).Milliseconds()}
 	for id, u := range z.uses {
-		if !wantsAdapters {
+		if !withAdapters(id) {
 			u.Adapters = nil
 		}
 		m.Targets = append(m.Targets, useMessage(id, u))
