--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -21,10 +21,8 @@
 	"heatherrelay/internal/catalog"
 	"heatherrelay/internal/connection"
 	"heatherrelay/internal/deployment"
-	v1 "heatherrelay/internal/gen/heatherrelay/v1"
 	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
 	"heatherrelay/internal/load"
-	"heatherrelay/internal/object"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/quota"
 )
@@ -44,52 +42,12 @@
 	exchangeTimeout = 700 * time.Millisecond
 	// newsInterval is the least time between exchanges that news start at once.
 	newsInterval = 60 * time.Millisecond
-	// heardTime is how long an instance counts as heard after its last word.
-	heardTime = 1200 * time.Millisecond
-	// forgetTime is how long a silent instance still counts as a member.
-	forgetTime = 20 * time.Second
-	// leaveTime is the same for one that said that it leaves.
-	leaveTime = 3 * time.Second
 	// useTime is how long what a silent instance had under way still counts.
 	useTime         = 3 * time.Second
 	connectTimeout  = 400 * time.Millisecond
 	idleConnTimeout = 30 * time.Second
 )
 
-// Member is an instance.
-type Member struct {
-	ID      string
-	Zone    string
-	Address netip.AddrPort
-	// Capacity says how much the instance can carry beside its own work.
-	Capacity float64
-}
-
-// remote is what this instance knows of another.
-type remote struct {
-	Member
-	incarnation string
-	sequence    uint64
-	leaving     bool
-	holds       bool
-	waiting     int
-	// heardAt is when this instance, or one that told of it, last heard of it.
-	heardAt time.Time
-	// membersAt is when it was last told of the others.
-	membersAt time.Time
-	// failedAt is when a call to it last failed.
-	failedAt time.Time
-	// uses are what it told this instance itself, at toldAt.
-	uses    map[deployment.TargetID]load.TargetUse
-	toldAt  time.Time
-	calling bool
-	// calledAt is when the last exchange with it was started.
-	calledAt time.Time
-	client   heatherrelayv1connect.FleetServiceClient
-	// received is what it relayed last.
-	received received
-}
-
 // Network is this instance's part in the exchange. Set the exported fields
 // before Run.
 type Network struct {
@@ -276,127 +234,3 @@
 		n.takeBelief(b, sentAt)
 	}
 }
-
-// learnMembers takes what another instance knows of the others.
-func (n *Network) learnMembers(members []*v1.Member, sentAt time.Time) {
-	for _, message := range members {
-		m := memberFrom(message)
-		n.Learn(m)
-		n.mu.Lock()
-		if r, ok := n.remotes[m.ID]; ok {
-			r.hearsay(message, sentAt)
-		}
-		n.mu.Unlock()
-	}
-}
-
-// hearsay takes what a third instance heard, if that is newer.
-func (r *remote) hearsay(m *v1.Member, sentAt time.Time) {
-	heardAt := sentAt.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond)
-	if !heardAt.After(r.heardAt) {
-		return
-	}
-	r.heardAt, r.Capacity = heardAt, m.GetCapacity()
-	r.takeStatus(m)
-}
-
-func (r *remote) takeStatus(m *v1.Member) {
-	r.leaving, r.holds, r.waiting = m.GetLeaving(), m.GetHoldsOrders(), int(m.GetWaitingLoads())
-}
-
-// Learn adds an instance that was not known.
-func (n *Network) Learn(m Member) {
-	n.init()
-	if m.ID == n.Self.ID || !m.Address.IsValid() {
-		return
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if _, ok := n.remotes[m.ID]; !ok {
-		n.remotes[m.ID] = &remote{Member: m, heardAt: n.Now(), client: n.client(m.Address)}
-		n.Log.Debug("instance learned of", zap.String("peer", m.ID), zap.String("zone", m.Zone), zap.Stringer("address", m.Address))
-	}
-}
-
-// forget drops instances that have been silent for long.
-func (n *Network) forget() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.Now()
-	for id, r := range n.remotes {
-		limit := forgetTime
-		if r.leaving {
-			limit = leaveTime
-		}
-		if silence := now.Sub(r.heardAt); silence > limit {
-			delete(n.remotes, id)
-			n.originals.spendings.drop(func(s *v1.Spending) bool { return s.GetInstanceId() == id })
-			n.Meter.Forget(id)
-			n.Log.Info("instance forgotten", zap.String("peer", id), zap.Duration("silence", silence), zap.Bool("leaving", r.leaving))
-		}
-	}
-}
-
-// hear takes another instance's state.
-func (n *Network) hear(s *v1.InstanceState) {
-	m := memberFrom(s.GetMember())
-	if m.ID == "" || m.ID == n.Self.ID || !m.Address.IsValid() {
-		return
-	}
-	n.mu.Lock()
-	r, ok := n.remotes[m.ID]
-	if !ok || r.Address != m.Address {
-		r = &remote{Member: m, client: n.client(m.Address)}
-		n.remotes[m.ID] = r
-	}
-	stale := r.incarnation == s.GetIncarnation() && s.GetSequence() <= r.sequence
-	since := n.Now().Sub(r.toldAt)
-	if !stale {
-		if !r.leaving && s.GetMember().GetLeaving() {
-			n.Log.Info("instance leaves", zap.String("peer", m.ID))
-		}
-		r.Member, r.incarnation, r.sequence = m, s.GetIncarnation(), s.GetSequence()
-		r.takeStatus(s.GetMember())
-		r.heardAt, r.toldAt = n.Now(), n.Now()
-		r.uses = usesFrom(s.GetTargets())
-		n.summed = false
-	}
-	direct := n.countsDirectly(r)
-	n.mu.Unlock()
-	if stale {
-		return
-	}
-	if direct {
-		n.noteUses(s.GetTargets(), since)
-	}
-	n.takeSpending(spendingOf(s))
-	for _, e := range s.GetEngines() {
-		n.takeEngine(e, n.Now())
-	}
-}
-
-// usualDuration is about how long a request runs. A request that is seen under
-// way counts as used by the part of it that passed since the last sighting.
-const usualDuration = 1500 * time.Millisecond
-
-// noteUses tells the holder of orders which adapters other instances use, as seen
-// a while after the last sighting.
-func (n *Network) noteUses(uses []*v1.TargetUse, since time.Duration) {
-	weight := float64(min(max(since, 0), exchangeInterval)) / float64(usualDuration)
-	for _, u := range uses {
-		for _, a := range u.GetAdapters() {
-			name := deployment.AdapterName{Model: a.GetModel(), Adapter: a.GetAdapter()}
-			n.Holder.Used(deployment.TargetID(u.GetTargetId()), name, weight*float64(a.GetRequests()))
-		}
-	}
-}
-
-// takeBelief takes a peer's copy of objects of the store. The peer's age counts
-// from before the exchange was sent.
-func (n *Network) takeBelief(b *v1.Belief, sentAt time.Time) {
-	f, ok := n.Catalog.Followers()[object.Kind(b.GetState().GetKind())]
-	if !ok {
-		return
-	}
-	f.Merge(stateFrom(b.GetState(), sentAt), b.GetComplete(), objectsFrom(b.GetObjects()))
-}
