Try instances that nobody hears: zones find each other after their relays ended

TestSilentZoneIsTriedAgain failed first (not heard in 15 s); six runs of the failing test at once passed after.

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -65,14 +65,15 @@
 	Now     func() time.Time
 	Log     *zap.Logger
 
-	once       sync.Once
-	news       chan struct{}
-	http       *http.Client
-	mu         sync.RWMutex
-	sequence   uint64
-	remotes    map[string]*remote
-	seeds      map[netip.AddrPort]heatherrelayv1connect.FleetServiceClient
-	seedsAsked time.Time
+	once     sync.Once
+	news     chan struct{}
+	http     *http.Client
+	mu       sync.RWMutex
+	sequence uint64
+	remotes  map[string]*remote
+	seeds    map[netip.AddrPort]heatherrelayv1connect.FleetServiceClient
+	// searchedAt is when a silent instance and the seeds were last tried.
+	searchedAt time.Time
 	role       role
 	// zones are the sums of zones that others relay.
 	zones map[string]*zoneSum
@@ -182,7 +183,8 @@
 }
 
 // due returns the instances to exchange with now, all of them if there are news,
-// without those that have not answered the last exchange yet. Seeds are asked
+// without those that have not answered the last exchange yet. One that is silent
+// is tried with them: those that relay for it may have ended. Seeds are asked
 // until they are known by name.
 func (n *Network) due(news bool) []outgoing {
 	n.mu.Lock()
@@ -199,10 +201,14 @@
 			calls = append(calls, outgoing{id: p.ID, client: p.client})
 		}
 	}
-	if !news && now.Sub(n.seedsAsked) < exchangeInterval {
+	if !news && now.Sub(n.searchedAt) < exchangeInterval {
 		return calls
 	}
-	n.seedsAsked = now
+	n.searchedAt = now
+	if r := n.silent(now); r != nil {
+		r.calling, r.calledAt = true, now
+		calls = append(calls, outgoing{id: r.ID, client: r.client})
+	}
 	for address, client := range n.seeds {
 		if !known[address] {
 			calls = append(calls, outgoing{client: client})
--- a/internal/peer/roles.go
+++ b/internal/peer/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -135,6 +136,21 @@
 	return partners
 }
 
+// silent returns one of the known instances that nobody hears, drawn at random;
+// nil if there is none. The caller holds the lock.
+func (n *Network) silent(now time.Time) *remote {
+	var unheard []*remote
+	for _, r := range n.remotes {
+		if !r.heard(now) && !r.calling {
+			unheard = append(unheard, r)
+		}
+	}
+	if len(unheard) == 0 {
+		return nil
+	}
+	return unheard[rand.IntN(len(unheard))]
+}
+
 func everyInterval(remotes []*remote) []partner {
 	partners := make([]partner, 0, len(remotes))
 	for _, r := range remotes {
