Space the prompts that all instances send to an engine

Cause: on the grown sites a third of the streams pauses for more than 300 ms. An engine reads up to 2,048 prompt tokens in one step (about 117 ms) while its streams get one token; an event holds four tokens there, so three such steps in four are a late stream. Ruled out: engines that are overloaded (the share is 35% at the mean load, 22% at engines below it), the way between engine and client. Mend: an instance that sees such pauses often (5% of its streams) announces each prompt to the holder of the engine's orders, who answers how long to keep it back, 0.4 s at most.

--- a/internal/gateway/prepare.go
+++ b/internal/gateway/prepare.go
@@ -94,9 +94,23 @@
 	if !e.awaitAdapter(target, want, send) {
 		return nil, nil
 	}
+	if s.Pauses.Frequent() {
+		e.pacePrompt(target, send)
+	}
 	return send, nil
 }
 
+// pacePrompt keeps the prompt back until the engine has read those before it.
+func (e *exchange) pacePrompt(target deployment.Target, send *upstream.Send) {
+	delay := e.server.Network.ReservePrompt(e.ctx, target, e.request.PromptTokens)
+	if delay > 0 {
+		e.note("pace", target.ID, delay.String())
+		// The wait ends early only when the exchange does, which the send finds out.
+		_ = wait.Sleep(e.ctx, delay)
+	}
+	send.Deadline = e.left()
+}
+
 // copyAdapter has a further copy of an adapter loaded, for later requests. It
 // does not wait.
 func (e *exchange) copyAdapter(target deployment.Target, want placement.Want) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -51,7 +51,9 @@
 	Tracker   *load.Tracker
 	Directory *placement.Directory
 	Demand    *placement.Demand
-	Upstream  *upstream.Client
+	// Pauses tells whether prompts have to be paced.
+	Pauses   placement.Pauses
+	Upstream *upstream.Client
 	// DecodeRequest reads a client's request; EncodeRefusal writes the fields of
 	// an answer of this instance's own.
 	DecodeRequest func(header *fasthttp.RequestHeader, body []byte) (*upstream.Request, error)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -181,6 +181,9 @@
 	if !errors.Is(s.err, io.EOF) {
 		outcome = "stream broken off"
 	}
+	if gap := s.route.GapObjective; gap > 0 && s.resume == 0 {
+		s.server.Pauses.Note(s.longest > gap)
+	}
 	s.server.Metrics.answered(s.response.Status, s.server.Now().Sub(s.startedAt))
 	s.log(outcome, targetField(s.target.ID), zap.Int("events", s.events), zap.Duration("first_event", s.started),
 		zap.Duration("longest_pause", s.longest), zap.Duration("expected_start", s.expected), zap.Int("resumed", s.resume),
--- a/internal/gen/heatherrelay/v1/heatherrelayv1connect/fleet.connect.go
+++ b/internal/gen/heatherrelay/v1/heatherrelayv1connect/fleet.connect.go
@@ -40,6 +40,9 @@
 	// FleetServiceLoadAdapterProcedure is the fully-qualified name of the FleetService's LoadAdapter
 	// RPC.
 	FleetServiceLoadAdapterProcedure = "/heatherrelay.v1.FleetService/LoadAdapter"
+	// FleetServiceReservePromptProcedure is the fully-qualified name of the FleetService's
+	// ReservePrompt RPC.
+	FleetServiceReservePromptProcedure = "/heatherrelay.v1.FleetService/ReservePrompt"
 )
 
 // FleetServiceClient is a client for the heatherrelay.v1.FleetService service.
@@ -49,6 +52,9 @@
 	Exchange(context.Context, *v1.ExchangeRequest) (*v1.ExchangeResponse, error)
 	// LoadAdapter asks the holder of an engine's orders to load an adapter.
 	LoadAdapter(context.Context, *v1.LoadAdapterRequest) (*v1.LoadAdapterResponse, error)
+	// ReservePrompt announces a prompt for an engine to the holder of its orders,
+	// who spaces the prompts of all instances.
+	ReservePrompt(context.Context, *v1.ReservePromptRequest) (*v1.ReservePromptResponse, error)
 }
 
 // NewFleetServiceClient constructs a client for the heatherrelay.v1.FleetService service. By
@@ -74,13 +80,20 @@
 			connect.WithSchema(fleetServiceMethods.ByName("LoadAdapter")),
 			connect.WithClientOptions(opts...),
 		),
+		reservePrompt: connect.NewClient[v1.ReservePromptRequest, v1.ReservePromptResponse](
+			httpClient,
+			baseURL+FleetServiceReservePromptProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("ReservePrompt")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
-	exchange    *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
-	loadAdapter *connect.Client[v1.LoadAdapterRequest, v1.LoadAdapterResponse]
+	exchange      *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	loadAdapter   *connect.Client[v1.LoadAdapterRequest, v1.LoadAdapterResponse]
+	reservePrompt *connect.Client[v1.ReservePromptRequest, v1.ReservePromptResponse]
 }
 
 // Exchange calls heatherrelay.v1.FleetService.Exchange.
@@ -101,6 +114,15 @@
 	return nil, err
 }
 
+// ReservePrompt calls heatherrelay.v1.FleetService.ReservePrompt.
+func (c *fleetServiceClient) ReservePrompt(ctx context.Context, req *v1.ReservePromptRequest) (*v1.ReservePromptResponse, error) {
+	response, err := c.reservePrompt.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // FleetServiceHandler is an implementation of the heatherrelay.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange tells the receiver the sender's state and returns the receiver's,
@@ -108,6 +130,9 @@
 	Exchange(context.Context, *v1.ExchangeRequest) (*v1.ExchangeResponse, error)
 	// LoadAdapter asks the holder of an engine's orders to load an adapter.
 	LoadAdapter(context.Context, *v1.LoadAdapterRequest) (*v1.LoadAdapterResponse, error)
+	// ReservePrompt announces a prompt for an engine to the holder of its orders,
+	// who spaces the prompts of all instances.
+	ReservePrompt(context.Context, *v1.ReservePromptRequest) (*v1.ReservePromptResponse, error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -129,12 +154,20 @@
 		connect.WithSchema(fleetServiceMethods.ByName("LoadAdapter")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceReservePromptHandler := connect.NewUnaryHandlerSimple(
+		FleetServiceReservePromptProcedure,
+		svc.ReservePrompt,
+		connect.WithSchema(fleetServiceMethods.ByName("ReservePrompt")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/heatherrelay.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
 			fleetServiceExchangeHandler.ServeHTTP(w, r)
 		case FleetServiceLoadAdapterProcedure:
 			fleetServiceLoadAdapterHandler.ServeHTTP(w, r)
+		case FleetServiceReservePromptProcedure:
+			fleetServiceReservePromptHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -151,3 +184,7 @@
 func (UnimplementedFleetServiceHandler) LoadAdapter(context.Context, *v1.LoadAdapterRequest) (*v1.LoadAdapterResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("heatherrelay.v1.FleetService.LoadAdapter is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) ReservePrompt(context.Context, *v1.ReservePromptRequest) (*v1.ReservePromptResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("heatherrelay.v1.FleetService.ReservePrompt is not implemented"))
+}
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -60,6 +60,7 @@
 	Tracker   *load.Tracker
 	Holder    *placement.Holder
 	Directory *placement.Directory
+	Prompts   *placement.PromptPacer
 	// Leaving says that this instance shuts down.
 	Leaving func() bool
 	Now     func() time.Time
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -50,6 +50,12 @@
 	return response, nil
 }
 
+// ReservePrompt announces a prompt for an engine that this instance orders.
+func (s *server) ReservePrompt(_ context.Context, request *v1.ReservePromptRequest) (*v1.ReservePromptResponse, error) {
+	delay := s.network.Prompts.Reserve(deployment.TargetID(request.GetTargetId()), int(request.GetTokens()))
+	return &v1.ReservePromptResponse{DelayMs: delay.Milliseconds()}, nil
+}
+
 // beliefStates says how new this instance's copies are.
 func (n *Network) beliefStates() []*v1.BeliefState {
 	var states []*v1.BeliefState
--- a/internal/peer/view.go
+++ b/internal/peer/view.go
@@ -15,6 +15,8 @@
 const (
 	// loadCallTimeout bounds the wish for an adapter.
 	loadCallTimeout = 2 * time.Second
+	// reserveTimeout bounds the announcement of a prompt; it is sent all the same.
+	reserveTimeout = 60 * time.Millisecond
 	// failedPause is how long a holder of orders is not asked after a call failed:
 	// an instance may be cut off from it though others hear it.
 	failedPause = 500 * time.Millisecond
@@ -181,6 +183,26 @@
 	return resultFrom(response.GetResult()), readyAt, response.GetVersion()
 }
 
+// ReservePrompt announces a prompt for an engine to whoever holds its orders, and
+// returns how long it should be kept back; zero when nobody answers.
+func (n *Network) ReservePrompt(ctx context.Context, target deployment.Target, tokens int) time.Duration {
+	if target.Zone == n.Self.Zone && n.Holder.Holds() {
+		return n.Prompts.Reserve(target.ID, tokens)
+	}
+	holder, ok := n.holder(target.Zone)
+	if !ok {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	response, err := holder.client.ReservePrompt(ctx, &v1.ReservePromptRequest{TargetId: string(target.ID), Tokens: int64(tokens)})
+	if err != nil {
+		n.Log.Debug("prompt not announced", zap.String("target", string(target.ID)), zap.Error(err))
+		return 0
+	}
+	return time.Duration(response.GetDelayMs()) * time.Millisecond
+}
+
 // noteFailed notes that a call to an instance failed.
 func (n *Network) noteFailed(id string) {
 	n.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,6 +66,7 @@
 	holder    *placement.Holder
 	lease     *placement.Lease
 	directory *placement.Directory
+	prompts   *placement.PromptPacer
 	detector  *outlier.Detector
 	meter     *quota.Meter
 	budget    *retry.Budget
@@ -135,6 +136,7 @@
 func (r *Relay) assemble() {
 	s, incarnation := r.Settings, uuid.NewString()
 	r.directory = &placement.Directory{Now: clock.Now}
+	r.prompts = &placement.PromptPacer{Now: clock.Now}
 	r.detector = &outlier.Detector{Now: clock.Now}
 	tracker := &load.Tracker{}
 	r.catalog = &catalog.Catalog{
@@ -164,6 +166,7 @@
 		Catalog:     r.catalog,
 		Tracker:     tracker,
 		Directory:   r.directory,
+		Prompts:     r.prompts,
 		Leaving:     r.leaving,
 		Now:         clock.Now,
 		Log:         r.Log,
@@ -201,6 +204,7 @@
 
 func (r *Relay) keepTargets(listed map[deployment.TargetID]deployment.Target) {
 	r.directory.Keep(listed)
+	r.prompts.Keep(listed)
 	r.detector.Keep(listed)
 }
 
