--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/wait"
@@ -28,9 +29,6 @@
 	silentPause = 500 * time.Millisecond
 	// orderTimeout bounds an order.
 	orderTimeout = 300 * time.Millisecond
-	// modelLoadGap is the least time between orders of a holder to load a base
-	// model, so that the weight store serves each at full speed.
-	modelLoadGap = 350 * time.Millisecond
 )
 
 // Holder orders the engines of one zone while it holds the zone's lease. Each
@@ -61,10 +59,11 @@
 	// told is the number of times that the engines' states were told.
 	told atomic.Uint64
 
-	mu        sync.Mutex
-	engines   map[deployment.TargetID]*heldEngine
-	modelLoad time.Time
-	wishes    wishes
+	mu      sync.Mutex
+	engines map[deployment.TargetID]*heldEngine
+	// models bounds the loads of base models.
+	models *rate.Limiter
+	wishes wishes
 }
 
 // heldEngine is an engine with the lock under which its orders are sent. The
@@ -79,6 +78,8 @@
 	silentAt time.Time
 	// refused is when the engine last refused an order since another was under way.
 	refused time.Time
+	// modelUntil is until when a load of the base model is expected to take.
+	modelUntil time.Time
 }
 
 // Run keeps the engines' states known while the lease is held, until ctx ends.
@@ -175,7 +176,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	e.mu.Lock()
-	due := !e.state.Synced() || e.state.Born != t.Born || e.state.unloading() || h.Now().Sub(e.reported) > reportInterval
+	due := !e.state.Synced() || e.state.Born != t.Born || e.state.unloading() || e.awaitsModel() || h.Now().Sub(e.reported) > reportInterval
 	e.mu.Unlock()
 	if due && !h.sync(ctx, t, e) {
 		return
@@ -217,41 +218,6 @@
 	return e.state.Sync(report, e.reported)
 }
 
-// loadModel orders an engine without base model to load the one that it has
-// room for. It reports whether the engine has none yet.
-func (h *Holder) loadModel(ctx context.Context, t deployment.Target, e *heldEngine) bool {
-	s := h.Service(t.Service)
-	if s == nil || s.Engine == nil || len(s.Engine.Models) == 0 {
-		return true
-	}
-	model := s.Engine.Models[0]
-	e.mu.Lock()
-	missing, synced := len(e.state.models) == 0, e.state.Synced()
-	e.mu.Unlock()
-	if !missing || !synced {
-		return missing
-	}
-	h.mu.Lock()
-	now := h.Now()
-	early := now.Sub(h.modelLoad) < modelLoadGap
-	if !early {
-		h.modelLoad = now
-	}
-	h.mu.Unlock()
-	if early || model.WeightsMB > s.Engine.WeightsMB {
-		return true
-	}
-	name := deployment.AdapterName{Model: model.Name}
-	if outcome := h.order(ctx, t, e, Order{Operation: Load, AdapterName: name}); outcome == Started || outcome == Done {
-		e.mu.Lock()
-		e.state.Sequence++
-		// The report tells when the model is there.
-		e.state.Unsync()
-		e.mu.Unlock()
-	}
-	return true
-}
-
 // settle reads reports until the engine's state is known. An engine that does
 // not answer fails all wishes for a while.
 func (h *Holder) settle(ctx context.Context, t deployment.Target, e *heldEngine) bool {
--- a/internal/placement/holder_test.go
+++ b/internal/placement/holder_test.go
@@ -95,24 +95,33 @@
 
 // newHolder returns a holder that holds its lease, in front of one engine.
 func newHolder(t *testing.T, e *testEngine) *placement.Holder {
+	t.Helper()
+	h := newHolderOf(t, &deployment.Engine{AdapterSlots: testSlots, Models: []deployment.Model{{Name: testModel}}}, testTarget)
+	h.Order, h.Report = e.order, e.report
+	return h
+}
+
+// newHolderOf returns a holder that holds its lease, in front of engines of one
+// kind; their calls are still to be set.
+func newHolderOf(t *testing.T, kind *deployment.Engine, engines ...deployment.TargetID) *placement.Holder {
 	t.Helper()
 	store := &memoryStore{}
 	lease := &placement.Lease{Store: store.store(), Name: "zone", Holder: "instance-1", Incarnation: "1", Now: time.Now, Log: zap.NewNop()}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go lease.Run(ctx)
-	service := &deployment.Service{Engine: &deployment.Engine{AdapterSlots: testSlots, Models: []deployment.Model{{Name: testModel}}}}
+	targets := map[deployment.TargetID]deployment.Target{}
+	for _, id := range engines {
+		targets[id] = deployment.Target{ID: id, Zone: "zone", Service: "models"}
+	}
+	service := &deployment.Service{Engine: kind}
 	h := &placement.Holder{
-		Zone:  "zone",
-		Lease: lease,
-		Targets: func() map[deployment.TargetID]deployment.Target {
-			return map[deployment.TargetID]deployment.Target{testTarget: {ID: testTarget, Zone: "zone", Service: "models"}}
-		},
+		Zone:          "zone",
+		Lease:         lease,
+		Targets:       func() map[deployment.TargetID]deployment.Target { return targets },
 		Service:       func(string) *deployment.Service { return service },
 		NewestVersion: func(deployment.AdapterName) uint64 { return 0 },
 		InUse:         func(deployment.TargetID, deployment.AdapterName) bool { return false },
-		Order:         e.order,
-		Report:        e.report,
 		Now:           time.Now,
 		Log:           zap.NewNop(),
 	}
@@ -164,3 +173,74 @@
 		t.Errorf("%d orders without the lease", len(e.orders))
 	}
 }
+
+// emptyEngines are engines that came back without a base model. A load takes a
+// while, and reports lag behind.
+type emptyEngines struct {
+	mu     sync.Mutex
+	loaded map[deployment.TargetID]time.Time
+	orders map[deployment.TargetID]int
+}
+
+const (
+	emptyLoadTime = 200 * time.Millisecond
+	emptyLag      = 100 * time.Millisecond
+)
+
+func (e *emptyEngines) order(_ context.Context, t deployment.Target, _ placement.Order) (placement.Outcome, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders[t.ID]++
+	if at, ok := e.loaded[t.ID]; ok && time.Now().Before(at) {
+		return placement.Conflicting, nil
+	}
+	e.loaded[t.ID] = time.Now().Add(emptyLoadTime)
+	return placement.Started, nil
+}
+
+func (e *emptyEngines) report(_ context.Context, t deployment.Target) (placement.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at, ok := e.loaded[t.ID]
+	report := placement.Report{Sequence: uint64(e.orders[t.ID])}
+	if ok && time.Since(at) > emptyLag {
+		report.Models = []deployment.ResidentModel{{Name: testModel}}
+	}
+	return report, nil
+}
+
+func (e *emptyEngines) all() (ordered, most int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, n := range e.orders {
+		most = max(most, n)
+	}
+	return len(e.orders), most
+}
+
+// TestEmptyEnginesLoadTheirModel answers the pattern of a quarter of the engines
+// that crash together and come back empty: each is ordered to load the base model
+// once, as fast as the weight store's rate allows, and its adapters can be loaded
+// as soon as a report shows the model.
+func TestEmptyEnginesLoadTheirModel(t *testing.T) {
+	kind := &deployment.Engine{
+		AdapterSlots: testSlots, WeightsMB: 10, LoadsPerSecond: 10,
+		Models: []deployment.Model{{Name: testModel, WeightsMB: 5, LoadTime: emptyLoadTime}},
+	}
+	ids := []deployment.TargetID{"engine-1", "engine-2", "engine-3", "engine-4", "engine-5", "engine-6", "engine-7", "engine-8"}
+	h := newHolderOf(t, kind, ids...)
+	e := &emptyEngines{loaded: map[deployment.TargetID]time.Time{}, orders: map[deployment.TargetID]int{}}
+	h.Order, h.Report = e.order, e.report
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); h.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	time.Sleep(2500 * time.Millisecond)
+	ordered, most := e.all()
+	if ordered != len(ids) || most != 1 {
+		t.Errorf("%d of %d engines were ordered to load the model, one of them %d times", ordered, len(ids), most)
+	}
+	if result, _, _ := h.Load(ctx, ids[0], adapterName(1), 0); result != placement.Ready {
+		t.Errorf("an adapter of a model that is there: %v", result)
+	}
+}
