--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,6 +79,8 @@
 type Platform struct {
 	// Catalog reads stored objects.
 	Catalog Decoders
+	// StoreCalls returns the number of calls to the store; may be nil.
+	StoreCalls func() uint64
 	// Client has the codec of requests to targets set.
 	Client *upstream.Client
 	// Gateway has the codec of clients' requests set.
@@ -188,6 +190,7 @@
 	r.server.Demand = &placement.Demand{Now: clock.Now}
 	r.server.Leaving, r.server.Now, r.server.Log = r.leavingFor, clock.Now, r.Log
 	r.server.Metrics = gateway.NewMetrics(r.Registry)
+	r.observe()
 }
 
 // orderMargin is added to the time between two holders' orders, for an order
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -42,6 +42,7 @@
 
 type instance struct {
 	settings relay.Settings
+	registry *prometheus.Registry
 	stop     context.CancelFunc
 	done     chan error
 }
@@ -89,7 +90,7 @@
 
 func (w *world) start() *instance {
 	w.t.Helper()
-	i := &instance{done: make(chan error, 1)}
+	i := &instance{done: make(chan error, 1), registry: prometheus.NewRegistry()}
 	i.settings = relay.Settings{
 		InstanceID: fmt.Sprint("instance-", len(w.instances)+1),
 		Zone:       testZone,
@@ -105,7 +106,7 @@
 		AllowanceWindow:    settings.Duration{Duration: 8 * time.Second},
 		Retry:              relay.Retry{Ratio: 0.2, Extra: 50},
 	}
-	r := &relay.Relay{Settings: i.settings, Log: zap.NewNop(), Registry: prometheus.NewRegistry()}
+	r := &relay.Relay{Settings: i.settings, Log: zap.NewNop(), Registry: i.registry}
 	platform.Connect(r)
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
