Count the changes of a restarted instance anew; tell taken states in their order

Found in reading the diff. An instance that hears of another one's restart before it asks it again asked for changes after the former process's numbers, and was told of nothing until the new ones passed them: engines and spendings unknown meanwhile.

--- a/internal/peer/hear.go
+++ b/internal/peer/hear.go
@@ -28,6 +28,9 @@
 		if !r.leaving && s.GetMember().GetLeaving() {
 			n.Log.Info("instance leaves", zap.String("peer", m.ID))
 		}
+		if r.incarnation != s.GetIncarnation() {
+			r.received = received{}
+		}
 		r.Member, r.incarnation, r.sequence = m, s.GetIncarnation(), s.GetSequence()
 		r.takeStatus(s.GetMember())
 		r.heardAt, r.toldAt = n.Now(), n.Now()
--- a/internal/peer/originals.go
+++ b/internal/peer/originals.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"sync"
 	"time"
 
 	"heatherrelay/internal/deployment"
@@ -10,6 +11,9 @@
 // originals are the states that relays pass on one by one, each with its origin:
 // what instances admitted, and what the holders of orders know of engines.
 type originals struct {
+	// taking is held while a state is taken and those that go by it are told, so
+	// that they are told in the order in which states are taken.
+	taking    sync.Mutex
 	spendings changes[*v1.Spending]
 	engines   changes[*v1.EngineState]
 }
@@ -22,6 +26,8 @@
 	if s.GetInstanceId() == "" || s.GetInstanceId() == n.Self.ID {
 		return
 	}
+	n.originals.taking.Lock()
+	defer n.originals.taking.Unlock()
 	if n.originals.spendings.take(s.GetInstanceId()+"#"+s.GetIncarnation(), s, newerSpending, sameSpending) {
 		n.Meter.Observe(s.GetInstanceId(), s.GetIncarnation(), admittedFrom(s.GetTeams()))
 	}
@@ -30,6 +36,8 @@
 // takeEngine takes what a holder of orders knows of an engine, from the holder
 // or through a relay.
 func (n *Network) takeEngine(e *v1.EngineState, now time.Time) {
+	n.originals.taking.Lock()
+	defer n.originals.taking.Unlock()
 	if n.originals.engines.take(e.GetTargetId(), e, newerEngine, sameEngine) {
 		n.Directory.Update(engineFrom(e, now))
 	}
