Hold watches back for a part of the limit that others go by (figures follow)

A confirmation counts from before the watch was sent, so one that is held back for 2 s is up to 4 s old; from 3.2 s on the others read the store themselves. On the small sites the same held for the configuration (1 s, read from 1.6 s on). TestConfirmationsOfAReaderAreYoung failed first (1.996 s old, limit 1.6 s).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -14,13 +14,13 @@
 	"heatherrelay/internal/object"
 )
 
-// The pace of the copies. Watches return at once when something changes, so the
-// waits only bound how long a silent connection goes unnoticed, and how old a
-// confirmation gets.
+// The pace of the copies.
 const (
-	configurationWait = time.Second
-	targetsWait       = time.Second
-	versionsWait      = 2 * time.Second
+	// waitShare is the part of a limit for which a watch may be held back. Watches
+	// return at once when something changes; the wait bounds how long a silent
+	// connection goes unnoticed. A confirmation is up to two waits old: it counts
+	// from before the watch was sent.
+	waitShare = 0.3
 	// targetsPause is the time between changes of targets: entries change with
 	// each adapter that an engine loads.
 	targetsPause  = 800 * time.Millisecond
@@ -85,11 +85,11 @@
 
 func (c *Catalog) init() {
 	c.once.Do(func() {
-		c.configuration = c.follower(c.Kinds.Configuration, configurationWait, c.ConfigurationLimit, c.takeConfiguration)
+		c.configuration = c.follower(c.Kinds.Configuration, c.ConfigurationLimit, c.takeConfiguration)
 		c.configuration.Clean = c.HashKeys
-		c.targets = c.follower(c.Kinds.Targets, targetsWait, c.TargetsLimit, c.takeTargets)
+		c.targets = c.follower(c.Kinds.Targets, c.TargetsLimit, c.takeTargets)
 		c.targets.Clean, c.targets.Pause = c.TrimTarget, targetsPause
-		c.versions = c.follower(c.Kinds.Versions, versionsWait, versionsLimit, c.takeVersions)
+		c.versions = c.follower(c.Kinds.Versions, versionsLimit, c.takeVersions)
 		c.versions.Pause = versionsPause
 		c.versionByName.Store(&map[deployment.AdapterName]uint64{})
 		c.targetByID.Store(&map[deployment.TargetID]deployment.Target{})
@@ -97,10 +97,10 @@
 	})
 }
 
-func (c *Catalog) follower(kind object.Kind, wait, limit time.Duration, changed func([]object.Object)) Follower {
+func (c *Catalog) follower(kind object.Kind, limit time.Duration, changed func([]object.Object)) Follower {
 	overdue := time.Duration(limitShare * float64(limit))
 	return Follower{
-		Store: c.Store, Kind: kind, Wait: wait, Changed: changed, Now: c.Now, Log: c.Log,
+		Store: c.Store, Kind: kind, Wait: time.Duration(waitShare * float64(limit)), Changed: changed, Now: c.Now, Log: c.Log,
 		Idle: func(age time.Duration) bool { return c.Reads != nil && !c.Reads() && age < overdue },
 	}
 }
