An order that holds already is not counted; an outage shows beyond a watch's wait

Found in reading the diff: a base model that is there already (200) was counted as an order, and the time that shows an outage was fixed while waits follow the settings.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -158,9 +158,12 @@
 	return f.failed
 }
 
-// outageGap is the time between two confirmations, by anyone, that shows that the
-// store was away: no watch is held back for so long.
-const outageGap = 2400 * time.Millisecond
+// outageGap is the time between two confirmations, by anyone and beyond the wait
+// of a watch, that shows that the store was away.
+const outageGap = 1800 * time.Millisecond
+
+// outage says that a time between two confirmations shows that the store was away.
+func (f *Follower) outage(gap time.Duration) bool { return gap > f.Wait+outageGap }
 
 // Regained returns when the store answered again after it had not; zero before.
 // It is now while the store answers neither this instance nor the others.
@@ -168,7 +171,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.Now()
-	if confirmed := f.replica.ConfirmedAt; !confirmed.IsZero() && now.Sub(confirmed) > outageGap {
+	if confirmed := f.replica.ConfirmedAt; !confirmed.IsZero() && f.outage(now.Sub(confirmed)) {
 		return now
 	}
 	return f.regained
@@ -188,7 +191,7 @@
 	f.mu.Lock()
 	before := f.replica.ConfirmedAt
 	changed := change(&f.replica)
-	if !before.IsZero() && f.replica.ConfirmedAt.Sub(before) > outageGap {
+	if !before.IsZero() && f.outage(f.replica.ConfirmedAt.Sub(before)) {
 		f.regained = f.Now()
 	}
 	var objects []object.Object
--- a/internal/placement/model.go
+++ b/internal/placement/model.go
@@ -36,16 +36,17 @@
 	if !wanted || model.WeightsMB > s.Engine.WeightsMB || !h.modelTurn(t, s.Engine) {
 		return missing
 	}
-	name := deployment.AdapterName{Model: model.Name}
-	outcome := h.order(ctx, t, e, Order{Operation: Load, AdapterName: name})
-	if outcome != Started && outcome != Done {
-		return true
-	}
+	outcome := h.order(ctx, t, e, Order{Operation: Load, AdapterName: deployment.AdapterName{Model: model.Name}})
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.state.accepted(h.Now())
-	// The reports that follow tell when the model is there.
-	e.modelUntil = h.Now().Add(2*model.LoadTime + reportLag)
+	switch outcome {
+	case Started:
+		e.state.accepted(h.Now())
+		// The reports that follow tell when the model is there.
+		e.modelUntil = h.Now().Add(2*model.LoadTime + reportLag)
+	case Done:
+		e.state.Unsync()
+	}
 	return true
 }
 
