Write short requests at once; a catalog may be read before it runs

Each request was written by a goroutine of its own; where that had not run again when the answer was read, the connection counted as not yet written and was closed. Requests of up to 16 KB are written before the answer is read, which the socket of an idle connection takes without waiting. On a busy machine this also cost connections to targets. - TestConfirmationsOfAReaderAreYoung, a data race: reading the configuration's age while Run begins. All readers of a catalog prepare it first now. It could have met a request in the first moment of a process.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -131,15 +131,22 @@
 // ConfigurationAge is how long ago a read of the store last confirmed the
 // configuration, by this instance or by a peer; false when none did.
 func (c *Catalog) ConfigurationAge() (time.Duration, bool) {
+	c.init()
 	at := c.configuration.State().ConfirmedAt
 	return c.Now().Sub(at), !at.IsZero()
 }
 
 // Version returns the newest announced version of an adapter; zero without one.
-func (c *Catalog) Version(name deployment.AdapterName) uint64 { return (*c.versionByName.Load())[name] }
+func (c *Catalog) Version(name deployment.AdapterName) uint64 {
+	c.init()
+	return (*c.versionByName.Load())[name]
+}
 
 // Targets returns all targets. The map must not be changed.
-func (c *Catalog) Targets() map[deployment.TargetID]deployment.Target { return *c.targetByID.Load() }
+func (c *Catalog) Targets() map[deployment.TargetID]deployment.Target {
+	c.init()
+	return *c.targetByID.Load()
+}
 
 func (c *Catalog) takeConfiguration(objects []object.Object) {
 	for _, o := range objects {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -52,14 +52,23 @@
 	return tcp == nil || connection.Peek(tcp) == connection.Quiet
 }
 
-// send writes a request while its answer can be read already: a target may
-// answer before it has read a long body.
+// directBytes is how long a request may be that is written at once: the socket of
+// an idle connection takes as much without waiting for the target.
+const directBytes = 16 << 10
+
+// send writes a request. The answer to a long one can be read meanwhile: a target
+// may answer before it has read a long body.
 func (c *conn) send(message []byte) {
 	c.written = make(chan struct{})
-	go func() {
+	write := func() {
 		defer close(c.written)
 		_, c.writeErr = c.Write(message)
-	}()
+	}
+	if len(message) <= directBytes {
+		write()
+		return
+	}
+	go write()
 }
 
 // sent says that the whole request was written.
