Give tests ports that outgoing connections do not take

The address was chosen by listening on a port of the system's range for outgoing connections (32768 to 60999), closing it and listening again later; a connection of another test had taken it. Ruled out: the instance under test (it ended with that error before it was ready).

--- a/internal/peer/search_test.go
+++ b/internal/peer/search_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+	"heatherrelay/internal/loopback"
 	"heatherrelay/internal/peer"
 )
 
@@ -21,7 +22,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go p.Run(ctx)
-	address := closedAddress(t)
+	address, err := loopback.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
 	stop := keepTelling(t, p, address)
 	t.Cleanup(stop)
 	// Longer than an instance counts as heard that was learned of just now.
@@ -42,17 +46,6 @@
 	await(t, "the silent zone is heard", func() bool { return p.Fraction() == 1 })
 }
 
-// closedAddress returns an address on which nothing listens.
-func closedAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
 // keepTelling has an instance hear, by hearsay, enough instances of its own zone
 // for relays, and of one elsewhere that nobody has heard for long.
 func keepTelling(t *testing.T, p *testPeer, lost netip.AddrPort) (stop func()) {
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -14,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"heatherrelay/internal/loopback"
 	"heatherrelay/internal/relay"
 	"heatherrelay/internal/settings"
 	"heatherrelay/platform"
@@ -49,12 +49,11 @@
 
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return address
 }
 
 // newWorld starts a platform with two engines and a plain target, and instances
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -11,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"heatherrelay/internal/loopback"
 )
 
 // settingsTemplate is an instance's settings.
@@ -50,29 +51,20 @@
 // newProcess writes an instance's settings; Start runs it.
 func newProcess(binary, folder, id, zone string, store netip.AddrPort, keyLimit time.Duration) (*Process, error) {
 	p := &Process{ID: id, binary: binary, config: filepath.Join(folder, id+".toml"), log: filepath.Join(folder, id+".log")}
-	peers, err := freeAddress()
+	peers, err := loopback.FreeAddress()
 	if err != nil {
 		return nil, err
 	}
-	if p.Clients, err = freeAddress(); err != nil {
+	if p.Clients, err = loopback.FreeAddress(); err != nil {
 		return nil, err
 	}
-	if p.Ready, err = freeAddress(); err != nil {
+	if p.Ready, err = loopback.FreeAddress(); err != nil {
 		return nil, err
 	}
 	text := fmt.Sprintf(settingsTemplate, id, zone, store, keyLimit, p.Clients, p.Ready, peers)
 	return p, os.WriteFile(p.config, []byte(text), 0o600)
 }
 
-func freeAddress() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
-}
-
 // Start runs the instance, if it does not run.
 func (p *Process) Start() error {
 	p.mu.Lock()
