--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -145,6 +145,34 @@
 	}
 }
 
+// checkAdmissions has each instance admit a request, and checks that all count
+// each of them once.
+func checkAdmissions(t *testing.T, fleet []*member) {
+	t.Helper()
+	before := map[string]float64{}
+	for _, m := range fleet {
+		before[m.Self.ID] = m.Meter.Level(testTeam)
+	}
+	const cost = 1000
+	for _, m := range fleet {
+		if ok, _ := m.Meter.Admit(testTeam, cost); !ok {
+			t.Fatal("refused")
+		}
+	}
+	want := float64(len(fleet) * cost)
+	near := func(m *member) bool {
+		spent := before[m.Self.ID] - m.Meter.Level(testTeam)
+		return spent > want-100 && spent < want+100
+	}
+	await(t, "all admissions are counted", func() bool { return everyone(fleet, near) })
+	time.Sleep(time.Second)
+	for _, m := range fleet {
+		if !near(m) {
+			t.Errorf("%s counted %.0f, admitted were %.0f", m.Self.ID, before[m.Self.ID]-m.Meter.Level(testTeam), want)
+		}
+	}
+}
+
 // TestAdmissionsAreCountedOnce checks that what instances admit reaches all
 // others' buckets once, through relays too.
 func TestAdmissionsAreCountedOnce(t *testing.T) {
@@ -157,27 +185,7 @@
 			})
 			// Roles and first counts settle.
 			time.Sleep(2 * time.Second)
-			before := map[string]float64{}
-			for _, m := range fleet {
-				before[m.Self.ID] = m.Meter.Level(testTeam)
-			}
-			const cost = 1000
-			for _, m := range fleet {
-				if ok, _ := m.Meter.Admit(testTeam, cost); !ok {
-					t.Fatal("refused")
-				}
-			}
-			spent := func(m *member) float64 { return before[m.Self.ID] - m.Meter.Level(testTeam) }
-			want := float64(size * cost)
-			// The buckets fill by a few tokens meanwhile.
-			near := func(m *member) bool { return spent(m) > want-100 && spent(m) < want+100 }
-			await(t, "all admissions are counted", func() bool { return everyone(fleet, near) })
-			time.Sleep(time.Second)
-			for _, m := range fleet {
-				if !near(m) {
-					t.Errorf("%s counted %.0f, admitted were %.0f", m.Self.ID, spent(m), want)
-				}
-			}
+			checkAdmissions(t, fleet)
 		})
 	}
 }
@@ -201,26 +209,5 @@
 		}
 		left = append(left, m)
 	}
-	before := map[string]float64{}
-	for _, m := range left {
-		before[m.Self.ID] = m.Meter.Level(testTeam)
-	}
-	const cost = 1000
-	for _, m := range left {
-		if ok, _ := m.Meter.Admit(testTeam, cost); !ok {
-			t.Fatal("refused")
-		}
-	}
-	want := float64(len(left) * cost)
-	near := func(m *member) bool {
-		spent := before[m.Self.ID] - m.Meter.Level(testTeam)
-		return spent > want-100 && spent < want+100
-	}
-	await(t, "all admissions are counted", func() bool { return everyone(left, near) })
-	time.Sleep(time.Second)
-	for _, m := range left {
-		if !near(m) {
-			t.Errorf("%s counted %.0f, admitted were %.0f", m.Self.ID, before[m.Self.ID]-m.Meter.Level(testTeam), want)
-		}
-	}
+	checkAdmissions(t, left)
 }
