Log and count why a target's stream ended early

Change: the step and a counter name the reason, and the log line carries the error that ended the target's stream beside the refusal of the resume.

--- /dev/null
+++ b/internal/gateway/break.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+)
+
+// breakReason classifies why the stream of a target ended before it was complete.
+// It is a label of metrics and the outcome of a step in the trace.
+type breakReason string
+
+const (
+	// breakTimeout means that the target sent nothing for longer than the read timeout.
+	breakTimeout breakReason = "timeout"
+	// breakOrder means that the ids of the events did not increase.
+	breakOrder breakReason = "order"
+	// breakClosed means that the connection ended within the response, or that the
+	// response was malformed.
+	breakClosed breakReason = "closed"
+	// breakCancelled means that this instance ended the request: the client left or
+	// the deadline passed.
+	breakCancelled breakReason = "cancelled"
+)
+
+// classifyBreak returns the reason of an error with which reading a stream failed.
+func (e *exchange) classifyBreak(err error) breakReason {
+	var netErr net.Error
+	switch {
+	case e.ctx.Err() != nil:
+		return breakCancelled
+	case errStream.Has(err):
+		return breakOrder
+	case errors.As(err, &netErr) && netErr.Timeout():
+		return breakTimeout
+	}
+	return breakClosed
+}
+
+// recordBreak records in the trace and in the metrics that the target's stream
+// ended early.
+func (e *exchange) recordBreak(err error) {
+	reason := e.classifyBreak(err)
+	e.recordStep("stream", e.target.ID, "broken_"+string(reason))
+	e.server.Metrics.countBreak(reason)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,7 @@
 	responses    *prometheus.CounterVec
 	refusals     *prometheus.CounterVec
 	attempts     *prometheus.CounterVec
+	breaks       *prometheus.CounterVec
 	firstEvent   prometheus.Histogram
 	responseTime prometheus.Histogram
 	loadWait     prometheus.Histogram
@@ -37,6 +38,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherrelay_gateway_sends_total", Help: "Requests sent to targets, by outcome.",
 		}, []string{"outcome"}),
+		breaks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherrelay_gateway_stream_breaks_total", Help: "Streams of targets that ended early, by reason.",
+		}, []string{"reason"}),
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "heatherrelay_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets,
 		}),
@@ -50,7 +54,7 @@
 	inFlight := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "heatherrelay_gateway_requests_underway", Help: "Requests that are being answered.",
 	}, func() float64 { return float64(m.inFlight.Load()) })
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.firstEvent, m.responseTime, m.loadWait, inFlight)
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.firstEvent, m.responseTime, m.loadWait, inFlight)
 	return m
 }
 
@@ -63,4 +67,6 @@
 	m.responseTime.Observe(elapsed.Seconds())
 }
 
+func (m *Metrics) countBreak(reason breakReason) { m.breaks.WithLabelValues(string(reason)).Inc() }
+
 func (m *Metrics) countAttempt(outcome string) { m.attempts.WithLabelValues(outcome).Inc() }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,7 +29,7 @@
 			s.pending, s.err = event.Raw, err
 			break
 		}
-		e.recordStep("stream", e.target.ID, "broken")
+		e.recordBreak(err)
 		if refused := s.resumeElsewhere(err); refused != nil {
 			e.finishFailed(refused)
 			return
@@ -53,8 +53,10 @@
 	reader *eventstream.Reader
 	// pending holds the bytes of complete events that Read has not returned yet.
 	pending []byte
-	// err is returned by Read after the pending bytes.
-	err error
+	// err is returned by Read after the pending bytes. breakCause is the error that
+	// ended the target's stream if it could not be resumed.
+	err        error
+	breakCause error
 	// events counts the forwarded events; resumes counts the switches to another
 	// target after the first event.
 	events  int
@@ -139,9 +141,9 @@
 		s.err = io.EOF
 		return
 	}
-	s.recordStep("stream", s.target.ID, "broken")
+	s.recordBreak(err)
 	if refused := s.resumeElsewhere(err); refused != nil {
-		s.err = errStream.Wrap(refused)
+		s.err, s.breakCause = errStream.Wrap(refused), err
 		return
 	}
 	s.resumes++
@@ -195,7 +197,7 @@
 	s.server.Metrics.observeResponse(s.response.Status, s.server.Now().Sub(s.startedAt))
 	s.logOutcome(outcome, targetField(s.target.ID), zap.Int("events", s.events), zap.Duration("first_event", s.timeToFirstEvent),
 		zap.Duration("longest_pause", s.longestPause), zap.Duration("expected_start", s.expectedStart), zap.Int("resumed", s.resumes),
-		zap.String("last_event", s.lastEventID), zap.NamedError("cause", s.cause()))
+		zap.String("last_event", s.lastEventID), zap.NamedError("cause", s.cause()), zap.NamedError("break_cause", s.breakCause))
 	s.streaming = false
 	s.finish()
 	return nil
