--- a/internal/gatewayinstance/cluster_test.go
+++ b/internal/gatewayinstance/cluster_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"heatherrelay/internal/gatewayinstance"
 	"heatherrelay/internal/loopback"
@@ -39,6 +40,11 @@
 	plain     *platformtest.Target
 	instances []*instance
 	client    *http.Client
+	// retry bounds the retries of the instances that startInstance starts.
+	retry gatewayinstance.Retry
+	// logs holds the log entries of all instances.
+	logs *observer.ObservedLogs
+	log  *zap.Logger
 }
 
 // instance is a running instance of the gateway.
@@ -64,6 +70,9 @@
 func newTestCluster(t *testing.T, instances int) *testCluster {
 	t.Helper()
 	c := &testCluster{t: t, store: platformtest.NewStore(), client: &http.Client{Transport: &http.Transport{}}}
+	c.retry = gatewayinstance.Retry{Ratio: 0.2, Extra: 50}
+	core, logs := observer.New(zap.InfoLevel)
+	c.log, c.logs = zap.New(core), logs
 	t.Cleanup(c.store.Close)
 	c.config = platformtest.Config{
 		Version: 1, Routes: platformtest.StandardRoutes(), Keys: map[string]string{testKey: "roads"}, Rate: 1_000_000, Burst: 1_000_000,
@@ -92,7 +101,7 @@
 }
 
 // startInstance starts an instance and returns when it is ready.
-func (c *testCluster) startInstance() *instance {
+func (c *testCluster) startInstance() {
 	c.t.Helper()
 	i := &instance{done: make(chan error, 1), registry: prometheus.NewRegistry()}
 	i.settings = gatewayinstance.Settings{
@@ -108,9 +117,9 @@
 		OrderQuietTime:     settings.Duration{Duration: 100 * time.Millisecond},
 		ShutdownGrace:      settings.Duration{Duration: 5 * time.Second},
 		AllowanceWindow:    settings.Duration{Duration: 8 * time.Second},
-		Retry:              gatewayinstance.Retry{Ratio: 0.2, Extra: 50},
+		Retry:              c.retry,
 	}
-	gateway := &gatewayinstance.Instance{Settings: i.settings, Log: zap.NewNop(), Registry: i.registry}
+	gateway := &gatewayinstance.Instance{Settings: i.settings, Log: c.log, Registry: i.registry}
 	platform.Connect(gateway)
 	ctx, cancel := context.WithCancel(context.Background())
 	i.stop = cancel
@@ -118,7 +127,6 @@
 	c.instances = append(c.instances, i)
 	c.t.Cleanup(func() { i.stopAndWait(c.t) })
 	c.waitFor("instance ready", func() bool { return c.isReady(i) })
-	return i
 }
 
 // stopAndWait shuts the instance down and waits until Run returns. It may be called
