Hedge a silent target in place of giving it up

What callers saw: a stream ended midway, or a request that could have been answered got 502, when a healthy target sent nothing for 1.4 s (2.5 s before the first event, 0.4 of the time left for idempotent requests). Cause: a read timeout ended the attempt before anything was known of a replacement; retry budget, candidates, key and service were checked only after that, and each of them could refuse. Change: silence no longer ends a response. It starts a further attempt beside the silent one (internal/gateway/hedge.go), which ends only when the hedge has the next event or the whole body. A hedge that is refused or slower leaves the first attempt alone. A response that has ended no longer changes how its connection, which may serve another request, is awaited.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -20,15 +20,6 @@
 	// maxSelectionRounds bounds how often a target is selected for a request,
 	// whether or not the selection leads to an attempt.
 	maxSelectionRounds = 8
-	// firstEventTimeout bounds the wait for the first event of a stream that can be
-	// retried on another target. Clients disconnect after about three times the
-	// latency objective.
-	firstEventTimeout = 2500 * time.Millisecond
-	// interEventTimeout bounds the wait between two events of such a stream.
-	interEventTimeout = 1400 * time.Millisecond
-	// retryTimeoutShare is the fraction of the remaining time after which an
-	// idempotent request without a response is retried on another target.
-	retryTimeoutShare = 0.4
 	// loadReadyMargin is added to the wait for an adapter that is loading.
 	loadReadyMargin = 4 * time.Millisecond
 	// maxStartDelay is the longest expected delay before an engine starts a request
@@ -64,12 +55,7 @@
 
 // delivery is the part of an exchange that tracks its attempts at targets.
 type delivery struct {
-	// attempts counts the attempts that may have reached a target.
-	attempts int
-	// possibleRuns counts the attempts in which the target may have run the request.
-	possibleRuns int
-	// trace lists the steps of the request, for the log.
-	trace []string
+	*progress
 	// excluded holds the targets that refused or failed the request; they are not
 	// selected again.
 	excluded map[deployment.TargetID]bool
@@ -85,6 +71,15 @@
 	// event after which the client's request resumes the stream.
 	lastEventID string
 	response    *upstream.Response
+	// cancelAttempt ends the current attempt and its response.
+	cancelAttempt context.CancelCauseFunc
+	// uncounted is set while the current attempt is not counted in progress yet.
+	uncounted bool
+	// hedge runs beside the current attempt; nil if there is none.
+	hedge *hedge
+	// prefetched is what a hedge read of the response before the exchange adopted it;
+	// nil if the response is unread.
+	prefetched *prefetched
 	// lastFailure is the last error response of a target. It is forwarded if no
 	// other target gives a better response.
 	lastFailure *bufferedResponse
@@ -158,13 +153,20 @@
 
 // mayRetry reports whether a request that may have run may be sent again.
 func (e *exchange) mayRetry() bool {
-	return e.route.Repeatable() && e.possibleRuns < e.route.MaxAttempts
+	_, possibleRuns := e.counts()
+	return e.route.Repeatable() && possibleRuns < e.route.MaxAttempts
+}
+
+// mayHaveRun reports whether an attempt may have run.
+func (e *exchange) mayHaveRun() bool {
+	_, possibleRuns := e.counts()
+	return possibleRuns > 0
 }
 
 // downgradeNotRun turns a not-run refusal into a may-have-run refusal if an
 // earlier attempt may have run, and returns other refusals unchanged.
 func (e *exchange) downgradeNotRun(refused *refusal.Error) *refusal.Error {
-	if e.possibleRuns > 0 && refused.NotRun {
+	if e.mayHaveRun() && refused.NotRun {
 		code := refusal.CodeMayHaveRun
 		if refused.Code == refusal.CodeCallerGone {
 			code = refused.Code
@@ -181,7 +183,7 @@
 	case errors.Is(cause, errClientGone):
 		return e.downgradeNotRun(refusal.NotRun(refusal.CodeCallerGone, "client gone").WithCause(cause))
 	case cause != nil || e.remaining() < minRemainingTime:
-		if e.possibleRuns > 0 {
+		if e.mayHaveRun() {
 			return refusal.MayHaveRun(refusal.CodeDeadlineExceeded, "no time left")
 		}
 		return refusal.NotRun(refusal.CodeOverloaded, "no time left").WithRetryAfter(retrySoon)
@@ -197,18 +199,13 @@
 		e.recordStep("key", e.target.ID, string(refused.Code))
 		return refused
 	}
-	if e.attempts > 0 && !e.server.Budget.TryWithdraw(e.service) {
+	if attempts, _ := e.counts(); attempts > 0 && !e.server.Budget.TryWithdraw(e.service) {
 		e.recordStep("retry", e.target.ID, "no_budget")
 		return refusal.NotRun(refusal.CodeNoTarget, "no repeat is left").WithRetryAfter(retrySoon)
 	}
 	return nil
 }
 
-// recordStep appends a step to the trace.
-func (e *exchange) recordStep(step string, target deployment.TargetID, outcome string) {
-	e.trace = append(e.trace, step+" "+string(target)+" "+outcome)
-}
-
 // sendAttempt sends the request to the selected target once and classifies the
 // outcome. On attemptAnswered, e.response holds the response.
 func (e *exchange) sendAttempt(attempt *upstream.Attempt) attemptResult {
@@ -218,7 +215,16 @@
 	}
 	e.tracked = trackedRequest{s.Tracker.Begin(e.target.ID, e.request.Adapter, e.request.PromptTokens, e.request.PromptTokens+e.request.OutputTokens)}
 	s.Network.Holder.RecordUse(e.target.ID, e.request.Adapter, 1)
-	response, err := s.Upstream.Do(e.ctx, e.target.Address, e.request, attempt)
+	var ctx context.Context
+	ctx, e.cancelAttempt = context.WithCancelCause(e.ctx)
+	e.uncounted = true
+	response, err := s.Upstream.Do(ctx, e.target.Address, e.request, attempt)
+	if e.settleHedge(err == nil && response.Success()) {
+		if response != nil {
+			response.Close()
+		}
+		return attemptAnswered
+	}
 	result := e.classify(response, err)
 	if e.waitedForLoad {
 		s.Network.RecordLoadWait(e.target.Zone, result == attemptTooEarly)
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -19,9 +20,9 @@
 		}
 		return attemptNotRun
 	}
-	e.countAttempt()
-	if err != nil || !response.NotRun {
-		e.possibleRuns++
+	e.countPending()
+	if err == nil && response.NotRun {
+		e.retractRun()
 	}
 	if err != nil {
 		e.recordStep("send", e.target.ID, "broken: "+err.Error())
@@ -49,13 +50,16 @@
 	return attemptAnswered
 }
 
-// countAttempt counts an attempt that may have reached the target. The first one
-// of a request adds to the retry budget.
-func (e *exchange) countAttempt() {
-	if e.attempts == 0 {
+// countPending counts the current attempt, which may have reached the target, unless
+// it is counted already. The first attempt of a request adds to the retry budget.
+func (e *exchange) countPending() {
+	if !e.uncounted {
+		return
+	}
+	e.uncounted = false
+	if before := e.addAttempt(); before == 0 {
 		e.server.Budget.Deposit(e.service)
 	}
-	e.attempts++
 }
 
 // recordTargetFailure records that the target could not be reached or gave no
@@ -82,8 +86,13 @@
 	return attemptNotRun
 }
 
+// refusalBodyTimeout bounds the wait for the next bytes of the body of a refusal, of
+// which only the head matters.
+const refusalBodyTimeout = 200 * time.Millisecond
+
 // discardBody reads a refusal to its end, so that the connection can be reused.
 func (e *exchange) discardBody(response *upstream.Response) {
+	response.SetSilence(refusalBodyTimeout, response.Close)
 	if _, err := response.ReadAll(); err != nil {
 		response.Close()
 	}
@@ -99,6 +108,7 @@
 // gives a better one.
 func (e *exchange) saveFailure(response *upstream.Response) attemptResult {
 	e.server.Detector.RecordAnswer(e.target.ID, true)
+	response.SetSilence(e.silenceLimit(), response.Close)
 	body, err := response.ReadAll()
 	if err == nil {
 		e.lastFailure = &bufferedResponse{ResponseHead: response.ResponseHead, body: body}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -48,6 +48,8 @@
 	// streaming is set while the response is being forwarded after the handler
 	// returned.
 	streaming bool
+	// isHedge is set on the exchange of a hedge, which has no client.
+	isHedge bool
 
 	delivery
 }
@@ -211,10 +213,11 @@
 	if configuration := s.Catalog.Configuration(); configuration != nil {
 		version = configuration.Version
 	}
+	attempts, _ := e.counts()
 	allFields := []zap.Field{
 		zap.String("route", e.route.Name), zap.String("service", e.service),
 		zap.Uint64("configuration", version), zap.Duration("configuration_age", age), zap.Bool("confirmed", confirmed),
-		zap.Int("sends", e.attempts), zap.Strings("trail", e.trace), zap.Duration("after", s.Now().Sub(e.startedAt)),
+		zap.Int("sends", attempts), zap.Strings("trail", e.steps()), zap.Duration("after", s.Now().Sub(e.startedAt)),
 	}
 	if e.request != nil {
 		allFields = append(allFields, zap.String("request_id", e.request.ID), zap.String("model", e.request.Adapter.Model),
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -13,11 +13,29 @@
 // targetField returns the log field that holds a target's id.
 func targetField(id deployment.TargetID) zap.Field { return zap.String("target", string(id)) }
 
+// readBody reads the complete body of the response or, if its target is silent, takes
+// the response of the hedge that was faster.
+func (e *exchange) readBody() ([]byte, error) {
+	if e.prefetched == nil {
+		if e.route.Kind == deployment.Streaming {
+			// A hedge would answer with a stream.
+			e.response.SetSilence(0, nil)
+		}
+		body, err := e.response.ReadAll()
+		if !e.settleHedge(err == nil) {
+			return body, err
+		}
+	}
+	body := e.prefetched.body
+	e.prefetched = nil
+	return body, nil
+}
+
 // forwardBuffered reads the complete response before the client receives any of
 // it. If the response is truncated, the request is retried if the route allows it.
 func (e *exchange) forwardBuffered() {
 	for {
-		body, err := e.response.ReadAll()
+		body, err := e.readBody()
 		if err == nil {
 			e.forwardResponse(&bufferedResponse{ResponseHead: e.response.ResponseHead, body: body})
 			return
--- /dev/null
+++ b/internal/gateway/hedge.go
@@ -0,0 +1,246 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/eventstream"
+	"heatherrelay/internal/refusal"
+)
+
+const (
+	// minClientPatience is the least time for which clients wait for the next event of
+	// a stream before they disconnect. The objectives of the route lengthen it by
+	// their factors.
+	minClientPatience        = 2 * time.Second
+	latencyObjectivePatience = 4
+	gapObjectivePatience     = 8
+	// streamHedgeShare is the fraction of the client's patience after which a silent
+	// stream is hedged. The rest is left for the hedge to start.
+	streamHedgeShare = 0.6
+	// idempotentHedgeShare is the fraction of the remaining time after which an
+	// idempotent request without a response is hedged.
+	idempotentHedgeShare = 0.4
+)
+
+// errHedged is the cause with which an attempt ends whose hedge was faster.
+var errHedged = errors.New("a hedge of the request was faster")
+
+// hedgeState decides which of two attempts provides the response.
+type hedgeState = int32
+
+const (
+	// hedgePending means that neither attempt has provided a response yet.
+	hedgePending hedgeState = iota
+	// hedgeWon means that the hedge provides the response.
+	hedgeWon
+	// hedgeEnded means that the hedge failed or that the first attempt was faster.
+	hedgeEnded
+)
+
+// hedge is a further attempt of a request whose target has been silent for a while.
+// It runs beside the silent attempt, the source, which ends only after the hedge has
+// received the continuation: a silent target may go on, and a hedge may be refused.
+// Exactly one of the two provides what the client receives next.
+type hedge struct {
+	// exchange holds the delivery of the hedge. Its goroutine owns it until done is
+	// closed.
+	exchange *exchange
+	state    atomic.Int32
+	// refused is why the hedge failed; nil if it has a response.
+	refused *refusal.Error
+	// done is closed at the end of the hedge's goroutine.
+	done chan struct{}
+}
+
+// prefetched is what a hedge has read of its response: the whole body, or the first
+// event with the reader of the further ones.
+type prefetched struct {
+	reader *eventstream.Reader
+	event  eventstream.Event
+	err    error
+	body   []byte
+}
+
+// silenceLimit returns how long a target may send nothing before the request is
+// hedged, or zero if requests of the route are never hedged.
+func (e *exchange) silenceLimit() time.Duration {
+	switch {
+	case !e.route.Repeatable():
+		return 0
+	case e.route.Kind == deployment.Streaming:
+		patience := max(minClientPatience, latencyObjectivePatience*e.route.LatencyObjective, gapObjectivePatience*e.route.GapObjective)
+		return time.Duration(streamHedgeShare * float64(patience))
+	}
+	return max(time.Duration(idempotentHedgeShare*float64(e.remaining())), e.route.LatencyObjective)
+}
+
+// startHedge starts a hedge of the request, unless one is under way or no further
+// attempt is allowed. The goroutine that waits for the source calls it.
+func (e *exchange) startHedge() {
+	e.countPending()
+	if e.isHedge || e.hedgeUnderWay() || !e.mayRetry() {
+		return
+	}
+	h := &hedge{exchange: e.cloneForHedge(), done: make(chan struct{})}
+	e.hedge = h
+	e.recordStep("hedge", e.target.ID, "started")
+	go h.run(e.cancelAttempt)
+}
+
+// hedgeUnderWay reports whether a hedge is pending or has won. It drops one that has
+// failed.
+func (e *exchange) hedgeUnderWay() bool {
+	if e.hedge == nil {
+		return false
+	}
+	select {
+	case <-e.hedge.done:
+	default:
+		return true
+	}
+	if e.hedge.refused == nil {
+		return true
+	}
+	e.dropHedge(e.hedge)
+	return false
+}
+
+// dropHedge forgets a hedge that has failed, except for the targets that failed it and
+// for an error response of one of them.
+func (e *exchange) dropHedge(h *hedge) {
+	e.hedge = nil
+	maps.Copy(e.excluded, h.exchange.excluded)
+	delete(e.excluded, e.target.ID)
+	if e.lastFailure == nil {
+		e.lastFailure = h.exchange.lastFailure
+	}
+}
+
+// cloneForHedge returns an exchange for the same request that shares its progress and
+// its deadline, but has a delivery of its own and no client. It ends with e.
+func (e *exchange) cloneForHedge() *exchange {
+	clone := &exchange{
+		server: e.server, request: e.request, startedAt: e.startedAt, route: e.route, service: e.service,
+		team: e.team, keyHash: e.keyHash, deadline: e.deadline, isHedge: true,
+	}
+	clone.ctx, clone.cancel = context.WithCancelCause(e.ctx)
+	clone.progress, clone.lastEventID, clone.excluded = e.progress, e.lastEventID, maps.Clone(e.excluded)
+	clone.excluded[e.target.ID] = true
+	return clone
+}
+
+// run obtains the continuation from another target. It then ends the source, unless
+// the source was faster or the hedge failed.
+func (h *hedge) run(endSource context.CancelCauseFunc) {
+	defer close(h.done)
+	e := h.exchange
+	if h.refused = e.obtainResponse(); h.refused == nil {
+		h.refused = e.prefetch()
+	}
+	if h.refused == nil && h.state.CompareAndSwap(hedgePending, hedgeWon) {
+		endSource(errHedged)
+		return
+	}
+	h.state.CompareAndSwap(hedgePending, hedgeEnded)
+	if h.refused == nil {
+		h.refused = refusal.MayHaveRun(refusal.CodeMayHaveRun, "the first attempt was faster")
+	}
+	if e.response != nil {
+		e.response.Close()
+	}
+	e.tracked.end()
+	e.cancel(nil)
+}
+
+// prefetch reads the part of the response that shows that the target goes on: the
+// first event of a stream, or the complete body of another response.
+func (e *exchange) prefetch() *refusal.Error {
+	p := &prefetched{}
+	if e.route.Kind == deployment.Streaming && e.response.Success() {
+		p.reader = eventstream.NewReader(e.response)
+		p.event, p.err = p.reader.Next()
+		if p.err != nil && !errors.Is(p.err, io.EOF) {
+			return refusal.MayHaveRun(refusal.CodeBrokenStream, "the target broke the hedge off").WithCause(p.err)
+		}
+		e.prefetched = p
+		return nil
+	}
+	var err error
+	if p.body, err = e.response.ReadAll(); err != nil {
+		return refusal.MayHaveRun(refusal.CodeMayHaveRun, "the target's answer broke off").WithCause(err)
+	}
+	if !e.response.Success() {
+		e.lastFailure = &bufferedResponse{ResponseHead: e.response.ResponseHead, body: p.body}
+		return refusal.MayHaveRun(refusal.CodeMayHaveRun, "the hedge's target failed with status %d", e.response.Status)
+	}
+	e.prefetched = p
+	return nil
+}
+
+// settleHedge decides, after a read of the source returned, whether the source or its
+// hedge provides what comes next. answered is set if the source can go on; otherwise
+// it waits for a hedge that is under way. It reports whether the hedge was adopted: the
+// hedge's response is then the exchange's, and the source has ended.
+func (e *exchange) settleHedge(answered bool) bool {
+	h := e.hedge
+	if h == nil {
+		return false
+	}
+	if answered && h.state.CompareAndSwap(hedgePending, hedgeEnded) {
+		e.hedge = nil
+		h.exchange.cancel(errHedged)
+		e.endHedge(hedgeOutcomeSlower)
+		return false
+	}
+	<-h.done
+	if h.refused != nil {
+		e.dropHedge(h)
+		e.endHedge(hedgeOutcomeFailed)
+		return false
+	}
+	e.endHedge(hedgeOutcomeWon)
+	e.adopt(h)
+	return true
+}
+
+// The outcomes of a hedge, in the trace and in the metrics.
+const (
+	hedgeOutcomeWon    = "won"
+	hedgeOutcomeSlower = "slower"
+	hedgeOutcomeFailed = "failed"
+)
+
+func (e *exchange) endHedge(outcome string) {
+	e.recordStep("hedge", e.target.ID, outcome)
+	e.server.Metrics.countHedge(outcome)
+}
+
+// adopt makes the response of a hedge that won the exchange's response. The silent
+// target counts as failed.
+func (e *exchange) adopt(h *hedge) {
+	e.server.Upstream.CloseIdleTo(e.target.Address)
+	e.recordTargetFailure(errHedged)
+	e.tracked.end()
+	lastFailure := e.lastFailure
+	e.delivery = h.exchange.delivery
+	if e.lastFailure == nil {
+		e.lastFailure = lastFailure
+	}
+	e.armHedge()
+}
+
+// armHedge lets a hedge of the current response start when its target is silent, as
+// far as the route allows another attempt.
+func (e *exchange) armHedge() {
+	if e.mayRetry() && !e.isHedge {
+		e.response.SetSilence(e.silenceLimit(), e.startHedge)
+		return
+	}
+	e.response.SetSilence(0, nil)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	refusals     *prometheus.CounterVec
 	attempts     *prometheus.CounterVec
 	breaks       *prometheus.CounterVec
+	hedges       *prometheus.CounterVec
 	firstEvent   prometheus.Histogram
 	responseTime prometheus.Histogram
 	loadWait     prometheus.Histogram
@@ -41,6 +42,9 @@
 		breaks: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherrelay_gateway_stream_breaks_total", Help: "Streams of targets that ended early, by reason.",
 		}, []string{"reason"}),
+		hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherrelay_gateway_hedges_total", Help: "Attempts beside a silent target, by outcome.",
+		}, []string{"outcome"}),
 		firstEvent: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "heatherrelay_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets,
 		}),
@@ -54,7 +58,7 @@
 	inFlight := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "heatherrelay_gateway_requests_underway", Help: "Requests that are being answered.",
 	}, func() float64 { return float64(m.inFlight.Load()) })
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.firstEvent, m.responseTime, m.loadWait, inFlight)
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.hedges, m.firstEvent, m.responseTime, m.loadWait, inFlight)
 	return m
 }
 
@@ -69,4 +73,6 @@
 
 func (m *Metrics) countBreak(reason breakReason) { m.breaks.WithLabelValues(string(reason)).Inc() }
 
+func (m *Metrics) countHedge(outcome string) { m.hedges.WithLabelValues(outcome).Inc() }
+
 func (m *Metrics) countAttempt(outcome string) { m.attempts.WithLabelValues(outcome).Inc() }
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -33,8 +33,8 @@
 }
 
 // newAttempt makes target the current target and returns the parameters of the
-// attempt. If the request can be retried after this attempt, the attempt gets a
-// read timeout.
+// attempt. If the request can be retried after this attempt, a hedge starts when the
+// target is silent.
 func (e *exchange) newAttempt(target deployment.Target) *upstream.Attempt {
 	e.target = target
 	attempt := &upstream.Attempt{
@@ -49,13 +49,8 @@
 			attempt.Priority = *e.team.Priority
 		}
 	}
-	if e.route.Repeatable() && e.possibleRuns+1 < e.route.MaxAttempts {
-		switch e.route.Kind {
-		case deployment.Streaming:
-			attempt.ReadTimeout = firstEventTimeout
-		case deployment.Idempotent:
-			attempt.ReadTimeout = max(time.Duration(retryTimeoutShare*float64(e.remaining())), e.route.LatencyObjective)
-		}
+	if _, possibleRuns := e.counts(); possibleRuns+1 < e.route.MaxAttempts && !e.isHedge {
+		attempt.Silence, attempt.OnSilence = e.silenceLimit(), e.startHedge
 	}
 	return attempt
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -110,6 +110,7 @@
 	s.Metrics.inFlight.Add(1)
 	request, err := s.DecodeRequest(&c.Request.Header, c.Request.Body())
 	e := &exchange{server: s, client: c, request: request, startedAt: startedAt}
+	e.progress = &progress{}
 	defer e.finish()
 	leavingFor, leaving := s.Leaving()
 	if leaving {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,7 +11,6 @@
 
 	"heatherrelay/internal/eventstream"
 	"heatherrelay/internal/refusal"
-	"heatherrelay/internal/upstream"
 )
 
 // errStream is the class of errors that end a stream before it is complete.
@@ -23,7 +22,7 @@
 func (e *exchange) forwardStream() {
 	s := &stream{exchange: e}
 	for {
-		s.attach(e.response)
+		s.attach()
 		event, err := s.nextEvent()
 		if err == nil || errors.Is(err, io.EOF) {
 			s.pending, s.err = event.Raw, err
@@ -67,15 +66,33 @@
 	lastEventAt                    time.Time
 }
 
-// attach makes a response the source of further events.
-func (s *stream) attach(response *upstream.Response) {
-	s.reader = eventstream.NewReader(response)
+// attach makes the exchange's response the source of further events.
+func (s *stream) attach() { s.reader = eventstream.NewReader(s.response) }
+
+// readEvent reads an event from the target or, if that one is silent, from the hedge
+// that was faster.
+func (s *stream) readEvent() (eventstream.Event, error) {
+	if s.prefetched == nil {
+		event, err := s.reader.Next()
+		source := s.response
+		if !s.settleHedge(err == nil || errors.Is(err, io.EOF)) {
+			return event, err
+		}
+		source.Close()
+		if s.events > 0 {
+			s.resumes++
+		}
+	}
+	p := s.prefetched
+	s.prefetched = nil
+	s.reader = p.reader
+	return p.event, p.err
 }
 
 // nextEvent reads the next event and advances lastEventID. It returns errStream if
 // the ids of the events do not increase.
 func (s *stream) nextEvent() (eventstream.Event, error) {
-	event, err := s.reader.Next()
+	event, err := s.readEvent()
 	if err != nil {
 		return event, err
 	}
@@ -90,9 +107,7 @@
 	}
 	s.recordPause()
 	s.events++
-	if s.mayRetry() {
-		s.response.SetReadTimeout(interEventTimeout)
-	}
+	s.armHedge()
 	return event, nil
 }
 
@@ -147,7 +162,7 @@
 		return
 	}
 	s.resumes++
-	s.attach(s.response)
+	s.attach()
 }
 
 // resumeElsewhere sends the request to another target, which is to continue after
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -60,7 +60,7 @@
 	}
 	r := &Response{client: c, address: address, conn: cn}
 	r.stopAbort = context.AfterFunc(ctx, cn.abort)
-	cn.readTimeout.Store(int64(attempt.ReadTimeout))
+	cn.silence, cn.onSilence = attempt.Silence, attempt.OnSilence
 	cn.writeRequest(c.Encode(nil, request, attempt))
 	if err := r.readHead(c.Decode, request.ID); err != nil {
 		r.fail(err)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,8 +25,11 @@
 	closeOnce sync.Once
 	// idleUntil is when this side closes the connection if it is still idle.
 	idleUntil time.Time
-	// readTimeout bounds each read, in nanoseconds; zero means no limit.
-	readTimeout atomic.Int64
+	// silence is how long a read waits for the next byte before it calls onSilence and
+	// waits on; zero means that it does not call it. Only the reading goroutine uses
+	// the two.
+	silence   time.Duration
+	onSilence func()
 }
 
 func newConn(raw net.Conn) *conn {
@@ -33,16 +38,23 @@
 	return c
 }
 
-// Read reads from the connection and fails if no byte arrives within readTimeout.
+// Read reads from the connection. While no byte arrives it calls onSilence after each
+// silence.
 func (c *conn) Read(p []byte) (int, error) {
-	var deadline time.Time
-	if timeout := time.Duration(c.readTimeout.Load()); timeout > 0 {
-		deadline = time.Now().Add(timeout)
+	for {
+		var deadline time.Time
+		if c.silence > 0 {
+			deadline = time.Now().Add(c.silence)
+		}
+		if err := c.SetReadDeadline(deadline); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		c.onSilence()
 	}
-	if err := c.SetReadDeadline(deadline); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(p)
 }
 
 // reusable reports whether an idle connection is open, has not reached its idle
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -59,8 +59,12 @@
 	// LastEventID is the id of the event after which the stream resumes; empty if
 	// it starts from the beginning.
 	LastEventID string
-	// ReadTimeout is how long the target may send nothing; zero means no limit.
-	ReadTimeout time.Duration
+	// Silence is how long the target may send nothing before OnSilence is called, and
+	// is called again after each further Silence. Zero means that it is never called.
+	Silence time.Duration
+	// OnSilence runs in the goroutine that waits for the response. The wait goes on
+	// after it returns, unless the attempt's context has ended.
+	OnSilence func()
 }
 
 // Values of the Length field for a body whose length is not known in advance.
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -44,6 +44,8 @@
 	// remaining is the number of bytes not yet read of a body of known length.
 	remaining int
 	endOnce   sync.Once
+	// ended is set when the connection no longer belongs to the response.
+	ended bool
 }
 
 // readHead reads the head of the response to the request with the given id. It
@@ -177,6 +179,8 @@
 // request that is still being written cannot be followed by another.
 func (r *Response) release() {
 	r.endOnce.Do(func() {
+		r.ended = true
+		r.conn.silence, r.conn.onSilence = 0, nil
 		unusable := r.ResponseHead.Close || r.Length == LengthUntilClose || r.conn.reader.Buffered() > 0 || !r.conn.requestWritten()
 		if !r.stopAbort() || unusable {
 			r.conn.abort()
@@ -197,13 +201,21 @@
 	r.Close()
 }
 
-// SetReadTimeout sets how long the target may send nothing; zero means no limit.
-func (r *Response) SetReadTimeout(timeout time.Duration) { r.conn.readTimeout.Store(int64(timeout)) }
+// SetSilence replaces the Silence and OnSilence of the attempt. It must not be called
+// while another goroutine reads the response. It has no effect on a response that has
+// ended, whose connection may serve another request.
+func (r *Response) SetSilence(silence time.Duration, onSilence func()) {
+	if r.ended {
+		return
+	}
+	r.conn.silence, r.conn.onSilence = silence, onSilence
+}
 
 // Close abandons the response and closes its connection, which the target notices.
 // It has no effect on a response that has already ended.
 func (r *Response) Close() {
 	r.endOnce.Do(func() {
+		r.ended = true
 		r.stopAbort()
 		r.conn.abort()
 	})
