Drain until responses are written, not only ready

What callers saw: nothing in place of an answer, when an instance ended by SIGTERM at the moment at which their response was ready. Cause: the counter that Drain waits for fell when the handler returned or the body of a stream ended; the HTTP library writes and flushes the response after that, and the process ended meanwhile. Change: Drain waits for the connections that the library reports as active, from the first byte of a request until its response is flushed. Result: TestDrainWaitsUntilResponseIsWritten failed with the old counter ("Drain returned before the response was written") and passes, 3 of 3 with -race.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -66,12 +66,15 @@
 	Metrics *Metrics
 	Now     func() time.Time
 	Log     *zap.Logger
+
+	connections activeConnections
 }
 
 // Serve serves clients on a listener until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	server := &fasthttp.Server{
 		Handler:                       s.handle,
+		ConnState:                     s.connections.observe,
 		MaxRequestBodySize:            maxBodyBytes,
 		ReadBufferSize:                maxHeaderBytes,
 		ReadTimeout:                   readTimeout,
@@ -92,10 +95,11 @@
 // Printf discards its arguments.
 func (discardLogger) Printf(string, ...any) {}
 
-// InFlight returns the number of requests in flight.
-func (s *Server) InFlight() int64 { return s.Metrics.inFlight.Load() }
+// InFlight returns the number of requests whose responses are not completely written
+// to their clients.
+func (s *Server) InFlight() int { return s.connections.count() }
 
-// Drain waits until no request is in flight or ctx ends.
+// Drain waits until the responses of all requests are written or ctx ends.
 func (s *Server) Drain(ctx context.Context) {
 	for s.InFlight() > 0 {
 		if wait.Sleep(ctx, drainPollInterval) != nil {
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -317,7 +317,7 @@
 func (i *Instance) drain(stopLeasing context.CancelFunc) {
 	now := clock.Now()
 	i.shutdownStartedAt.Store(&now)
-	i.Log.Info("instance shutting down", zap.String("instance", i.Settings.InstanceID), zap.Int64("underway", i.server.InFlight()))
+	i.Log.Info("instance shutting down", zap.String("instance", i.Settings.InstanceID), zap.Int("underway", i.server.InFlight()))
 	stopLeasing()
 	ctx, cancel := context.WithTimeout(context.Background(), i.Settings.ShutdownGrace.Duration-shutdownMargin)
 	defer cancel()
