Report a chunked response without its last line as truncated

What callers saw: an answer of a target that broke off within its last line looked complete. Cause: the end of the connection within the trailer was wrapped as io.EOF, which errors.Is takes for the end of the body. Change: it is io.ErrUnexpectedEOF. Result: TestTruncatedResponsesFail with the new case 'trailer cut' failed before ('error truncated response: EOF, want ErrIncompleteResponse') and passes.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -137,6 +137,7 @@
 		"short body":    "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nclose",
 		"chunk cut":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nclose",
 		"no last chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nclose\r\n",
+		"trailer cut":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nclose\r\n0\r\n",
 		"head cut":      "HTTP/1.1 200 OK\r\nContent-close",
 		"no response":   "",
 		"not HTTP":      "close\r\n\r\n",
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -139,6 +139,10 @@
 func (r *Response) readTrailer() error {
 	for range maxTrailerLines {
 		line, err := r.conn.reader.ReadString('\n')
+		if errors.Is(err, io.EOF) {
+			// Wrapped as it is, io.EOF would mark the response as complete.
+			err = io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return err
 		}
