Do not wait for the body of a response to HEAD

What callers saw: 502 at the deadline in place of the answer to a HEAD request whose target states a length. Cause: the length was taken for that of a body to come. Change: the response to HEAD has no body. Result: TestResponseToHeadHasNoBody failed before (context ended, connection closed) and passes.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err)
 	}
-	r := &Response{client: c, address: address, conn: cn}
+	r := &Response{client: c, address: address, conn: cn, withoutBody: request.Method == http.MethodHead}
 	r.stopAbort = context.AfterFunc(ctx, cn.abort)
 	cn.silence, cn.onSilence = attempt.Silence, attempt.OnSilence
 	cn.writeRequest(c.Encode(nil, request, attempt))
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -150,6 +150,30 @@
 	}
 }
 
+// TestResponseToHeadHasNoBody checks that the response to a HEAD request is complete
+// after its head, although it states the length of a body, and leaves the connection
+// usable.
+func TestResponseToHeadHasNoBody(t *testing.T) {
+	c := newClient()
+	address := serve(t, func(_, _ int, id string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\n", idField, id)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, id := range []string{"1", "2"} {
+		response, err := c.Do(ctx, address, &upstream.Request{ID: id, Method: http.MethodHead, URI: "/"}, &upstream.Attempt{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := response.ReadAll(); err != nil || len(body) != 0 {
+			t.Errorf("body %q, error %v", body, err)
+		}
+	}
+	if n := c.Dials.Load(); n != 1 {
+		t.Errorf("%d connections dialed, want 1", n)
+	}
+}
+
 // TestBodyUntilClose checks that a body without a stated length is complete when
 // the target closes the connection.
 func TestBodyUntilClose(t *testing.T) {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -41,6 +41,9 @@
 	stopAbort func() bool
 	body      io.Reader
 	chunked   bool
+	// withoutBody is set for the response to a HEAD request, which has no body whatever
+	// length it states.
+	withoutBody bool
 	// remaining is the number of bytes not yet read of a body of known length.
 	remaining int
 	endOnce   sync.Once
@@ -92,7 +95,7 @@
 func (r *Response) setBodyReader() {
 	r.chunked = false
 	switch {
-	case r.Status == http.StatusNoContent || r.Status == http.StatusNotModified:
+	case r.withoutBody || r.Status == http.StatusNoContent || r.Status == http.StatusNotModified:
 		r.Length = 0
 	case r.Length == LengthChunked:
 		r.chunked = true
