Bound a line of an event stream while it is read

What callers saw: every stream of an instance lost, when one target sent a line without an end and the process reached its memory limit (by reading; not seen). Cause: the bound of an event was checked after the whole line had been read. Change: the line is read in parts, and the bound holds after each. Result: TestEndlessLineIsBounded failed before (8388608 bytes read, the whole stream) and passes.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -43,8 +43,8 @@
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	for {
-		line, err := r.reader.ReadBytes('\n')
-		event.Raw = append(event.Raw, line...)
+		start := len(event.Raw)
+		err := r.appendLine(&event)
 		if errors.Is(err, io.EOF) {
 			if len(event.Raw) == 0 {
 				return Event{}, io.EOF
@@ -54,10 +54,7 @@
 		if err != nil {
 			return Event{}, err
 		}
-		if len(event.Raw) > maxEventBytes {
-			return Event{}, ErrTruncated.New("event of more than %d bytes", maxEventBytes)
-		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(event.Raw[start:], "\r\n")
 		if len(text) == 0 {
 			return event, nil
 		}
@@ -66,3 +63,18 @@
 		}
 	}
 }
+
+// appendLine appends the next line to the event, or what there is of it before an
+// error. It never holds more than maxEventBytes and one buffer.
+func (r *Reader) appendLine(event *Event) error {
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		event.Raw = append(event.Raw, part...)
+		if len(event.Raw) > maxEventBytes {
+			return ErrTruncated.New("event of more than %d bytes", maxEventBytes)
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -49,3 +49,28 @@
 		}
 	}
 }
+
+// endlessLine is a stream that never ends a line and counts the bytes read from it.
+type endlessLine struct{ read int }
+
+func (l *endlessLine) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	l.read += len(p)
+	return len(p), nil
+}
+
+// TestEndlessLineIsBounded checks that a line without an end is given up soon after it
+// is longer than an event may be, before it fills the memory.
+func TestEndlessLineIsBounded(t *testing.T) {
+	const limit = 2 << 20
+	line := &endlessLine{}
+	_, err := eventstream.NewReader(io.LimitReader(line, 4*limit)).Next()
+	if !eventstream.ErrTruncated.Has(err) {
+		t.Errorf("error %v, want ErrTruncated", err)
+	}
+	if line.read > limit {
+		t.Errorf("%d bytes read", line.read)
+	}
+}
