Mend the lock order of a test's fixture

Cause: heldTargets held the fixture's mutex and waited for that of Ownership, while reconcileOwners held the latter and waited for the former in newOwner; TestUnansweredHandoverLeavesNoTargetWithoutOwner hung in 13 of 800 runs.

--- a/internal/instance/ownership_test.go
+++ b/internal/instance/ownership_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -130,12 +131,15 @@
 	return count
 }
 
-// heldTargets counts the targets whose owner has authority Held.
+// heldTargets counts the targets whose owner has authority Held. It calls the
+// authorities without the fixture's mutex: they take the mutex of Ownership, which is
+// held when newOwner takes the fixture's.
 func (w *ownershipFixture) heldTargets() int {
 	w.mu.Lock()
-	defer w.mu.Unlock()
+	authorities := maps.Clone(w.authorities)
+	w.mu.Unlock()
 	count := 0
-	for _, authority := range w.authorities {
+	for _, authority := range authorities {
 		if authority(time.Now()) == target.Held {
 			count++
 		}
