Judge an admitted request by one configuration

What callers saw: a stream cut midway when its target broke off after a newer configuration had dropped the service; before its first byte, a refusal of a request that had been admitted. Cause: the route was taken once, but the service was looked up again in the newest configuration for each attempt. Change: the exchange keeps the configuration that admitted it. Result: TestBrokenStreamsGoOnAfterServiceIsRemoved failed before ('service models is not configured', two streams cut) and passes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -33,11 +33,14 @@
 	request   *upstream.Request
 	startedAt time.Time
 
-	route   deployment.Route
-	service string
-	team    *deployment.Team
-	keyHash deployment.KeyHash
-	cost    float64
+	// configuration is the one that admitted the request. Later ones do not change where
+	// it may go.
+	configuration *deployment.Configuration
+	route         deployment.Route
+	service       string
+	team          *deployment.Team
+	keyHash       deployment.KeyHash
+	cost          float64
 	// deadline is the client's deadline (the default if the request states none) or
 	// the end of the route's timeout, whichever is earlier.
 	deadline time.Time
@@ -65,7 +68,7 @@
 	if route == nil {
 		return e.refuseUnknown(refusal.CodeUnknownRoute, "no route for host and path")
 	}
-	e.route = *route
+	e.configuration, e.route = configuration, *route
 	e.service = pickService(route)
 	if len(e.request.Body) > configuration.MaxBodyBytes && configuration.MaxBodyBytes > 0 {
 		return refusal.NotRun(refusal.CodeBodyTooLarge, "body of %d bytes, allowed are %d", len(e.request.Body), configuration.MaxBodyBytes)
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -22,7 +22,7 @@
 // both results are nil, the chosen target cannot be used and the caller should
 // select again.
 func (e *exchange) prepareAttempt() (*upstream.Attempt, *refusal.Error) {
-	service := e.server.Catalog.Configuration().Services[e.service]
+	service := e.configuration.Services[e.service]
 	if service == nil {
 		return nil, refusal.NotRun(refusal.CodeNoTarget, "service %s is not configured", e.service).WithRetryAfter(retrySoon)
 	}
--- a/internal/gatewayinstance/silence_test.go
+++ b/internal/gatewayinstance/silence_test.go
@@ -255,6 +255,34 @@
 	}
 }
 
+// TestBrokenStreamsGoOnAfterServiceIsRemoved checks that a stream that its target
+// breaks off goes on at another one of the service that it was admitted to, although a
+// newer configuration no longer has that service.
+func TestBrokenStreamsGoOnAfterServiceIsRemoved(t *testing.T) {
+	t.Parallel()
+	cluster := newSilenceCluster(t, ampleBudget)
+	engines := []*platformtest.Target{cluster.engine1, cluster.engine2}
+	for _, engine := range engines {
+		engine.Inject(func(e *platformtest.Target) { e.EventGap = 4 * silenceEventGap })
+	}
+	streams := cluster.openStreams("/stream/", withBaseModel)
+	cluster.publishChange(configurationChanges["service removed"])
+	cluster.waitFor("configuration active", func() bool {
+		return cluster.send(http.MethodPost, "/stream/", withBaseModel).status == http.StatusNotFound
+	})
+	for _, engine := range engines {
+		engine.Inject(func(e *platformtest.Target) { e.BreakAfter = silenceEvents - 2 })
+	}
+	streams.ended.Wait()
+	for _, engine := range engines {
+		engine.Inject(func(e *platformtest.Target) {
+			if e.BreakAfter != 0 {
+				t.Errorf("%s broke no stream off", e.ID)
+			}
+		})
+	}
+}
+
 // TestStreamsOutlastSilenceBesideShutdown checks that no stream is cut when its
 // instance begins to shut down while its target sends nothing.
 func TestStreamsOutlastSilenceBesideShutdown(t *testing.T) {
