--- a/internal/gatewayinstance/cluster_test.go
+++ b/internal/gatewayinstance/cluster_test.go
@@ -31,12 +31,14 @@
 // testCluster is a simulated platform with a store, two engines and a plain target,
 // and the instances in front of it.
 type testCluster struct {
-	t         *testing.T
-	store     *platformtest.Store
-	config    platformtest.Config
-	engine1   *platformtest.Target
-	engine2   *platformtest.Target
-	plain     *platformtest.Target
+	t       *testing.T
+	store   *platformtest.Store
+	config  platformtest.Config
+	engine1 *platformtest.Target
+	engine2 *platformtest.Target
+	plain   *platformtest.Target
+	// engines are the engines of a cluster with several software versions.
+	engines   []*platformtest.Target
 	instances []*instance
 	client    *http.Client
 }
@@ -94,8 +96,29 @@
 // startInstance starts an instance and returns when it is ready.
 func (c *testCluster) startInstance() *instance {
 	c.t.Helper()
-	i := &instance{done: make(chan error, 1), registry: prometheus.NewRegistry()}
-	i.settings = gatewayinstance.Settings{
+	i := &instance{settings: c.newSettings(), done: make(chan error, 1), registry: prometheus.NewRegistry()}
+	gateway := &gatewayinstance.Instance{Settings: i.settings, Log: zap.NewNop(), Registry: i.registry}
+	platform.Connect(gateway)
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	go func() { i.done <- gateway.Run(ctx) }()
+	c.addInstance(i)
+	return i
+}
+
+// addInstance adds a started instance to the cluster, stops it at the end of the test,
+// and returns when it is ready.
+func (c *testCluster) addInstance(i *instance) {
+	c.t.Helper()
+	c.instances = append(c.instances, i)
+	c.t.Cleanup(func() { i.stopAndWait(c.t) })
+	c.waitFor("instance ready", func() bool { return c.isReady(i) })
+}
+
+// newSettings returns the settings of the next instance, with free addresses.
+func (c *testCluster) newSettings() gatewayinstance.Settings {
+	c.t.Helper()
+	return gatewayinstance.Settings{
 		InstanceID: fmt.Sprint("instance-", len(c.instances)+1),
 		Zone:       testZone,
 		Listen: gatewayinstance.Listen{
@@ -110,15 +133,6 @@
 		AllowanceWindow:    settings.Duration{Duration: 8 * time.Second},
 		Retry:              gatewayinstance.Retry{Ratio: 0.2, Extra: 50},
 	}
-	gateway := &gatewayinstance.Instance{Settings: i.settings, Log: zap.NewNop(), Registry: i.registry}
-	platform.Connect(gateway)
-	ctx, cancel := context.WithCancel(context.Background())
-	i.stop = cancel
-	go func() { i.done <- gateway.Run(ctx) }()
-	c.instances = append(c.instances, i)
-	c.t.Cleanup(func() { i.stopAndWait(c.t) })
-	c.waitFor("instance ready", func() bool { return c.isReady(i) })
-	return i
 }
 
 // stopAndWait shuts the instance down and waits until Run returns. It may be called
