Tests: an address is handed out once per test process

In a trial on a scratch copy one test failed once with "listen.peers: bind: address already in use": FreeAddress picks at random, and nothing listens on an address until its instance has started, which takes longer for an instance in a process of its own. Whether the other user was this test process or another one on the machine is not traced; this rules out the first.

--- a/internal/gatewayinstance/cluster_test.go
+++ b/internal/gatewayinstance/cluster_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -51,14 +52,22 @@
 	done     chan error
 }
 
-// freeAddress returns a loopback address with a free port.
+// usedAddresses holds the addresses that freeAddress returned. Nothing listens on an
+// address from its choice until its instance has started.
+var usedAddresses sync.Map
+
+// freeAddress returns a loopback address with a free port, each address once.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	address, err := loopback.FreeAddress()
-	if err != nil {
-		t.Fatal(err)
+	for {
+		address, err := loopback.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, used := usedAddresses.LoadOrStore(address, true); !used {
+			return address
+		}
 	}
-	return address
 }
 
 // newTestCluster starts a platform and the given number of instances, and returns when
