--- a/internal/gatewayinstance/cluster_test.go
+++ b/internal/gatewayinstance/cluster_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,12 +33,14 @@
 // testCluster is a simulated platform with a store, two engines and a plain target,
 // and the instances in front of it.
 type testCluster struct {
-	t         *testing.T
-	store     *platformtest.Store
-	config    platformtest.Config
-	engine1   *platformtest.Target
-	engine2   *platformtest.Target
-	plain     *platformtest.Target
+	t       *testing.T
+	store   *platformtest.Store
+	config  platformtest.Config
+	engine1 *platformtest.Target
+	engine2 *platformtest.Target
+	plain   *platformtest.Target
+	// engines are the engines of a cluster with several software versions.
+	engines   []*platformtest.Target
 	instances []*instance
 	client    *http.Client
 	// retry bounds the retries of the instances that startInstance starts.
@@ -55,14 +58,22 @@
 	done     chan error
 }
 
-// freeAddress returns a loopback address with a free port.
+// usedAddresses holds the addresses that freeAddress returned. Nothing listens on an
+// address from its choice until its instance has started.
+var usedAddresses sync.Map
+
+// freeAddress returns a loopback address with a free port, each address once.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	address, err := loopback.FreeAddress()
-	if err != nil {
-		t.Fatal(err)
+	for {
+		address, err := loopback.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, used := usedAddresses.LoadOrStore(address, true); !used {
+			return address
+		}
 	}
-	return address
 }
 
 // newTestCluster starts a platform and the given number of instances, and returns when
@@ -101,10 +112,31 @@
 }
 
 // startInstance starts an instance and returns when it is ready.
-func (c *testCluster) startInstance() {
+func (c *testCluster) startInstance() *instance {
+	c.t.Helper()
+	i := &instance{settings: c.newSettings(), done: make(chan error, 1), registry: prometheus.NewRegistry()}
+	gateway := &gatewayinstance.Instance{Settings: i.settings, Log: c.log, Registry: i.registry}
+	platform.Connect(gateway)
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	go func() { i.done <- gateway.Run(ctx) }()
+	c.addInstance(i)
+	return i
+}
+
+// addInstance adds a started instance to the cluster, stops it at the end of the test,
+// and returns when it is ready.
+func (c *testCluster) addInstance(i *instance) {
 	c.t.Helper()
-	i := &instance{done: make(chan error, 1), registry: prometheus.NewRegistry()}
-	i.settings = gatewayinstance.Settings{
+	c.instances = append(c.instances, i)
+	c.t.Cleanup(func() { i.stopAndWait(c.t) })
+	c.waitFor("instance ready", func() bool { return c.isReady(i) })
+}
+
+// newSettings returns the settings of the next instance, with free addresses.
+func (c *testCluster) newSettings() gatewayinstance.Settings {
+	c.t.Helper()
+	return gatewayinstance.Settings{
 		InstanceID: fmt.Sprint("instance-", len(c.instances)+1),
 		Zone:       testZone,
 		Listen: gatewayinstance.Listen{
@@ -119,14 +151,6 @@
 		AllowanceWindow:    settings.Duration{Duration: 8 * time.Second},
 		Retry:              c.retry,
 	}
-	gateway := &gatewayinstance.Instance{Settings: i.settings, Log: c.log, Registry: i.registry}
-	platform.Connect(gateway)
-	ctx, cancel := context.WithCancel(context.Background())
-	i.stop = cancel
-	go func() { i.done <- gateway.Run(ctx) }()
-	c.instances = append(c.instances, i)
-	c.t.Cleanup(func() { i.stopAndWait(c.t) })
-	c.waitFor("instance ready", func() bool { return c.isReady(i) })
 }
 
 // stopAndWait shuts the instance down and waits until Run returns. It may be called
