Keep streams at the software version that began them

What callers saw: streams that held events of two software versions of a target, which do not fit together, in one answer or over a client's tries. Cause: the software version of a target was not decoded, so no resume could be held to it; and a client that takes a stream up again comes to another instance, which cannot know where the stream began. Change: a stream is bound to the version of its first event, and candidates of other versions are left out for resumes and hedges. Each instance records the versions of the streams that it begins (internal/origin); while a service has or recently had several, the record goes to three other instances, one a zone, by rendezvous hashing, at the transition and before an instance ends for all streams at once. A resume is bound to the record, found at the holders or at any instance that answers; if nobody knows and the service has several versions, it is refused as not run. With one version nothing is sent.

--- a/internal/deployment/target.go
+++ b/internal/deployment/target.go
@@ -15,6 +15,9 @@
 	Service string
 	Address netip.AddrPort
 	Zone    string
+	// SoftwareVersion is the version of the target's software, not of its models. A
+	// stream goes on only at the version that began it.
+	SoftwareVersion string
 	// Slots is how many requests the target runs at the same time; zero is unknown.
 	Slots int
 	// Draining targets get no new requests.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,6 +97,10 @@
 	e.watchClient()
 	e.excluded = map[deployment.TargetID]bool{}
 	e.lastEventID = e.request.LastEventID
+	if refused := e.bindToOrigin(); refused != nil {
+		e.refuse(refused)
+		return
+	}
 	if e.request.Adapter.Model != "" {
 		e.server.Demand.Record(e.request.Adapter)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -38,9 +38,11 @@
 	configuration *deployment.Configuration
 	route         deployment.Route
 	service       string
-	team          *deployment.Team
-	keyHash       deployment.KeyHash
-	cost          float64
+	// software is the version that the stream is bound to.
+	software softwareVersion
+	team     *deployment.Team
+	keyHash  deployment.KeyHash
+	cost     float64
 	// deadline is the client's deadline (the default if the request states none) or
 	// the end of the route's timeout, whichever is earlier.
 	deadline time.Time
@@ -225,6 +227,9 @@
 	if e.request != nil {
 		allFields = append(allFields, zap.String("request_id", e.request.ID), zap.String("model", e.request.Adapter.Model),
 			zap.String("adapter", e.request.Adapter.Adapter))
+		if e.request.LastEventID != "" {
+			allFields = append(allFields, zap.String("resumes", e.request.ResumedID))
+		}
 	}
 	if e.team != nil {
 		allFields = append(allFields, zap.String("team", e.team.Name), zap.Float64("cost", e.cost))
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -126,7 +126,7 @@
 // its deadline, but has a delivery of its own and no client. It ends with e.
 func (e *exchange) cloneForHedge() *exchange {
 	clone := &exchange{
-		server: e.server, request: e.request, startedAt: e.startedAt, configuration: e.configuration, route: e.route, service: e.service,
+		server: e.server, request: e.request, startedAt: e.startedAt, configuration: e.configuration, route: e.route, service: e.service, software: e.software,
 		team: e.team, keyHash: e.keyHash, deadline: e.deadline, isHedge: true,
 	}
 	clone.ctx, clone.cancel = context.WithCancelCause(e.ctx)
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -186,12 +186,12 @@
 }
 
 // candidates returns the service's targets that are neither draining nor excluded
-// for this request.
+// for this request, and have the software version that its stream is bound to.
 func (e *exchange) candidates(service *deployment.Service) []placement.Candidate {
 	s := e.server
 	var candidates []placement.Candidate
 	for id, t := range s.Catalog.Targets() {
-		if t.Service != service.Name || t.Draining || e.excluded[id] {
+		if t.Service != service.Name || t.Draining || e.excluded[id] || !e.software.admits(t) {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/gateway"
 	"heatherrelay/internal/inflight"
+	"heatherrelay/internal/origin"
 	"heatherrelay/internal/outlier"
 	"heatherrelay/internal/peer"
 	"heatherrelay/internal/placement"
@@ -73,6 +75,8 @@
 	directory *placement.Directory
 	prompts   *placement.PromptPacer
 	detector  *outlier.Detector
+	origins   *origin.Table
+	versions  *origin.Versions
 	meter     *quota.Meter
 	budget    *retry.Budget
 	client    *upstream.Client
@@ -149,6 +153,7 @@
 	i.directory = &placement.Directory{Now: clock.Now}
 	i.prompts = &placement.PromptPacer{Now: clock.Now}
 	i.detector = &outlier.Detector{Now: clock.Now}
+	i.origins, i.versions = &origin.Table{Now: clock.Now}, &origin.Versions{Now: clock.Now}
 	tracker := &inflight.Tracker{}
 	i.catalog = &catalog.Catalog{
 		Kinds:               i.Kinds,
@@ -157,7 +162,7 @@
 		DecodeConfiguration: i.Platform.Decoders.DecodeConfiguration,
 		DecodeTarget:        i.Platform.Decoders.DecodeTarget,
 		DecodeVersion:       i.Platform.Decoders.DecodeVersion,
-		OnTargetsChange:     i.retainTargets,
+		OnTargetsChange:     i.applyTargets,
 		TrimTarget:          i.Platform.Decoders.TrimTarget,
 		ReadsForPeers:       func() bool { return i.network.ReadsStore() },
 		ConfigurationLimit:  s.ConfigurationLimit.Duration,
@@ -178,6 +183,8 @@
 		Tracker:     tracker,
 		Directory:   i.directory,
 		Prompts:     i.prompts,
+		Origins:     i.origins,
+		Versions:    i.versions,
 		Leaving:     i.leaving,
 		Now:         clock.Now,
 		Log:         i.Log,
@@ -214,11 +221,17 @@
 	return nil
 }
 
-// retainTargets drops the state that components keep of targets that are not listed.
-func (i *Instance) retainTargets(listed map[deployment.TargetID]deployment.Target) {
+// applyTargets drops the state that components keep of targets that are not listed.
+// When a service gets a second software version, the origins of its streams, which
+// mattered to nobody until then, are sent to other instances.
+func (i *Instance) applyTargets(listed map[deployment.TargetID]deployment.Target) {
 	i.directory.Retain(listed)
 	i.prompts.Retain(listed)
 	i.detector.Retain(listed)
+	if mixed := i.versions.Observe(listed); len(mixed) > 0 {
+		i.Log.Info("services have targets of several software versions", zap.Strings("services", mixed))
+		go i.network.ReplicateOrigins(context.Background(), func(service string) bool { return slices.Contains(mixed, service) })
+	}
 }
 
 // peerSeeds returns the seeds with the port of the protocol between instances, which
@@ -312,8 +325,9 @@
 }
 
 // drain shuts the instance down gracefully: it fails the readiness probe, releases
-// the lease, announces to the peers that the instance leaves, and waits for the
-// requests in flight, all within the shutdown grace.
+// the lease, announces to the peers that the instance leaves, hands the origins of
+// streams over to them, and waits for the requests in flight, all within the shutdown
+// grace.
 func (i *Instance) drain(stopLeasing context.CancelFunc) {
 	now := clock.Now()
 	i.shutdownStartedAt.Store(&now)
@@ -322,6 +336,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), i.Settings.ShutdownGrace.Duration-shutdownMargin)
 	defer cancel()
 	i.network.AnnounceLeaving(ctx)
+	i.network.ReplicateOrigins(ctx, i.versions.Several)
 	if wait.Sleep(ctx, minDrainTime) == nil {
 		i.server.Drain(ctx)
 	}
@@ -339,6 +354,7 @@
 		case <-ticker.C:
 		}
 		i.client.CloseExpiredIdle(time.Now())
+		i.origins.RemoveExpired()
 		if configuration := i.catalog.Configuration(); configuration != nil {
 			i.meter.Prepare(configuration.Teams)
 		}
--- a/internal/gen/heatherrelay/v1/heatherrelayv1connect/fleet.connect.go
+++ b/internal/gen/heatherrelay/v1/heatherrelayv1connect/fleet.connect.go
@@ -43,6 +43,12 @@
 	// FleetServiceReservePromptProcedure is the fully-qualified name of the FleetService's
 	// ReservePrompt RPC.
 	FleetServiceReservePromptProcedure = "/heatherrelay.v1.FleetService/ReservePrompt"
+	// FleetServiceRecordOriginsProcedure is the fully-qualified name of the FleetService's
+	// RecordOrigins RPC.
+	FleetServiceRecordOriginsProcedure = "/heatherrelay.v1.FleetService/RecordOrigins"
+	// FleetServiceLookupOriginProcedure is the fully-qualified name of the FleetService's LookupOrigin
+	// RPC.
+	FleetServiceLookupOriginProcedure = "/heatherrelay.v1.FleetService/LookupOrigin"
 )
 
 // FleetServiceClient is a client for the heatherrelay.v1.FleetService service.
@@ -56,6 +62,11 @@
 	// ReservePrompt reserves time on an engine for a prompt at the engine's lease
 	// holder, which spaces the prompts of all instances.
 	ReservePrompt(context.Context, *v1.ReservePromptRequest) (*v1.ReservePromptResponse, error)
+	// RecordOrigins has the receiver hold records of which software version began
+	// a stream.
+	RecordOrigins(context.Context, *v1.RecordOriginsRequest) (*v1.RecordOriginsResponse, error)
+	// LookupOrigin returns the record of a stream.
+	LookupOrigin(context.Context, *v1.LookupOriginRequest) (*v1.LookupOriginResponse, error)
 }
 
 // NewFleetServiceClient constructs a client for the heatherrelay.v1.FleetService service. By
@@ -87,6 +98,18 @@
 			connect.WithSchema(fleetServiceMethods.ByName("ReservePrompt")),
 			connect.WithClientOptions(opts...),
 		),
+		recordOrigins: connect.NewClient[v1.RecordOriginsRequest, v1.RecordOriginsResponse](
+			httpClient,
+			baseURL+FleetServiceRecordOriginsProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("RecordOrigins")),
+			connect.WithClientOptions(opts...),
+		),
+		lookupOrigin: connect.NewClient[v1.LookupOriginRequest, v1.LookupOriginResponse](
+			httpClient,
+			baseURL+FleetServiceLookupOriginProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("LookupOrigin")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -95,6 +118,8 @@
 	exchange      *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	loadAdapter   *connect.Client[v1.LoadAdapterRequest, v1.LoadAdapterResponse]
 	reservePrompt *connect.Client[v1.ReservePromptRequest, v1.ReservePromptResponse]
+	recordOrigins *connect.Client[v1.RecordOriginsRequest, v1.RecordOriginsResponse]
+	lookupOrigin  *connect.Client[v1.LookupOriginRequest, v1.LookupOriginResponse]
 }
 
 // Exchange calls heatherrelay.v1.FleetService.Exchange.
@@ -124,6 +149,24 @@
 	return nil, err
 }
 
+// RecordOrigins calls heatherrelay.v1.FleetService.RecordOrigins.
+func (c *fleetServiceClient) RecordOrigins(ctx context.Context, req *v1.RecordOriginsRequest) (*v1.RecordOriginsResponse, error) {
+	response, err := c.recordOrigins.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// LookupOrigin calls heatherrelay.v1.FleetService.LookupOrigin.
+func (c *fleetServiceClient) LookupOrigin(ctx context.Context, req *v1.LookupOriginRequest) (*v1.LookupOriginResponse, error) {
+	response, err := c.lookupOrigin.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // FleetServiceHandler is an implementation of the heatherrelay.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Exchange sends the sender's state to the receiver and returns the
@@ -135,6 +178,11 @@
 	// ReservePrompt reserves time on an engine for a prompt at the engine's lease
 	// holder, which spaces the prompts of all instances.
 	ReservePrompt(context.Context, *v1.ReservePromptRequest) (*v1.ReservePromptResponse, error)
+	// RecordOrigins has the receiver hold records of which software version began
+	// a stream.
+	RecordOrigins(context.Context, *v1.RecordOriginsRequest) (*v1.RecordOriginsResponse, error)
+	// LookupOrigin returns the record of a stream.
+	LookupOrigin(context.Context, *v1.LookupOriginRequest) (*v1.LookupOriginResponse, error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -162,6 +210,18 @@
 		connect.WithSchema(fleetServiceMethods.ByName("ReservePrompt")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceRecordOriginsHandler := connect.NewUnaryHandlerSimple(
+		FleetServiceRecordOriginsProcedure,
+		svc.RecordOrigins,
+		connect.WithSchema(fleetServiceMethods.ByName("RecordOrigins")),
+		connect.WithHandlerOptions(opts...),
+	)
+	fleetServiceLookupOriginHandler := connect.NewUnaryHandlerSimple(
+		FleetServiceLookupOriginProcedure,
+		svc.LookupOrigin,
+		connect.WithSchema(fleetServiceMethods.ByName("LookupOrigin")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/heatherrelay.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceExchangeProcedure:
@@ -170,6 +230,10 @@
 			fleetServiceLoadAdapterHandler.ServeHTTP(w, r)
 		case FleetServiceReservePromptProcedure:
 			fleetServiceReservePromptHandler.ServeHTTP(w, r)
+		case FleetServiceRecordOriginsProcedure:
+			fleetServiceRecordOriginsHandler.ServeHTTP(w, r)
+		case FleetServiceLookupOriginProcedure:
+			fleetServiceLookupOriginHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -190,3 +254,11 @@
 func (UnimplementedFleetServiceHandler) ReservePrompt(context.Context, *v1.ReservePromptRequest) (*v1.ReservePromptResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("heatherrelay.v1.FleetService.ReservePrompt is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) RecordOrigins(context.Context, *v1.RecordOriginsRequest) (*v1.RecordOriginsResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("heatherrelay.v1.FleetService.RecordOrigins is not implemented"))
+}
+
+func (UnimplementedFleetServiceHandler) LookupOrigin(context.Context, *v1.LookupOriginRequest) (*v1.LookupOriginResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("heatherrelay.v1.FleetService.LookupOrigin is not implemented"))
+}
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -25,6 +25,7 @@
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
 	"heatherrelay/internal/inflight"
+	"heatherrelay/internal/origin"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/quota"
 )
@@ -68,6 +69,10 @@
 	Holder    *placement.Holder
 	Directory *placement.Directory
 	Prompts   *placement.PromptPacer
+	// Origins holds the origins of streams, Versions the software versions of the
+	// services.
+	Origins  *origin.Table
+	Versions *origin.Versions
 	// Leaving reports whether this instance is shutting down.
 	Leaving func() bool
 	Now     func() time.Time
@@ -93,6 +98,8 @@
 	// loadWaits counts, by zone, the awaited adapters that were not reported to the
 	// zone's lease holder yet.
 	loadWaits map[string]waitCounts
+	// pendingOrigins are the records that are not sent to their holders yet.
+	pendingOrigins []origin.Record
 }
 
 func (n *Network) init() {
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -13,6 +13,7 @@
 	"heatherrelay/internal/catalog"
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/inflight"
+	"heatherrelay/internal/origin"
 	"heatherrelay/internal/peer"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/quota"
@@ -77,6 +78,8 @@
 		Tracker:     &inflight.Tracker{},
 		Directory:   directory,
 		Holder:      &placement.Holder{Zone: self.Zone, Lease: &placement.Lease{Now: time.Now}, Now: time.Now, Log: zap.NewNop()},
+		Origins:     &origin.Table{Now: time.Now},
+		Versions:    &origin.Versions{Now: time.Now},
 		Leaving:     func() bool { return false },
 		Now:         time.Now,
 		Log:         zap.NewNop(),
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -39,6 +39,9 @@
 	HasTokenCounts bool
 	// LastEventID is the id of the event after which the client resumes a stream.
 	LastEventID string
+	// ResumedID is the id of the request that brought the first event of the stream
+	// that the client resumes.
+	ResumedID string
 	// Headers are the other header fields, which are forwarded.
 	Headers []HeaderField
 	Body    []byte
