--- a/internal/gateway/break.go
+++ b/internal/gateway/break.go
@@ -10,7 +10,8 @@
 type breakReason string
 
 const (
-	// breakTimeout means that the target sent nothing for longer than the read timeout.
+	// breakTimeout means that the target's machine acknowledged nothing for so long that
+	// the connection was given up.
 	breakTimeout breakReason = "timeout"
 	// breakOrder means that the ids of the events did not increase.
 	breakOrder breakReason = "order"
