Send nothing new to a target that states that it is leaving

What callers would see: requests at a target that is about to stop, up to its end, although its own answers had said so; those that it cannot finish break off.

Cause: nothing read the header Server-Leaving. A target counted as leaving only by its entry in the store, which may say so later, or never.

Change: upstream.Availability records the statement by target and generation, from the head of each answer (success, refusal, head of a stream); the selection leaves such targets out, for first attempts, retries, resumes, probes, copies and loads. Another generation under the same id ends the statement. It outlasts a gap of the target's entry of up to a minute. A stream under way there goes on. A statement in a 421 that names another target is ignored.

The header is passed on to the client unchanged: PROTOCOL.md takes from messages only the headers that concern one connection, and this one concerns the target.

--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -31,6 +31,7 @@
 		return attemptAmbiguous
 	}
 	head := &response.ResponseHead
+	s.Availability.Observe(e.target, head)
 	switch {
 	case head.NotRun:
 		e.recordStep("send", e.target.ID, "refused "+strconv.Itoa(head.Status))
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -190,13 +190,13 @@
 	return zones
 }
 
-// candidates returns the service's targets that are neither draining nor excluded
+// candidates returns the service's targets that take requests and are not excluded
 // for this request.
 func (e *exchange) candidates(service *deployment.Service) []placement.Candidate {
 	s := e.server
 	var candidates []placement.Candidate
 	for id, t := range s.Catalog.Targets() {
-		if t.Service != service.Name || t.Draining || e.excluded[id] {
+		if t.Service != service.Name || t.Draining || e.excluded[id] || s.Availability.Leaving(t) {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -56,6 +56,8 @@
 	// if many did, prompts are paced.
 	StreamPauses placement.PauseMonitor
 	Upstream     *upstream.Client
+	// Availability records whether targets state that they take requests.
+	Availability *upstream.Availability
 	// DecodeRequest parses a client's request; EncodeRefusal sets the headers of a
 	// refusal.
 	DecodeRequest func(header *fasthttp.RequestHeader, body []byte) (*upstream.Request, error)
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -76,7 +76,9 @@
 	meter     *quota.Meter
 	budget    *retry.Budget
 	client    *upstream.Client
-	server    *gateway.Server
+	// availability is shared by the gateway and the calls to engines.
+	availability *upstream.Availability
+	server       *gateway.Server
 }
 
 // Platform holds the parts of an instance that depend on the platform's protocols.
@@ -149,6 +151,7 @@
 	i.directory = &placement.Directory{Now: clock.Now}
 	i.prompts = &placement.PromptPacer{Now: clock.Now}
 	i.detector = &outlier.Detector{Now: clock.Now}
+	i.availability = &upstream.Availability{Now: clock.Now}
 	tracker := &inflight.Tracker{}
 	i.catalog = &catalog.Catalog{
 		Kinds:               i.Kinds,
@@ -196,6 +199,7 @@
 	i.server.Zone, i.server.KeyLimit = s.Zone, s.KeyLimit.Duration-keyMargin
 	i.server.Catalog, i.server.Network, i.server.Meter, i.server.Budget = i.catalog, i.network, i.meter, i.budget
 	i.server.Detector, i.server.Tracker, i.server.Directory, i.server.Upstream = i.detector, tracker, i.directory, i.client
+	i.server.Availability = i.availability
 	i.server.Demand = &placement.Demand{Now: clock.Now}
 	i.server.Leaving, i.server.Now, i.server.Log = i.leavingFor, clock.Now, i.Log
 	i.server.Metrics = gateway.NewMetrics(i.Registry)
@@ -219,6 +223,7 @@
 	i.directory.Retain(listed)
 	i.prompts.Retain(listed)
 	i.detector.Retain(listed)
+	i.availability.Retain(listed)
 }
 
 // peerSeeds returns the seeds with the port of the protocol between instances, which
--- /dev/null
+++ b/internal/upstream/availability_test.go
@@ -0,0 +1,68 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/upstream"
+)
+
+// listing returns the targets by id.
+func listing(targets ...deployment.Target) map[deployment.TargetID]deployment.Target {
+	listed := map[deployment.TargetID]deployment.Target{}
+	for _, t := range targets {
+		listed[t.ID] = t
+	}
+	return listed
+}
+
+// TestLeavingAppliesToOneGeneration guards against applying a target's statement that
+// it is leaving to a later start under the same id, also if an answer of the earlier
+// start arrives late.
+func TestLeavingAppliesToOneGeneration(t *testing.T) {
+	a := &upstream.Availability{Now: time.Now}
+	first, second := deployment.Target{ID: "t", Generation: 7}, deployment.Target{ID: "t", Generation: 8}
+	leaving := &upstream.ResponseHead{Leaving: true}
+	a.Observe(first, leaving)
+	if !a.Leaving(first) || a.Leaving(second) {
+		t.Errorf("leaving: %v, after a restart: %v", a.Leaving(first), a.Leaving(second))
+	}
+	a.Observe(second, leaving)
+	a.Observe(first, leaving)
+	if !a.Leaving(second) {
+		t.Error("a late answer of the earlier generation replaced the statement of the later one")
+	}
+}
+
+// TestLeavingOfOtherTargetIsIgnored guards against excluding a target because another
+// one that took over its address is leaving.
+func TestLeavingOfOtherTargetIsIgnored(t *testing.T) {
+	a := &upstream.Availability{Now: time.Now}
+	target := deployment.Target{ID: "t"}
+	a.Observe(target, &upstream.ResponseHead{Leaving: true, Misdirected: true, TargetID: "other"})
+	if a.Leaving(target) {
+		t.Error("the statement of another target was applied")
+	}
+}
+
+// TestLeavingOutlastsMissingEntry guards against sending requests to a leaving target
+// whose entry was missing for a moment, and against keeping statements for ever.
+func TestLeavingOutlastsMissingEntry(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := &upstream.Availability{Now: func() time.Time { return now }}
+	target := deployment.Target{ID: "t"}
+	a.Observe(target, &upstream.ResponseHead{Leaving: true})
+	a.Retain(listing())
+	now = now.Add(3 * time.Second)
+	a.Retain(listing(target))
+	if !a.Leaving(target) {
+		t.Error("the statement was forgotten while the entry was missing")
+	}
+	a.Retain(listing())
+	now = now.Add(time.Hour)
+	a.Retain(listing())
+	if a.Leaving(target) {
+		t.Error("the statement was kept for an hour after the target had gone")
+	}
+}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -86,6 +86,8 @@
 	// TargetID is the id of the target that refused a misdirected request, if the
 	// response states it.
 	TargetID deployment.TargetID
+	// Leaving is set when the target states that it is shutting down.
+	Leaving bool
 	// Length is the body's length in bytes, or one of the Length constants.
 	Length int
 	// Close is set when the target closes the connection after the response.
