Leave a target alone for the time that its 503 asks for

What callers would see: requests at a target that has just asked for a pause, and refusals with a Retry-After of 0.3 s however long or short the pause is; after the pause an engine that counted as failing, so that others got its requests.

Cause: Retry-After was decoded and not used. A refusal with 503 counted as an error, which added up to a second to the target's expected delay.

Change: upstream.Availability keeps the time until which a target wants no requests, from the arrival of a 503 with Retry-After; the longest one counts, up to five minutes, for one generation of the target. The selection leaves paused targets out: first attempts, retries, resumes, copies, loads, and probes and last resorts at ejected targets. A request that waited for its adapter meanwhile is not sent there either. Such a refusal ends an ejection and does not change the error share; the request goes on to another target as after any refusal.

--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -73,6 +73,8 @@
 func (e *exchange) handleTargetRefusal(head *upstream.ResponseHead) attemptResult {
 	s := e.server
 	switch {
+	case head.Pause() > 0:
+		s.Detector.RecordRefusal(e.target.ID)
 	case !head.Misdirected:
 		s.Detector.RecordAnswer(e.target.ID, true)
 	case e.request.Adapter.Adapter != "" && s.Directory.RecordLate(e.target.ID, e.request.Adapter):
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,10 +78,10 @@
 	request.WantedCopies = s.Demand.WantedCopies(request.Adapter, len(candidates))
 	choice, ok := placement.Choose(request, candidates)
 	if !ok {
-		return nil, refusal.NotRun(refusal.CodeNoTarget, "no engine can take the request").WithRetryAfter(retrySoon)
+		return nil, refusal.NotRun(refusal.CodeNoTarget, "no engine can take the request").WithRetryAfter(e.retryAfter(service, retrySoon))
 	}
 	if choice.Delay > maxStartDelay {
-		return nil, refusal.NotRun(refusal.CodeOverloaded, "all engines are busy").WithRetryAfter(choice.Delay / 2)
+		return nil, refusal.NotRun(refusal.CodeOverloaded, "all engines are busy").WithRetryAfter(e.retryAfter(service, choice.Delay/2))
 	}
 	target := candidates[choice.Index].Target
 	e.expectedStart = choice.Delay
@@ -102,6 +103,10 @@
 	if s.StreamPauses.Frequent() {
 		e.pacePrompt(target, attempt)
 	}
+	if !s.Availability.Available(target) {
+		e.recordStep("select", target.ID, "unavailable")
+		return nil, nil
+	}
 	return attempt, nil
 }
 
@@ -196,7 +201,7 @@
 	s := e.server
 	var candidates []placement.Candidate
 	for id, t := range s.Catalog.Targets() {
-		if t.Service != service.Name || t.Draining || e.excluded[id] || s.Availability.Leaving(t) {
+		if t.Service != service.Name || t.Draining || e.excluded[id] || !s.Availability.Available(t) {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{
@@ -210,6 +215,28 @@
 	return candidates
 }
 
+// retryAfter returns when a client should retry that no target of the service can
+// serve now: after the given delay, if the service has targets that take requests, or
+// when the first target ends its pause, if that is sooner or all of them pause.
+func (e *exchange) retryAfter(service *deployment.Service, delay time.Duration) time.Duration {
+	s := e.server
+	var delays []time.Duration
+	for _, t := range s.Catalog.Targets() {
+		if t.Service != service.Name || t.Draining || s.Availability.Leaving(t) {
+			continue
+		}
+		if pause := s.Availability.PausedFor(t); pause > 0 {
+			delays = append(delays, pause)
+		} else {
+			delays = append(delays, delay)
+		}
+	}
+	if len(delays) == 0 {
+		return delay
+	}
+	return slices.Min(delays)
+}
+
 // engineCandidates returns the candidates of an engine service, with their
 // capacity and the state of the request's adapter on each.
 func (e *exchange) engineCandidates(service *deployment.Service) []placement.Candidate {
@@ -235,7 +262,7 @@
 	candidates := e.candidates(service)
 	index, ok := placement.ChoosePlain(candidates, e.server.Zone, e.route.Repeatable())
 	if !ok {
-		return nil, refusal.NotRun(refusal.CodeNoTarget, "no target can take the request").WithRetryAfter(retrySoon)
+		return nil, refusal.NotRun(refusal.CodeNoTarget, "no target can take the request").WithRetryAfter(e.retryAfter(service, retrySoon))
 	}
 	return e.newAttempt(candidates[index].Target), nil
 }
--- a/internal/gatewayinstance/target_hints_test.go
+++ b/internal/gatewayinstance/target_hints_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -122,3 +123,154 @@
 		t.Errorf("%d requests reached the leaving engine, want 1", n)
 	}
 }
+
+// refuseWithPause makes a target refuse its next requests with 503 and a Retry-After.
+func refuseWithPause(target *platformtest.Target, requests int, retryAfter string) {
+	target.Inject(func(t *platformtest.Target) { t.RefuseNext, t.RetryAfter = requests, retryAfter })
+}
+
+// retryAfter returns the Retry-After of a reply, which must be a refusal with 503 of a
+// request that did not run.
+func (c *testCluster) retryAfter(got reply) time.Duration {
+	c.t.Helper()
+	seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, `"not_run":true`) || err != nil {
+		c.t.Fatalf("reply %+v", got)
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// TestPausedTargetGetsNoRequestUntilItsTime guards against requests at a target that
+// refused one with 503 and Retry-After, although it is the only one. The client must
+// be refused at once, with the wait until the target takes requests again.
+func TestPausedTargetGetsNoRequestUntilItsTime(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 1)
+	const pause, step = 2500 * time.Millisecond, 300 * time.Millisecond
+	refuseWithPause(cluster.plain, 100, "2.5")
+	sentAt := time.Now()
+	cluster.send(http.MethodPost, "/post/", nil)
+	answeredAt := time.Now()
+	wait := time.Duration(0)
+	for range 3 {
+		before := time.Now()
+		wait = cluster.retryAfter(cluster.send(http.MethodPost, "/post/", nil))
+		after := time.Now()
+		least, most := sentAt.Add(pause).Sub(after), answeredAt.Add(pause).Sub(before)+time.Millisecond
+		if wait < least || wait > most {
+			t.Errorf("told to wait %s, want %s to %s", wait, least, most)
+		}
+		if took := after.Sub(before); took > pause/3 {
+			t.Errorf("refused after %s", took)
+		}
+		time.Sleep(step)
+	}
+	if n := len(cluster.plain.ReceivedRequests()); n != 1 {
+		t.Errorf("%d requests reached the paused target, want 1", n)
+	}
+	refuseWithPause(cluster.plain, 0, "")
+	time.Sleep(wait - step)
+	if got := cluster.send(http.MethodPost, "/post/", nil); got.status != http.StatusOK {
+		t.Errorf("after the stated wait: status %d: %s", got.status, got.body)
+	}
+}
+
+// TestPausedEngineIsReplacedAndUsedAgain guards against counting a pause as an error:
+// requests must go to another engine at once and return to the engine when its time
+// is over.
+func TestPausedEngineIsReplacedAndUsedAgain(t *testing.T) {
+	t.Parallel()
+	cluster, _ := newClusterWithNearEngine(t)
+	refuseWithPause(cluster.engine1, 1, "2")
+	startedAt := time.Now()
+	for time.Since(startedAt) < 500*time.Millisecond {
+		if got := cluster.send(http.MethodPost, "/stream/", withModel); got.body != streamBody(eventCount) {
+			t.Errorf("reply %+v", got)
+		}
+	}
+	if n := len(cluster.engine1.ReceivedRequests()); n != 1 {
+		t.Errorf("%d requests reached the paused engine, want 1", n)
+	}
+	cluster.waitFor("request at the engine after its pause", func() bool {
+		cluster.send(http.MethodPost, "/stream/", withModel)
+		return executions(cluster.engine1) > 0
+	})
+	if after := time.Since(startedAt); after < 2*time.Second {
+		t.Errorf("a request reached the engine %s after it asked for 2 s", after)
+	}
+}
+
+// TestClientIsToldShortestPause guards against a Retry-After that is shorter or longer
+// than the wait until the first target of the service takes requests. A target that
+// refuses without a Retry-After may take the next request soon.
+func TestClientIsToldShortestPause(t *testing.T) {
+	t.Parallel()
+	for second, want := range map[string]struct{ least, most time.Duration }{
+		"2": {time.Second, 2 * time.Second},
+		"":  {time.Millisecond, time.Second},
+	} {
+		cluster := newTestCluster(t, 1)
+		other := cluster.startTarget(platformtest.PlainService, "plain-2")
+		cluster.awaitRequests(cluster.plain, other)
+		refuseWithPause(cluster.plain, 100, "5")
+		refuseWithPause(other, 100, second)
+		if wait := cluster.retryAfter(cluster.send(http.MethodPost, "/post/", nil)); wait < want.least || wait > want.most {
+			t.Errorf("told to wait %s where the targets asked for 5 s and %q s", wait, second)
+		}
+	}
+}
+
+// TestEjectedTargetIsNotProbedDuringPause guards against probes and last resorts at an
+// ejected target that asked for a pause.
+func TestEjectedTargetIsNotProbedDuringPause(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 1)
+	cluster.plain.Inject(func(p *platformtest.Target) { p.LoseNext = 2 })
+	for range 2 {
+		cluster.send(http.MethodGet, "/read/", nil)
+	}
+	refuseWithPause(cluster.plain, 1, "2")
+	for startedAt := time.Now(); time.Since(startedAt) < time.Second; time.Sleep(20 * time.Millisecond) {
+		cluster.send(http.MethodGet, "/read/", nil)
+	}
+	if n := len(cluster.plain.ReceivedRequests()); n != 3 {
+		t.Errorf("%d requests reached the target, want 2 that failed and 1 refused", n)
+	}
+}
+
+// TestPauseDuringLoadSendsRequestElsewhere guards against sending a request that
+// waited for its adapter to an engine that asked for a pause meanwhile.
+func TestPauseDuringLoadSendsRequestElsewhere(t *testing.T) {
+	t.Parallel()
+	cluster, i := newClusterWithNearEngine(t)
+	cluster.startInstance()
+	cluster.awaitAdapters()
+	cluster.engine1.Inject(func(e *platformtest.Target) { e.LoadTime = time.Second })
+	before := len(cluster.engine1.ReceivedRequests())
+	replies := make(chan reply, 1)
+	go func() { replies <- cluster.sendThrough(i, http.MethodPost, "/stream/", withAdapter("a1")) }()
+	time.Sleep(100 * time.Millisecond)
+	refuseWithPause(cluster.engine1, 1, "5")
+	cluster.send(http.MethodPost, "/stream/", withModel)
+	refusedAt := time.Now()
+	<-replies
+	for _, received := range cluster.engine1.ReceivedRequests()[before:] {
+		if after := received.At.Sub(refusedAt); after > 50*time.Millisecond {
+			t.Errorf("a request reached the engine %s after it had asked for a pause", after)
+		}
+	}
+}
+
+// awaitAdapters waits until adapters can be loaded on the near engine and base model
+// requests go there.
+func (c *testCluster) awaitAdapters() {
+	c.t.Helper()
+	c.waitFor("first adapter", func() bool {
+		return c.send(http.MethodPost, "/stream/", withAdapter("a9")).status == http.StatusOK
+	})
+	c.waitFor("engine state published", func() bool {
+		before := executions(c.engine1)
+		c.send(http.MethodPost, "/stream/", withModel)
+		return executions(c.engine1) > before
+	})
+}
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -74,10 +74,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.record(id)
-	r.failures, r.ejectionTime, r.ejectedUntil = 0, 0, time.Time{}
+	r.clearFailures()
 	d.updateErrorShare(r, isError)
 }
 
+// RecordRefusal records that a target answered by asking for a pause. That ends its
+// ejection, and counts neither as an error nor as a success.
+func (d *Detector) RecordRefusal(id deployment.TargetID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.record(id).clearFailures()
+}
+
+// clearFailures ends the ejection of a target that answered.
+func (r *targetRecord) clearFailures() {
+	r.failures, r.ejectionTime, r.ejectedUntil = 0, 0, time.Time{}
+}
+
 func (d *Detector) updateErrorShare(r *targetRecord, isError bool) {
 	value := 0.0
 	if isError {
--- a/internal/outlier/detector_test.go
+++ b/internal/outlier/detector_test.go
@@ -47,3 +47,18 @@
 		t.Errorf("error share %.2f, want at least 0.9", share)
 	}
 }
+
+// TestRefusalIsNoError guards against counting a request for a pause as an error, and
+// checks that it ends an ejection, since the target does answer.
+func TestRefusalIsNoError(t *testing.T) {
+	d := &outlier.Detector{Now: time.Now}
+	d.RecordFailure("t")
+	d.RecordFailure("t")
+	share := d.ErrorShare("t")
+	for range 10 {
+		d.RecordRefusal("t")
+	}
+	if d.Health("t") != outlier.Healthy || d.ErrorShare("t") != share {
+		t.Errorf("health %v, error share %.2f, want %.2f", d.Health("t"), d.ErrorShare("t"), share)
+	}
+}
--- a/internal/upstream/availability.go
+++ b/internal/upstream/availability.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -11,6 +12,19 @@
 // are kept: the entry of a running target can lapse for a while and then return.
 const unlistedRetention = time.Minute
 
+// maxPause bounds the pause that a target may ask for, in case its clock or its
+// configuration is wrong. A target that needs longer asks again.
+const maxPause = 5 * time.Minute
+
+// Pause returns for how long the target wants no requests; zero if it does not ask for
+// a pause.
+func (h *ResponseHead) Pause() time.Duration {
+	if h.Status != http.StatusServiceUnavailable {
+		return 0
+	}
+	return min(max(h.RetryAfter, 0), maxPause)
+}
+
 // Availability records what targets state in their responses about whether they take
 // requests. A statement applies to one generation of a target. It is safe for
 // concurrent use. Set Now before the first use.
@@ -25,6 +39,8 @@
 type statement struct {
 	generation int64
 	leaving    bool
+	// pausedUntil is when the target takes requests again.
+	pausedUntil time.Time
 	// unlistedSince is when the target was first missing from the listed ones; zero
 	// while it is listed.
 	unlistedSince time.Time
@@ -32,13 +48,19 @@
 
 // Observe records what a target states in the head of a response.
 func (a *Availability) Observe(target deployment.Target, head *ResponseHead) {
-	if !head.Leaving || head.TargetID != "" && head.TargetID != target.ID {
+	pause := head.Pause()
+	if !head.Leaving && pause == 0 || head.TargetID != "" && head.TargetID != target.ID {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if s := a.statement(target); s != nil {
-		s.leaving = true
+	s := a.statement(target)
+	if s == nil {
+		return
+	}
+	s.leaving = s.leaving || head.Leaving
+	if until := a.Now().Add(pause); pause > 0 && until.After(s.pausedUntil) {
+		s.pausedUntil = until
 	}
 }
 
@@ -68,6 +90,24 @@
 	return ok && s.generation == target.Generation && s.leaving
 }
 
+// PausedFor returns how much longer the target wants no requests; zero if it takes
+// them.
+func (a *Availability) PausedFor(target deployment.Target) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s, ok := a.statements[target.ID]
+	if !ok || s.generation != target.Generation {
+		return 0
+	}
+	return max(s.pausedUntil.Sub(a.Now()), 0)
+}
+
+// Available reports whether the target takes requests now: it has not stated that it
+// is leaving, and no pause that it asked for is under way.
+func (a *Availability) Available(target deployment.Target) bool {
+	return !a.Leaving(target) && a.PausedFor(target) == 0
+}
+
 // Retain removes the statements of all targets that have been missing from the listed
 // ones for unlistedRetention.
 func (a *Availability) Retain(listed map[deployment.TargetID]deployment.Target) {
--- a/internal/upstream/availability_test.go
+++ b/internal/upstream/availability_test.go
@@ -66,3 +66,43 @@
 		t.Error("the statement was kept for an hour after the target had gone")
 	}
 }
+
+// TestPauseLastsAsLongAsRequested guards against a pause that a later answer cuts short,
+// or that goes on at a restarted target.
+func TestPauseLastsAsLongAsRequested(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := &upstream.Availability{Now: func() time.Time { return now }}
+	target := deployment.Target{ID: "t", Generation: 7}
+	a.Observe(target, &upstream.ResponseHead{Status: 503, RetryAfter: 2 * time.Second})
+	now = now.Add(time.Second)
+	a.Observe(target, &upstream.ResponseHead{Status: 503, RetryAfter: 100 * time.Millisecond})
+	a.Observe(target, &upstream.ResponseHead{Status: 200})
+	if pause := a.PausedFor(target); pause != time.Second || a.Available(target) {
+		t.Errorf("paused for %s, want 1s", pause)
+	}
+	if restarted := (deployment.Target{ID: "t", Generation: 8}); !a.Available(restarted) {
+		t.Error("the pause applies to the next generation")
+	}
+	now = now.Add(time.Second)
+	if !a.Available(target) {
+		t.Error("not available after its pause")
+	}
+}
+
+// TestPauseIsBounded guards against a target that is unused for hours because of a wrong
+// Retry-After, and against a pause for statuses other than 503.
+func TestPauseIsBounded(t *testing.T) {
+	for _, c := range []struct {
+		status     int
+		retryAfter time.Duration
+		want       time.Duration
+	}{
+		{503, -time.Second, 0}, {503, 0, 0}, {503, 1500 * time.Millisecond, 1500 * time.Millisecond},
+		{503, 30 * time.Hour, 5 * time.Minute}, {429, time.Second, 0}, {200, time.Second, 0},
+	} {
+		head := &upstream.ResponseHead{Status: c.status, RetryAfter: c.retryAfter}
+		if got := head.Pause(); got != c.want {
+			t.Errorf("%d with %s: pause of %s, want %s", c.status, c.retryAfter, got, c.want)
+		}
+	}
+}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -95,7 +95,8 @@
 	// IdleTimeout is how long the target keeps the idle connection open; zero if
 	// unknown.
 	IdleTimeout time.Duration
-	// RetryAfter is the delay after which the target suggests a retry.
+	// RetryAfter is the delay after which the target suggests a retry; zero if it
+	// suggests none.
 	RetryAfter time.Duration
 	// Headers are forwarded to the client.
 	Headers []HeaderField
