Apply what engines say of themselves in answers to orders and reports

What callers would see: orders, reports and then requests at an engine that had answered a report call with the statement that it is leaving, or with 503 and Retry-After. Loads at an engine that this instance leaves alone were still ordered for other instances.

Cause: the client of orders and reports read no headers, and the holder asked only whether the target's entry says draining.

Change: each answer to an order or a report goes to the same upstream.Availability as the answers to requests. The holder sends no order and no report to an engine that is leaving or paused; a load request for it is answered as one that this instance may not order, so that the requester chooses another engine at once.

Before, on with the new cluster tests and the stand-in's new field:

--- FAIL: TestPauseOfReportCalls (4.96s) target_hints_test.go:310: 2 calls and 12 requests reached the engine, want 1 and none --- FAIL: TestReportOfLeavingEngine (6.88s) target_hints_test.go:301: 2 calls and 1 requests reached the engine, want 1 and none

After: go test -race -count=1 of internal/gatewayinstance, internal/placement, internal/peer and platform passes; the tests of target_hints_test.go passed 3 further runs of 3. TestUnavailableEngineIsNotCalled needs the new field Available and was not run before the change.

--- a/internal/connection/http_client.go
+++ b/internal/connection/http_client.go
@@ -26,6 +26,8 @@
 // Response is the response to a request.
 type Response struct {
 	Status int
+	// Header holds the status and the header fields.
+	Header *fasthttp.ResponseHeader
 	Body   []byte
 }
 
@@ -117,5 +119,7 @@
 		}
 		return Response{}, err
 	}
-	return Response{Status: httpResponse.StatusCode(), Body: append([]byte(nil), httpResponse.Body()...)}, nil
+	header := &fasthttp.ResponseHeader{}
+	httpResponse.Header.CopyTo(header)
+	return Response{Status: header.StatusCode(), Header: header, Body: append([]byte(nil), httpResponse.Body()...)}, nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -56,7 +56,8 @@
 	// if many did, prompts are paced.
 	StreamPauses placement.PauseMonitor
 	Upstream     *upstream.Client
-	// Availability records whether targets state that they take requests.
+	// Availability records whether targets state that they take requests. The calls to
+	// engines share it.
 	Availability *upstream.Availability
 	// DecodeRequest parses a client's request; EncodeRefusal sets the headers of a
 	// refusal.
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -76,9 +76,7 @@
 	meter     *quota.Meter
 	budget    *retry.Budget
 	client    *upstream.Client
-	// availability is shared by the gateway and the calls to engines.
-	availability *upstream.Availability
-	server       *gateway.Server
+	server    *gateway.Server
 }
 
 // Platform holds the parts of an instance that depend on the platform's protocols.
@@ -91,10 +89,11 @@
 	StoreCalls func() uint64
 	// Client sends requests to targets. Its Encode and Decode must be set.
 	Client *upstream.Client
-	// Gateway answers clients. Its DecodeRequest and EncodeRefusal must be set.
+	// Gateway answers clients. Its DecodeRequest, EncodeRefusal and Availability must
+	// be set.
 	Gateway *gateway.Server
-	// Holder sends load and unload orders to engines. Its Order and Report must be
-	// set.
+	// Holder sends load and unload orders to engines. Its Order, Report and Available
+	// must be set.
 	Holder *placement.Holder
 }
 
@@ -151,7 +150,6 @@
 	i.directory = &placement.Directory{Now: clock.Now}
 	i.prompts = &placement.PromptPacer{Now: clock.Now}
 	i.detector = &outlier.Detector{Now: clock.Now}
-	i.availability = &upstream.Availability{Now: clock.Now}
 	tracker := &inflight.Tracker{}
 	i.catalog = &catalog.Catalog{
 		Kinds:               i.Kinds,
@@ -196,10 +194,10 @@
 	i.network.Holder = i.holder
 	i.client = i.Platform.Client
 	i.server = i.Platform.Gateway
+	i.server.Availability.Now = clock.Now
 	i.server.Zone, i.server.KeyLimit = s.Zone, s.KeyLimit.Duration-keyMargin
 	i.server.Catalog, i.server.Network, i.server.Meter, i.server.Budget = i.catalog, i.network, i.meter, i.budget
 	i.server.Detector, i.server.Tracker, i.server.Directory, i.server.Upstream = i.detector, tracker, i.directory, i.client
-	i.server.Availability = i.availability
 	i.server.Demand = &placement.Demand{Now: clock.Now}
 	i.server.Leaving, i.server.Now, i.server.Log = i.leavingFor, clock.Now, i.Log
 	i.server.Metrics = gateway.NewMetrics(i.Registry)
@@ -223,7 +221,7 @@
 	i.directory.Retain(listed)
 	i.prompts.Retain(listed)
 	i.detector.Retain(listed)
-	i.availability.Retain(listed)
+	i.server.Availability.Retain(listed)
 }
 
 // peerSeeds returns the seeds with the port of the protocol between instances, which
--- a/internal/gatewayinstance/target_hints_test.go
+++ b/internal/gatewayinstance/target_hints_test.go
@@ -274,3 +274,39 @@
 		return executions(c.engine1) > before
 	})
 }
+
+// checkEngine1LeftAlone checks that engine 1 gets no call and no request for a time
+// after its first call.
+func (c *testCluster) checkEngine1LeftAlone(quiet time.Duration) {
+	c.t.Helper()
+	c.startInstance()
+	c.waitFor("call to the engine", func() bool { return c.engine1.EngineCalls() > 0 })
+	time.Sleep(100 * time.Millisecond)
+	for startedAt := time.Now(); time.Since(startedAt) < quiet; time.Sleep(100 * time.Millisecond) {
+		if got := c.send(http.MethodPost, "/stream/", withModel); got.body != streamBody(eventCount) {
+			c.t.Errorf("reply %+v", got)
+		}
+	}
+	if calls, requests := c.engine1.EngineCalls(), len(c.engine1.ReceivedRequests()); calls != 1 || requests != 0 {
+		c.t.Errorf("%d calls and %d requests reached the engine, want 1 and none", calls, requests)
+	}
+}
+
+// TestReportOfLeavingEngine guards against orders, reports and requests to an engine
+// that says in the answer to a report call that it is leaving.
+func TestReportOfLeavingEngine(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 0)
+	setLeaving(cluster.engine1, true)
+	cluster.checkEngine1LeftAlone(3500 * time.Millisecond)
+}
+
+// TestPauseOfReportCalls guards against calls and requests to an engine that refused a
+// report call with 503 and Retry-After, and checks that calls go on after the pause.
+func TestPauseOfReportCalls(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 0)
+	cluster.engine1.Inject(func(e *platformtest.Target) { e.RefuseCalls, e.RetryAfter = 1, "3" })
+	cluster.checkEngine1LeftAlone(1500 * time.Millisecond)
+	cluster.waitFor("call after the pause", func() bool { return cluster.engine1.EngineCalls() > 1 })
+}
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -48,6 +48,9 @@
 	// InUse reports whether any instance has requests in flight for an adapter on a
 	// target.
 	InUse func(deployment.TargetID, deployment.AdapterName) bool
+	// Available reports whether an engine takes calls from this instance at present;
+	// nil means that all do.
+	Available func(deployment.Target) bool
 	// Order sends an order to an engine, Report reads an engine's report.
 	Order  func(ctx context.Context, target deployment.Target, order Order) (Outcome, error)
 	Report func(ctx context.Context, target deployment.Target) (Report, error)
@@ -135,6 +138,11 @@
 	return engines
 }
 
+// available reports whether an engine may be called.
+func (h *Holder) available(t deployment.Target) bool {
+	return !t.Draining && (h.Available == nil || h.Available(t))
+}
+
 func (h *Holder) engine(t deployment.Target) *managedEngine {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -180,6 +188,9 @@
 func (h *Holder) maintainEngine(ctx context.Context, t deployment.Target, e *managedEngine) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	if !h.available(t) {
+		return
+	}
 	e.mu.Lock()
 	due := !e.state.Synced() || e.state.Generation != t.Generation || e.state.unloading() || e.modelLoadPending() || h.Now().Sub(e.reportedAt) > reportInterval
 	e.mu.Unlock()
@@ -224,7 +235,7 @@
 }
 
 // awaitSync reads reports until the engine's state is known. It gives up when the
-// engine does not answer, and then fails at once during unansweredBackoff.
+// engine takes no calls or does not answer, and then fails at once during unansweredBackoff.
 func (h *Holder) awaitSync(ctx context.Context, t deployment.Target, e *managedEngine) bool {
 	for ctx.Err() == nil {
 		e.mu.Lock()
@@ -233,7 +244,7 @@
 		if synced {
 			return true
 		}
-		if unanswered {
+		if unanswered || !h.available(t) {
 			return false
 		}
 		if h.sync(ctx, t, e) {
@@ -276,7 +287,7 @@
 // engine's state has to be read again.
 func (h *Holder) order(ctx context.Context, t deployment.Target, e *managedEngine, order Order) Outcome {
 	fencing, ok := h.mayOrder()
-	if !ok {
+	if !ok || !h.available(t) {
 		return Rejected
 	}
 	e.mu.Lock()
--- a/internal/placement/holder_test.go
+++ b/internal/placement/holder_test.go
@@ -243,3 +243,26 @@
 		t.Errorf("result %v for an adapter of a loaded model", result)
 	}
 }
+
+// TestUnavailableEngineIsNotCalled guards against orders and reports, also on behalf of
+// other instances, to an engine that states that it takes no calls, be it before the
+// load request or in the answer to the report that precedes the order.
+func TestUnavailableEngineIsNotCalled(t *testing.T) {
+	e := &testEngine{answer: placement.Started}
+	h := newHolder(t, e)
+	available := true
+	h.Available = func(deployment.Target) bool { return available }
+	h.Report = func(ctx context.Context, target deployment.Target) (placement.Report, error) {
+		available = false
+		return e.report(ctx, target)
+	}
+	for range 2 {
+		result, _, _ := h.Load(context.Background(), testTarget, adapterName(1), 0)
+		if result != placement.NotHolder {
+			t.Errorf("result %s, want %s", result, placement.NotHolder)
+		}
+	}
+	if n := h.Reports.Load(); n != 1 || len(e.orders) != 0 {
+		t.Errorf("%d reports and %d orders, want 1 and none", n, len(e.orders))
+	}
+}
--- a/internal/placement/load_request.go
+++ b/internal/placement/load_request.go
@@ -51,7 +51,7 @@
 // be ordered, and returns when the adapter is expected to be ready, and its version.
 func (h *Holder) Load(ctx context.Context, id deployment.TargetID, name deployment.AdapterName, version uint64) (Result, time.Time, uint64) {
 	t, ok := h.Targets()[id]
-	if !ok || t.Zone != h.Zone || t.Draining || !h.Holds() {
+	if !ok || t.Zone != h.Zone || !h.available(t) || !h.Holds() {
 		return NotHolder, time.Time{}, 0
 	}
 	request, ok := h.join(loadKey{target: id, name: name}, version)
@@ -109,7 +109,7 @@
 func (h *Holder) stepUntilDone(ctx context.Context, request *loadRequest) Result {
 	for ctx.Err() == nil {
 		t, ok := h.Targets()[request.target]
-		if !ok || t.Draining || !h.Holds() {
+		if !ok || !h.available(t) || !h.Holds() {
 			return NotHolder
 		}
 		e := h.engine(t)
