Give the retry budget back for an attempt that was not sent

What callers would see: 503 with no_target and "no repeat is left" while a target could have run the request, after a retry at a target that could not be reached.

Cause: authorizeAttempt takes a retry from the budget before the attempt; an attempt that ends with ErrNotSent reached no target, but the retry stayed spent. Unreachable targets used the budget up, and then every other retry at the service was refused.

Change: Budget.Refund returns the retry, up to the balance's limit, and classify calls it for such an attempt unless it was the request's first. The bound over all instances stays: only retries that reached no target come back. The test cluster gets the budget's settings as a field.

Before, on with the new cluster test, 3 runs of 3:

--- FAIL: TestRetryThatWasNotSentIsFree (4.01s) target_hints_test.go:353: status 503: {"code":"no_target","message":"no repeat is left","not_run":true}

After: the test passed 3 runs of 3; go test -race -count=1 of internal/retry and internal/gatewayinstance passes.

--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -13,6 +13,7 @@
 func (e *exchange) classify(response *upstream.Response, err error) attemptResult {
 	s := e.server
 	if upstream.ErrNotSent.Has(err) {
+		e.refundRetry()
 		if e.ctx.Err() == nil {
 			e.recordStep("send", e.target.ID, "not_sent: "+err.Error())
 			e.recordTargetFailure(err)
@@ -59,6 +60,14 @@
 	e.attempts++
 }
 
+// refundRetry returns what authorizeAttempt took from the retry budget for an attempt
+// that was not sent.
+func (e *exchange) refundRetry() {
+	if e.attempts > 0 {
+		e.server.Budget.Refund(e.service)
+	}
+}
+
 // recordTargetFailure records that the target could not be reached or gave no
 // complete response.
 func (e *exchange) recordTargetFailure(err error) {
--- a/internal/gatewayinstance/cluster_test.go
+++ b/internal/gatewayinstance/cluster_test.go
@@ -31,12 +31,14 @@
 // testCluster is a simulated platform with a store, two engines and a plain target,
 // and the instances in front of it.
 type testCluster struct {
-	t         *testing.T
-	store     *platformtest.Store
-	config    platformtest.Config
-	engine1   *platformtest.Target
-	engine2   *platformtest.Target
-	plain     *platformtest.Target
+	t       *testing.T
+	store   *platformtest.Store
+	config  platformtest.Config
+	engine1 *platformtest.Target
+	engine2 *platformtest.Target
+	plain   *platformtest.Target
+	// retry bounds the retries of the instances that are started.
+	retry     gatewayinstance.Retry
 	instances []*instance
 	client    *http.Client
 }
@@ -64,6 +66,7 @@
 func newTestCluster(t *testing.T, instances int) *testCluster {
 	t.Helper()
 	c := &testCluster{t: t, store: platformtest.NewStore(), client: &http.Client{Transport: &http.Transport{}}}
+	c.retry = gatewayinstance.Retry{Ratio: 0.2, Extra: 50}
 	t.Cleanup(c.store.Close)
 	c.config = platformtest.Config{
 		Version: 1, Routes: platformtest.StandardRoutes(), Keys: map[string]string{testKey: "roads"}, Rate: 1_000_000, Burst: 1_000_000,
@@ -108,7 +111,7 @@
 		OrderQuietTime:     settings.Duration{Duration: 100 * time.Millisecond},
 		ShutdownGrace:      settings.Duration{Duration: 5 * time.Second},
 		AllowanceWindow:    settings.Duration{Duration: 8 * time.Second},
-		Retry:              gatewayinstance.Retry{Ratio: 0.2, Extra: 50},
+		Retry:              c.retry,
 	}
 	gateway := &gatewayinstance.Instance{Settings: i.settings, Log: zap.NewNop(), Registry: i.registry}
 	platform.Connect(gateway)
--- a/internal/gatewayinstance/target_hints_test.go
+++ b/internal/gatewayinstance/target_hints_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"heatherrelay/internal/gatewayinstance"
 	"heatherrelay/platform/platformtest"
 )
 
@@ -310,3 +311,48 @@
 	cluster.checkEngine1LeftAlone(1500 * time.Millisecond)
 	cluster.waitFor("call after the pause", func() bool { return cluster.engine1.EngineCalls() > 1 })
 }
+
+// attemptsNotRun returns how many attempts the instance counted that no target ran.
+func (i *instance) attemptsNotRun(t *testing.T) int {
+	t.Helper()
+	families, err := i.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		if f.GetName() != "heatherrelay_gateway_sends_total" {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			if m.GetLabel()[0].GetValue() == "not_run" {
+				return int(m.GetCounter().GetValue())
+			}
+		}
+	}
+	return 0
+}
+
+// TestRetryThatWasNotSentIsFree guards against spending the retry budget on an attempt
+// that reached no target: a request was refused by one target, another was unreachable,
+// and the third must still get it with a budget of one retry.
+func TestRetryThatWasNotSentIsFree(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 0)
+	cluster.retry = gatewayinstance.Retry{Extra: 1}
+	i := cluster.startInstance()
+	// The refusal makes this target the last choice; a success would undo that.
+	cluster.plain.Inject(func(p *platformtest.Target) { p.RefuseNext = 1 })
+	cluster.send(http.MethodPost, "/post/", nil)
+	near := cluster.startTarget(platformtest.PlainService, "plain-2")
+	unreachable := cluster.startTarget(platformtest.PlainService, "plain-3")
+	unreachable.Inject(func(u *platformtest.Target) { u.Zone, u.AdvertisedAddress = "south", freeAddress(t) })
+	unreachable.Register(cluster.store, "ready")
+	time.Sleep(time.Second)
+	near.Inject(func(n *platformtest.Target) { n.RefuseNext = 1 })
+	if got := cluster.send(http.MethodPost, "/post/", nil); got.status != http.StatusOK {
+		t.Errorf("status %d: %s", got.status, got.body)
+	}
+	if n := i.attemptsNotRun(t); n != 3 {
+		t.Errorf("%d attempts without a run, want 3", n)
+	}
+}
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -27,6 +27,9 @@
 // Deposit credits a service's budget for the first attempt of a request.
 func (b *Budget) Deposit(service string) { b.add(service, b.Ratio*safetyFactor) }
 
+// Refund returns a retry that was withdrawn but not sent.
+func (b *Budget) Refund(service string) { b.add(service, 1) }
+
 func (b *Budget) add(service string, amount float64) {
 	limit := b.limit()
 	b.mu.Lock()
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -27,3 +27,16 @@
 		t.Error("no retry was allowed")
 	}
 }
+
+// TestRefundedRetryCanBeSpentAgain guards against losing the budget of a retry that was
+// not sent, and against a balance above the limit.
+func TestRefundedRetryCanBeSpentAgain(t *testing.T) {
+	b := &retry.Budget{Extra: 1, Members: func() int { return 1 }}
+	for range 3 {
+		if !b.TryWithdraw("s") || b.TryWithdraw("s") {
+			t.Fatal("want exactly one retry")
+		}
+		b.Refund("s")
+		b.Refund("s")
+	}
+}
