Count the prompt tokens of a request in flight once

What callers would see: engines that count as full with little more than half of their KV cache planned. Requests then go to farther or busier engines, cause loads of further copies, or are refused as overloaded.

Cause: sendAttempt passed the prompt tokens, and the sum of prompt and output tokens where Tracker.Begin expects the output tokens only. Use.Tokens is documented as the prompt and output tokens of all requests, and placement compares it, with the tokens of the new request added, with the KV cache. The count also goes to the other instances.

Change: the output tokens are passed.

Before, on the commit before this with the new test, 3 runs of 3:

--- FAIL: TestPromptTokensAreCountedOnce (3.06s) target_hints_test.go:390: 1 of 2 requests went to the near engine, which has room for both

After: the test passed 5 runs of 5; go test -race -count=1 of internal/gatewayinstance, internal/placement and internal/peer passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -216,7 +216,7 @@
 	if s.Detector.Health(e.target.ID) != outlier.Healthy {
 		s.Detector.RecordProbe(e.target.ID)
 	}
-	e.tracked = trackedRequest{s.Tracker.Begin(e.target.ID, e.request.Adapter, e.request.PromptTokens, e.request.PromptTokens+e.request.OutputTokens)}
+	e.tracked = trackedRequest{s.Tracker.Begin(e.target.ID, e.request.Adapter, e.request.PromptTokens, e.request.OutputTokens)}
 	s.Network.Holder.RecordUse(e.target.ID, e.request.Adapter, 1)
 	response, err := s.Upstream.Do(e.ctx, e.target.Address, e.request, attempt)
 	result := e.classify(response, err)
--- a/internal/gatewayinstance/target_hints_test.go
+++ b/internal/gatewayinstance/target_hints_test.go
@@ -356,3 +356,37 @@
 		t.Errorf("%d attempts without a run, want 3", n)
 	}
 }
+
+// openStream opens a stream of the base model with the given token counts, as soon as
+// the team's allowance admits it, and reads its first line.
+func (c *testCluster) openStream(i *instance, tokenCounts string) {
+	c.t.Helper()
+	c.waitFor("stream admitted", func() bool {
+		response, err := c.open(context.Background(), i, http.MethodPost, "/stream/", func(h http.Header) {
+			withModel(h)
+			h.Set("Token-Count", tokenCounts)
+		})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.t.Cleanup(func() { _ = response.Body.Close() })
+		_, err = firstLine(response.Body)
+		return err == nil && response.StatusCode == http.StatusOK
+	})
+}
+
+// TestPromptTokensAreCountedOnce guards against an engine that counts as full because
+// the prompt tokens of its requests in flight are counted twice.
+func TestPromptTokensAreCountedOnce(t *testing.T) {
+	t.Parallel()
+	cluster, i := newClusterWithNearEngine(t)
+	for _, engine := range []*platformtest.Target{cluster.engine1, cluster.engine2} {
+		engine.Inject(func(e *platformtest.Target) { e.EventGap = time.Second })
+	}
+	// Both requests together take 82,000 of the engine's 100,000 tokens.
+	cluster.openStream(i, "50000,1000")
+	cluster.openStream(i, "30000,1000")
+	if n := len(cluster.engine1.ReceivedRequests()); n != 2 {
+		t.Errorf("%d of 2 requests went to the near engine, which has room for both", n)
+	}
+}
