--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -217,14 +217,16 @@
 	if s.Detector.Health(e.target.ID) != outlier.Healthy {
 		s.Detector.RecordProbe(e.target.ID)
 	}
-	e.tracked = trackedRequest{s.Tracker.Begin(e.target.ID, e.request.Adapter, e.request.PromptTokens, e.request.PromptTokens+e.request.OutputTokens)}
+	e.tracked = trackedRequest{s.Tracker.Begin(e.target.ID, e.request.Adapter, e.request.PromptTokens, e.request.OutputTokens)}
 	s.Network.Holder.RecordUse(e.target.ID, e.request.Adapter, 1)
 	var ctx context.Context
 	ctx, e.cancelAttempt = context.WithCancelCause(e.ctx)
 	e.uncounted = true
+	source := e.target
 	response, err := s.Upstream.Do(ctx, e.target.Address, e.request, attempt)
 	if e.settleHedge(err == nil && response.Success()) {
 		if response != nil {
+			s.Availability.Observe(source, &response.ResponseHead)
 			response.Close()
 		}
 		return attemptAnswered
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -14,6 +14,7 @@
 func (e *exchange) classify(response *upstream.Response, err error) attemptResult {
 	s := e.server
 	if upstream.ErrNotSent.Has(err) {
+		e.refundRetry()
 		if e.ctx.Err() == nil {
 			e.recordStep("send", e.target.ID, "not_sent: "+err.Error())
 			e.recordTargetFailure(err)
@@ -32,6 +33,7 @@
 		return attemptAmbiguous
 	}
 	head := &response.ResponseHead
+	s.Availability.Observe(e.target, head)
 	switch {
 	case head.NotRun:
 		e.recordStep("send", e.target.ID, "refused "+strconv.Itoa(head.Status))
@@ -62,6 +64,14 @@
 	}
 }
 
+// refundRetry returns what authorizeAttempt took from the retry budget for an attempt
+// that was not sent.
+func (e *exchange) refundRetry() {
+	if attempts, _ := e.counts(); attempts > 0 {
+		e.server.Budget.Refund(e.service)
+	}
+}
+
 // recordTargetFailure records that the target could not be reached or gave no
 // complete response.
 func (e *exchange) recordTargetFailure(err error) {
@@ -76,6 +86,8 @@
 func (e *exchange) handleTargetRefusal(head *upstream.ResponseHead) attemptResult {
 	s := e.server
 	switch {
+	case head.Pause() > 0:
+		s.Detector.RecordRefusal(e.target.ID)
 	case !head.Misdirected:
 		s.Detector.RecordAnswer(e.target.ID, true)
 	case e.request.Adapter.Adapter != "" && s.Directory.RecordLate(e.target.ID, e.request.Adapter):
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -93,10 +93,11 @@
 	StoreCalls func() uint64
 	// Client sends requests to targets. Its Encode and Decode must be set.
 	Client *upstream.Client
-	// Gateway answers clients. Its DecodeRequest and EncodeRefusal must be set.
+	// Gateway answers clients. Its DecodeRequest, EncodeRefusal and Availability must
+	// be set.
 	Gateway *gateway.Server
-	// Holder sends load and unload orders to engines. Its Order and Report must be
-	// set.
+	// Holder sends load and unload orders to engines. Its Order, Report and Available
+	// must be set.
 	Holder *placement.Holder
 }
 
@@ -200,6 +201,7 @@
 	i.network.Holder = i.holder
 	i.client = i.Platform.Client
 	i.server = i.Platform.Gateway
+	i.server.Availability.Now = clock.Now
 	i.server.Zone, i.server.KeyLimit = s.Zone, s.KeyLimit.Duration-keyMargin
 	i.server.Catalog, i.server.Network, i.server.Meter, i.server.Budget = i.catalog, i.network, i.meter, i.budget
 	i.server.Detector, i.server.Tracker, i.server.Directory, i.server.Upstream = i.detector, tracker, i.directory, i.client
@@ -228,6 +230,7 @@
 	i.directory.Retain(listed)
 	i.prompts.Retain(listed)
 	i.detector.Retain(listed)
+	i.server.Availability.Retain(listed)
 	if mixed := i.versions.Observe(listed); len(mixed) > 0 {
 		i.Log.Info("services have targets of several software versions", zap.Strings("services", mixed))
 		go i.network.ReplicateOrigins(context.Background(), func(service string) bool { return slices.Contains(mixed, service) })
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -93,6 +93,8 @@
 	// TargetID is the id of the target that refused a misdirected request, if the
 	// response states it.
 	TargetID deployment.TargetID
+	// Leaving is set when the target states that it is shutting down.
+	Leaving bool
 	// Length is the body's length in bytes, or one of the Length constants.
 	Length int
 	// Close is set when the target closes the connection after the response.
@@ -100,7 +102,8 @@
 	// IdleTimeout is how long the target keeps the idle connection open; zero if
 	// unknown.
 	IdleTimeout time.Duration
-	// RetryAfter is the delay after which the target suggests a retry.
+	// RetryAfter is the delay after which the target suggests a retry; zero if it
+	// suggests none.
 	RetryAfter time.Duration
 	// Headers are forwarded to the client.
 	Headers []HeaderField
