Tests: give the streams of software versions the time that they take

Cause: 14 events of 300 ms last 3.9 s, and the stand-in's routes end requests at 4 s: beside load TestStreamsBegunBeforeASecondSoftwareVersionGoOn failed with 'unexpected EOF' after event 13. Change: the routes of these tests allow 9 s, as those of silent targets. What is checked is unchanged.

--- a/internal/gatewayinstance/software_version_test.go
+++ b/internal/gatewayinstance/software_version_test.go
@@ -32,6 +32,11 @@
 func newVersionCluster(t *testing.T, versions ...string) *testCluster {
 	t.Helper()
 	c := newTestCluster(t, 0)
+	for _, route := range c.config.Routes {
+		route["timeout-ms"] = routeTimeoutMS
+	}
+	c.config.Version++
+	c.config.Publish(c.store)
 	c.store.Delete("servers", c.engine1.ID)
 	c.store.Delete("servers", c.engine2.ID)
 	for _, version := range versions {
