Log when a target says that it is leaving or asks for a pause

What operators would see: requests that go elsewhere, or are refused, with no line that says why a target that is registered as ready gets none.

Change: upstream.Availability logs the first statement of each generation that it is leaving, and the start of each pause.

go test -race -count=1 of internal/upstream, internal/gatewayinstance and platform passes.

--- a/internal/upstream/availability.go
+++ b/internal/upstream/availability.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"heatherrelay/internal/deployment"
 )
 
@@ -27,9 +29,10 @@
 
 // Availability records what targets state in their responses about whether they take
 // requests. A statement applies to one generation of a target. It is safe for
-// concurrent use. Set Now before the first use.
+// concurrent use. Set the exported fields before the first use.
 type Availability struct {
 	Now func() time.Time
+	Log *zap.Logger
 
 	mu         sync.Mutex
 	statements map[deployment.TargetID]*statement
@@ -58,8 +61,23 @@
 	if s == nil {
 		return
 	}
-	s.leaving = s.leaving || head.Leaving
-	if until := a.Now().Add(pause); pause > 0 && until.After(s.pausedUntil) {
+	if head.Leaving && !s.leaving {
+		s.leaving = true
+		a.Log.Info("target is leaving", zap.String("target", string(target.ID)), zap.Int64("generation", target.Generation))
+	}
+	if pause > 0 {
+		a.extendPause(target.ID, s, pause)
+	}
+}
+
+// extendPause makes a target's pause last at least as long as given. The caller holds
+// the lock.
+func (a *Availability) extendPause(id deployment.TargetID, s *statement, pause time.Duration) {
+	now := a.Now()
+	if !now.Before(s.pausedUntil) {
+		a.Log.Info("target asked for a pause", zap.String("target", string(id)), zap.Duration("pause", pause))
+	}
+	if until := now.Add(pause); until.After(s.pausedUntil) {
 		s.pausedUntil = until
 	}
 }
--- a/internal/upstream/availability_test.go
+++ b/internal/upstream/availability_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/upstream"
 )
@@ -21,7 +23,7 @@
 // it is leaving to a later start under the same id, also if an answer of the earlier
 // start arrives late.
 func TestLeavingAppliesToOneGeneration(t *testing.T) {
-	a := &upstream.Availability{Now: time.Now}
+	a := &upstream.Availability{Now: time.Now, Log: zap.NewNop()}
 	first, second := deployment.Target{ID: "t", Generation: 7}, deployment.Target{ID: "t", Generation: 8}
 	leaving := &upstream.ResponseHead{Leaving: true}
 	a.Observe(first, leaving)
@@ -38,7 +40,7 @@
 // TestLeavingOfOtherTargetIsIgnored guards against excluding a target because another
 // one that took over its address is leaving.
 func TestLeavingOfOtherTargetIsIgnored(t *testing.T) {
-	a := &upstream.Availability{Now: time.Now}
+	a := &upstream.Availability{Now: time.Now, Log: zap.NewNop()}
 	target := deployment.Target{ID: "t"}
 	a.Observe(target, &upstream.ResponseHead{Leaving: true, Misdirected: true, TargetID: "other"})
 	if a.Leaving(target) {
@@ -50,7 +52,7 @@
 // whose entry was missing for a moment, and against keeping statements for ever.
 func TestLeavingOutlastsMissingEntry(t *testing.T) {
 	now := time.Unix(1000, 0)
-	a := &upstream.Availability{Now: func() time.Time { return now }}
+	a := &upstream.Availability{Now: func() time.Time { return now }, Log: zap.NewNop()}
 	target := deployment.Target{ID: "t"}
 	a.Observe(target, &upstream.ResponseHead{Leaving: true})
 	a.Retain(listing())
@@ -71,7 +73,7 @@
 // or that goes on at a restarted target.
 func TestPauseLastsAsLongAsRequested(t *testing.T) {
 	now := time.Unix(1000, 0)
-	a := &upstream.Availability{Now: func() time.Time { return now }}
+	a := &upstream.Availability{Now: func() time.Time { return now }, Log: zap.NewNop()}
 	target := deployment.Target{ID: "t", Generation: 7}
 	a.Observe(target, &upstream.ResponseHead{Status: 503, RetryAfter: 2 * time.Second})
 	now = now.Add(time.Second)
