Test of streams at a leaving engine: wait for the report that precedes the stream

TestStreamAtLeavingEngineContinues failed once in 15 runs under -race, three processes at a time, load average 27 to 30:

target_hints_test.go:124: 0 requests reached the leaving engine, want 1

Cause: the test sets the engine to leaving before the instance's first report call. Its answer states it too, and then no stream begins there. The test now waits for that call; what it checks is unchanged. With the check in candidates taken out of a scratch copy of it still fails.

--- a/internal/gatewayinstance/target_hints_test.go
+++ b/internal/gatewayinstance/target_hints_test.go
@@ -105,6 +105,8 @@
 func TestStreamAtLeavingEngineContinues(t *testing.T) {
 	t.Parallel()
 	cluster, i := newClusterWithNearEngine(t)
+	// An answer to a report call would state it as well, before the stream begins.
+	cluster.waitFor("report of the engine", func() bool { return cluster.engine1.EngineCalls() > 0 })
 	cluster.engine1.Inject(func(e *platformtest.Target) { e.Leaving, e.EventGap = true, 100*time.Millisecond })
 	response, err := cluster.open(context.Background(), i, http.MethodPost, "/stream/", withModel)
 	if err != nil {
