Let a target read a large request late

What callers saw: 502, or a stream cut, when a healthy target did not read for 1.5 s while a request of 128 KB or more was being sent to it, also if it must not be repeated. Change: a large request has 5 s, set on its connection for its time.

--- a/internal/connection/dialer.go
+++ b/internal/connection/dialer.go
@@ -62,9 +62,22 @@
 	if d.AckTimeout <= 0 {
 		return nil
 	}
+	return setAckTimeout(raw, d.AckTimeout)
+}
+
+// SetAckTimeout replaces the AckTimeout of an open connection.
+func SetAckTimeout(conn syscall.Conn, timeout time.Duration) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setAckTimeout(raw, timeout)
+}
+
+func setAckTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var optionErr error
 	set := func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.AckTimeout.Milliseconds()))
+		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	}
 	if err := raw.Control(set); err != nil {
 		return err
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -18,8 +18,11 @@
 	// connectTimeout is a few round trips between zones; a target that takes longer
 	// counts as unreachable.
 	connectTimeout = 400 * time.Millisecond
-	// ackTimeout bounds the time that sent bytes may stay unacknowledged.
-	ackTimeout = 1500 * time.Millisecond
+	// ackTimeout bounds the time that sent bytes may stay unacknowledged. A large request
+	// also counts as unacknowledged while the target does not read it, which a healthy
+	// target may do for a while, so it has largeRequestAckTimeout.
+	ackTimeout             = 1500 * time.Millisecond
+	largeRequestAckTimeout = 5 * time.Second
 	// defaultIdleTimeout is how long an idle connection is kept if the target
 	// states no keep-alive timeout.
 	defaultIdleTimeout = 20 * time.Second
@@ -62,7 +65,10 @@
 	r := &Response{client: c, address: address, conn: cn, withoutBody: request.Method == http.MethodHead}
 	r.stopAbort = context.AfterFunc(ctx, cn.abort)
 	cn.silence, cn.onSilence = attempt.Silence, attempt.OnSilence
-	cn.writeRequest(c.Encode(nil, request, attempt))
+	if err := cn.writeRequest(c.Encode(nil, request, attempt)); err != nil {
+		r.fail(err)
+		return nil, ErrNotSent.Wrap(err)
+	}
 	if err := r.readHead(c.Decode, request.ID); err != nil {
 		r.fail(err)
 		return nil, ErrIncompleteResponse.Wrap(err)
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -281,3 +281,50 @@
 		t.Errorf("%d connections dialed, want 1", n)
 	}
 }
+
+// TestLargeRequestOutlastsSilentTarget checks that a large request is answered whose
+// target is healthy but reads nothing for a while: the bytes that its window has no
+// room for stay unacknowledged meanwhile.
+func TestLargeRequestOutlastsSilentTarget(t *testing.T) {
+	for _, size := range []int{10 << 10, 128 << 10, 1 << 20, 4 << 20} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			address := serveLate(t, 1900*time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			response, err := newClient().Do(ctx, address, &upstream.Request{ID: "1", Method: http.MethodPost, URI: "/", Body: make([]byte, size)}, &upstream.Attempt{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if body, err := response.ReadAll(); err != nil || string(body) != "late" {
+				t.Errorf("body %q, error %v", body, err)
+			}
+		})
+	}
+}
+
+// serveLate starts a server that accepts one connection, reads its request only after a
+// delay, and answers it.
+func serveLate(t *testing.T, delay time.Duration) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		time.Sleep(delay)
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, okResponse(request.Header.Get(idField), "late"))
+	}()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,6 +20,8 @@
 	// writeErr is set before that.
 	writeDone chan struct{}
 	writeErr  error
+	// largeAckTimeout is set while largeRequestAckTimeout applies to the connection.
+	largeAckTimeout bool
 	// aborted is set when this side closed the connection.
 	aborted   atomic.Bool
 	closeOnce sync.Once
@@ -73,18 +75,36 @@
 
 // writeRequest writes a request. A large one is written in the background, so that
 // the response can be read meanwhile: a target may respond before it has read the
-// complete body.
-func (c *conn) writeRequest(message []byte) {
+// complete body. An error means that nothing was written.
+func (c *conn) writeRequest(message []byte) error {
+	large := len(message) > maxSyncWriteBytes
+	if err := c.adjustAckTimeout(large); err != nil {
+		return err
+	}
 	c.writeDone = make(chan struct{})
 	write := func() {
 		defer close(c.writeDone)
 		_, c.writeErr = c.Write(message)
 	}
-	if len(message) <= maxSyncWriteBytes {
-		write()
-		return
+	if large {
+		go write()
+		return nil
+	}
+	write()
+	return nil
+}
+
+// adjustAckTimeout sets the limit on unacknowledged bytes for the next request.
+func (c *conn) adjustAckTimeout(large bool) error {
+	tcp := connection.TCP(c.Conn)
+	if large == c.largeAckTimeout || tcp == nil {
+		return nil
+	}
+	c.largeAckTimeout = large
+	if large {
+		return connection.SetAckTimeout(tcp, largeRequestAckTimeout)
 	}
-	go write()
+	return connection.SetAckTimeout(tcp, ackTimeout)
 }
 
 // requestWritten reports whether the request was completely written.
