Settle hedges without losing what their source has

Cause: the source and its hedge were settled before the source's answer was classified, a cancelled hedge was counted late, a hedge could not be hedged, and its targets stayed excluded. Change: the answer is classified first, and only one that is no final answer waits for the hedge; a cancelled hedge has ended before the source goes on; a hedge's first event must follow; silent and refusing targets may be selected again; a hedge may be hedged as far as the route's attempts allow.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -222,16 +222,16 @@
 	var ctx context.Context
 	ctx, e.cancelAttempt = context.WithCancelCause(e.ctx)
 	e.uncounted = true
-	source := e.target
 	response, err := s.Upstream.Do(ctx, e.target.Address, e.request, attempt)
-	if e.settleHedge(err == nil && response.Success()) {
+	result := e.classify(response, err)
+	if h := e.settleHedge(result == attemptAnswered); h != nil {
 		if response != nil {
-			s.Availability.Observe(source, &response.ResponseHead)
 			response.Close()
 		}
+		s.Metrics.countAttempt(attemptResultLabels[result])
+		e.adopt(h)
 		return attemptAnswered
 	}
-	result := e.classify(response, err)
 	if e.waitedForLoad {
 		s.Network.RecordLoadWait(e.target.Zone, result == attemptTooEarly)
 		e.waitedForLoad = false
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -53,8 +53,6 @@
 	// streaming is set while the response is being forwarded after the handler
 	// returned.
 	streaming bool
-	// isHedge is set on the exchange of a hedge, which has no client.
-	isHedge bool
 
 	delivery
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -22,9 +22,12 @@
 			e.response.SetSilence(0, nil)
 		}
 		body, err := e.response.ReadAll()
-		if !e.settleHedge(err == nil) {
+		h := e.settleHedge(err == nil)
+		if h == nil {
 			return body, err
 		}
+		e.recordSilence()
+		e.adopt(h)
 	}
 	body := e.prefetched.body
 	e.prefetched = nil
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -81,10 +81,11 @@
 }
 
 // startHedge starts a hedge of the request, unless one is under way or no further
-// attempt is allowed. The goroutine that waits for the source calls it.
+// attempt is allowed. The goroutine that waits for the source calls it. The source may
+// itself be a hedge.
 func (e *exchange) startHedge() {
 	e.countPending()
-	if e.isHedge || e.hedgeUnderWay() || !e.mayRetry() {
+	if e.hedgeUnderWay() || !e.mayRetry() {
 		return
 	}
 	h := &hedge{exchange: e.cloneForHedge(), done: make(chan struct{})}
@@ -111,15 +112,14 @@
 	return false
 }
 
-// dropHedge forgets a hedge that has failed, except for the targets that failed it and
-// for an error response of one of them.
+// dropHedge forgets a hedge that has failed, except for an error response of its
+// target. Its targets may be selected again: they did not fail the source.
 func (e *exchange) dropHedge(h *hedge) {
 	e.hedge = nil
-	maps.Copy(e.excluded, h.exchange.excluded)
-	delete(e.excluded, e.target.ID)
 	if e.lastFailure == nil {
 		e.lastFailure = h.exchange.lastFailure
 	}
+	e.endHedge(hedgeOutcomeFailed)
 }
 
 // cloneForHedge returns an exchange for the same request that shares its progress and
@@ -127,7 +127,7 @@
 func (e *exchange) cloneForHedge() *exchange {
 	clone := &exchange{
 		server: e.server, request: e.request, startedAt: e.startedAt, configuration: e.configuration, route: e.route, service: e.service, software: e.software,
-		team: e.team, keyHash: e.keyHash, deadline: e.deadline, isHedge: true,
+		team: e.team, keyHash: e.keyHash, deadline: e.deadline,
 	}
 	clone.ctx, clone.cancel = context.WithCancelCause(e.ctx)
 	clone.progress, clone.lastEventID, clone.excluded = e.progress, e.lastEventID, maps.Clone(e.excluded)
@@ -159,54 +159,68 @@
 }
 
 // prefetch reads the part of the response that shows that the target goes on: the
-// first event of a stream, or the complete body of another response.
+// first event of a stream, or the complete body of another response. A hedge of this
+// exchange may have read it already.
 func (e *exchange) prefetch() *refusal.Error {
-	p := &prefetched{}
-	if e.route.Kind == deployment.Streaming && e.response.Success() {
-		p.reader = eventstream.NewReader(e.response)
-		p.event, p.err = p.reader.Next()
-		if p.err != nil && !errors.Is(p.err, io.EOF) {
-			return refusal.MayHaveRun(refusal.CodeBrokenStream, "the target broke the hedge off").WithCause(p.err)
-		}
-		e.prefetched = p
+	if e.prefetched != nil {
 		return nil
 	}
-	var err error
-	if p.body, err = e.response.ReadAll(); err != nil {
+	if e.route.Kind == deployment.Streaming && e.response.Success() {
+		return e.prefetchEvent()
+	}
+	body, err := e.readBody()
+	if err != nil {
 		return refusal.MayHaveRun(refusal.CodeMayHaveRun, "the target's answer broke off").WithCause(err)
 	}
 	if !e.response.Success() {
-		e.lastFailure = &bufferedResponse{ResponseHead: e.response.ResponseHead, body: p.body}
+		e.lastFailure = &bufferedResponse{ResponseHead: e.response.ResponseHead, body: body}
 		return refusal.MayHaveRun(refusal.CodeMayHaveRun, "the hedge's target failed with status %d", e.response.Status)
 	}
+	e.prefetched = &prefetched{body: body}
+	return nil
+}
+
+// prefetchEvent reads the first event. It must follow the last one that the client has.
+func (e *exchange) prefetchEvent() *refusal.Error {
+	p := &prefetched{reader: eventstream.NewReader(e.response)}
+	p.event, p.err = p.reader.Next()
+	if h := e.settleHedge(p.err == nil || errors.Is(p.err, io.EOF)); h != nil {
+		e.adopt(h)
+		return nil
+	}
+	if p.err != nil && !errors.Is(p.err, io.EOF) {
+		return refusal.MayHaveRun(refusal.CodeBrokenStream, "the target broke the hedge off").WithCause(p.err)
+	}
+	if p.event.ID != "" && !inOrder(e.lastEventID, p.event.ID) {
+		return refusal.MayHaveRun(refusal.CodeBrokenStream, "the hedge sent event id %s after %s", p.event.ID, e.lastEventID)
+	}
 	e.prefetched = p
 	return nil
 }
 
 // settleHedge decides, after a read of the source returned, whether the source or its
-// hedge provides what comes next. answered is set if the source can go on; otherwise
-// it waits for a hedge that is under way. It reports whether the hedge was adopted: the
-// hedge's response is then the exchange's, and the source has ended.
-func (e *exchange) settleHedge(answered bool) bool {
+// hedge provides what comes next. answered is set if the source can go on, or has
+// given its final answer; otherwise it waits for a hedge that is under way. It returns
+// the hedge if that one goes on; the caller adopts it.
+func (e *exchange) settleHedge(answered bool) *hedge {
 	h := e.hedge
 	if h == nil {
-		return false
+		return nil
 	}
 	if answered && h.state.CompareAndSwap(hedgePending, hedgeEnded) {
 		e.hedge = nil
 		h.exchange.cancel(errHedged)
+		// Whether the hedge was sent is known only when it has ended.
+		<-h.done
 		e.endHedge(hedgeOutcomeSlower)
-		return false
+		return nil
 	}
 	<-h.done
 	if h.refused != nil {
 		e.dropHedge(h)
-		e.endHedge(hedgeOutcomeFailed)
-		return false
+		return nil
 	}
-	e.endHedge(hedgeOutcomeWon)
-	e.adopt(h)
-	return true
+	return h
 }
 
 // The outcomes of a hedge, in the trace and in the metrics.
@@ -221,14 +235,21 @@
 	e.server.Metrics.countHedge(outcome)
 }
 
-// adopt makes the response of a hedge that won the exchange's response. The silent
-// target counts as failed.
-func (e *exchange) adopt(h *hedge) {
+// recordSilence records that the hedge of a silent target was faster. Idle connections
+// to the target may be as silent as the one that was awaited.
+func (e *exchange) recordSilence() {
 	e.server.Upstream.CloseIdleTo(e.target.Address)
 	e.recordTargetFailure(errHedged)
+}
+
+// adopt makes the response of a hedge that won the exchange's response. The source
+// may be selected again: it was silent, but may have gone on since.
+func (e *exchange) adopt(h *hedge) {
+	e.endHedge(hedgeOutcomeWon)
+	source, lastFailure := e.target.ID, e.lastFailure
 	e.tracked.end()
-	lastFailure := e.lastFailure
 	e.delivery = h.exchange.delivery
+	delete(e.excluded, source)
 	if e.lastFailure == nil {
 		e.lastFailure = lastFailure
 	}
@@ -238,7 +259,7 @@
 // armHedge lets a hedge of the current response start when its target is silent, as
 // far as the route allows another attempt.
 func (e *exchange) armHedge() {
-	if e.mayRetry() && !e.isHedge {
+	if e.mayRetry() {
 		e.response.SetSilence(e.silenceLimit(), e.startHedge)
 		return
 	}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -50,7 +50,7 @@
 			attempt.Priority = *e.team.Priority
 		}
 	}
-	if _, possibleRuns := e.counts(); possibleRuns+1 < e.route.MaxAttempts && !e.isHedge {
+	if _, possibleRuns := e.counts(); possibleRuns+1 < e.route.MaxAttempts {
 		attempt.Silence, attempt.OnSilence = e.silenceLimit(), e.startHedge
 	}
 	return attempt
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,11 +74,13 @@
 func (s *stream) readEvent() (eventstream.Event, error) {
 	if s.prefetched == nil {
 		event, err := s.reader.Next()
-		source := s.response
-		if !s.settleHedge(err == nil || errors.Is(err, io.EOF)) {
+		h := s.settleHedge(err == nil || errors.Is(err, io.EOF))
+		if h == nil {
 			return event, err
 		}
-		source.Close()
+		s.response.Close()
+		s.recordSilence()
+		s.adopt(h)
 		if s.events > 0 {
 			s.resumes++
 		}
