Log the requests in flight at the end of the drain

Cause: a shutdown that ended before its requests did left no trace: the log gave their number at the start of the shutdown only. Change: one line "drain ended" with the number of requests in flight and the time since the start of the shutdown. Result: TestShutdownLogsRequestsCutOff before: "0 lines on the end of the drain, want 1"; after: passes (4.0 s).

--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -325,6 +325,8 @@
 	if wait.Sleep(ctx, minDrainTime) == nil {
 		i.server.Drain(ctx)
 	}
+	i.Log.Info("drain ended", zap.String("instance", i.Settings.InstanceID), zap.Int("in_flight", i.server.InFlight()),
+		zap.Duration("after", clock.Since(now)))
 }
 
 // runMaintenance periodically closes connections to targets that were idle for too
