Make the shutdown margin a part of the grace

Cause: draining ended a whole second before the end of the grace. With a grace under 6 s that is more than its last sixth, so that streams which end before it were cut off. Change: the margin is an eighth of the grace, at most 1 s. The least grace that the settings accept stays at more than 1 s.

--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -319,7 +319,7 @@
 	i.shutdownStartedAt.Store(&now)
 	i.Log.Info("instance shutting down", zap.String("instance", i.Settings.InstanceID), zap.Int("underway", i.server.InFlight()))
 	stopLeasing()
-	ctx, cancel := context.WithTimeout(context.Background(), i.Settings.ShutdownGrace.Duration-shutdownMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), i.Settings.drainTimeout())
 	defer cancel()
 	i.network.AnnounceLeaving(ctx)
 	if wait.Sleep(ctx, minDrainTime) == nil {
--- a/internal/gatewayinstance/settings.go
+++ b/internal/gatewayinstance/settings.go
@@ -126,7 +126,7 @@
 	require(s.ConfigurationLimit.Duration > 0, "configuration_limit", "must be more than 0s")
 	require(s.TargetsLimit.Duration > 0, "targets_limit", "must be more than 0s")
 	require(s.OrderQuietTime.Duration >= 0, "order_quiet_time", "must not be negative")
-	require(s.ShutdownGrace.Duration > shutdownMargin, "shutdown_grace", fmt.Sprintf("must be more than %s", shutdownMargin))
+	require(s.ShutdownGrace.Duration > minShutdownGrace, "shutdown_grace", fmt.Sprintf("must be more than %s", minShutdownGrace))
 	require(s.AllowanceWindow.Duration > 0, "allowance_window", "must be more than 0s")
 	require(s.Retry.Ratio >= 0, "retry.ratio", "must not be negative")
 	require(s.Retry.Extra >= 0, "retry.extra", "must not be negative")
@@ -151,7 +151,16 @@
 	// keyMargin is how long before KeyLimit an instance that cannot confirm a key stops
 	// accepting it, since an accepted request still takes time to reach its target.
 	keyMargin = 500 * time.Millisecond
-	// shutdownMargin is the part of ShutdownGrace that draining leaves for ending the
-	// process before it is killed.
-	shutdownMargin = time.Second
+	// minShutdownGrace is the grace that ShutdownGrace must exceed.
+	minShutdownGrace = time.Second
+	// shutdownMarginFraction is the part of ShutdownGrace that draining leaves for
+	// ending the process before it is killed, maxShutdownMargin its upper bound.
+	shutdownMarginFraction = 1.0 / 8
+	maxShutdownMargin      = time.Second
 )
+
+// drainTimeout returns how long a shutdown may wait for the requests in flight.
+func (s *Settings) drainTimeout() time.Duration {
+	grace := s.ShutdownGrace.Duration
+	return grace - min(maxShutdownMargin, time.Duration(shutdownMarginFraction*float64(grace)))
+}
--- a/internal/gatewayinstance/shutdown_test.go
+++ b/internal/gatewayinstance/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -70,3 +71,30 @@
 		t.Errorf("%d requests in flight logged at the end of the drain, want 1", n)
 	}
 }
+
+// TestStreamsEndBeforeLastSixthOfGrace guards against a margin of the shutdown that is
+// too large a part of a short grace: a stream that ends after four fifths of the grace
+// and before its last sixth must not be cut off by the end of the process.
+func TestStreamsEndBeforeLastSixthOfGrace(t *testing.T) {
+	t.Parallel()
+	const streamDuration = 4080 * time.Millisecond
+	cluster := newShutdownCluster(t, streamDuration)
+	grace := cluster.instances[0].settings.ShutdownGrace.Duration
+	if streamDuration <= grace*4/5 || streamDuration >= grace*5/6 {
+		t.Fatalf("a stream of %s does not end within the last fifth and before the last sixth of %s", streamDuration, grace)
+	}
+	response := cluster.beginStream()
+	defer func() { _ = response.Body.Close() }()
+	began := time.Now()
+	cluster.instances[0].stopAndWait(t)
+	if elapsed := time.Since(began); elapsed >= grace {
+		t.Errorf("the instance stopped after %s, the grace is %s", elapsed, grace)
+	}
+	if n := cluster.inFlightAfterDrain(); n != 0 {
+		t.Errorf("%d streams were cut off at the end of the drain", n)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil || string(body) != streamBody(eventCount) {
+		t.Errorf("body %q, error %v", body, err)
+	}
+}
