Go on accepting after an accept error

Cause: fasthttp's Serve returns for good on an accept error that is not a timeout, for example EMFILE. The instance stayed ready and accepted no connection of a client any more. (The peers', readiness and metrics listeners are served by net/http, which retries such errors.) Change: the clients' listener retries Accept after a pause of 50 ms until it is closed, and logs the first error of a series and its end. Result: TestServeContinuesAfterAcceptError (EMFILE three times) before: "no response: i/o timeout", Serve returned "accept4: too many open files"; after: passes with -race.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -70,7 +70,8 @@
 	connections activeConnections
 }
 
-// Serve serves clients on a listener until the listener is closed.
+// Serve serves clients on a listener until the listener is closed. Connections that
+// cannot be accepted are logged and tried again.
 func (s *Server) Serve(listener net.Listener) error {
 	server := &fasthttp.Server{
 		Handler:                       s.handle,
@@ -85,7 +86,7 @@
 		DisableHeaderNamesNormalizing: true,
 		Logger:                        discardLogger{},
 	}
-	return server.Serve(listener)
+	return server.Serve(&retryingListener{Listener: listener, log: s.Log})
 }
 
 // discardLogger drops the log lines of the HTTP library: the gateway logs every
