Write no group again before its last write is read back

Cause: a real fault. While the outcome of a handover's write was unknown, each planning (every 250 ms) drained the owners of the group again for one more write and started new ones after all writes had failed. So the targets had no owner during each of these writes, and during those of the other groups of the same planning. With writes that take 800 ms to fail, targets had none for 5.6 s of a 10 s outage. TestUnansweredHandoverLeavesNoTargetWithoutOwner saw it when it counted the owners in the moment of a planning, which falls on the end of its wait. Change: the plan leaves out groups whose last write has an unknown outcome; confirmWrites reads them back first. Owners are reconciled as soon as a write has failed, not after the last write of the plan.

--- a/internal/instance/ownership.go
+++ b/internal/instance/ownership.go
@@ -149,7 +149,8 @@
 }
 
 // plan returns the moves to make now. There are none while the lease is not
-// valid or before the group records have been read.
+// valid or before the group records have been read, and none of groups whose last
+// write has an unknown outcome: another write would drain their owners again.
 func (w *Ownership) plan() []Move {
 	if !w.LeaseValid() {
 		return nil
@@ -159,13 +160,14 @@
 	if !w.synced {
 		return nil
 	}
-	return Plan(PlanInput{
+	moves := Plan(PlanInput{
 		Self:    w.Self,
 		Members: w.eligibleMembers(),
 		Groups:  w.zoneGroups(),
 		Settled: w.settled,
 		Dead:    w.Directory.Dead,
 	})
+	return slices.DeleteFunc(moves, func(m Move) bool { return w.unconfirmed[m.Group.Name] })
 }
 
 // settled reports whether a group has not moved within settleTime, or, while
--- a/internal/instance/ownership_groups.go
+++ b/internal/instance/ownership_groups.go
@@ -72,8 +72,9 @@
 
 // writeMove writes the group record of a move and, if this instance acquired the
 // group, reports that to the peers. A group that this instance hands over is
-// drained before the write. If the response is lost, the outcome is read back by
-// confirmWrites or received through the watch.
+// drained before the write and gets owners again as soon as the write fails. If the
+// response is lost, the outcome is read back by confirmWrites or received through the
+// watch.
 func (w *Ownership) writeMove(ctx context.Context, m Move) {
 	record := GroupRecord{
 		Holder:        m.To.ID,
@@ -93,6 +94,7 @@
 	if err != nil {
 		w.Log.Info("group_move_failed", zap.String("group", m.Group.Name), zap.Error(err))
 		w.recordMoveError(m.Group.Name, err)
+		w.reconcileOwners()
 		return
 	}
 	w.Log.Info("group_moved", zap.String("group", m.Group.Name), zap.String("to", m.To.ID), zap.Uint64("fencing_number", record.FencingNumber))
--- a/internal/instance/ownership_test.go
+++ b/internal/instance/ownership_test.go
@@ -22,31 +22,34 @@
 )
 
 // partitionedStore returns a store whose reads, writes and watches fail with an
-// unknown outcome while partitioned is set.
-func partitionedStore(store objectstore.Store, partitioned *atomic.Bool) objectstore.Store {
-	unavailable := objectstore.ErrUnavailable.New("cut")
+// unknown outcome after callTimeout while partitioned is set.
+func partitionedStore(store objectstore.Store, partitioned *atomic.Bool, callTimeout time.Duration) objectstore.Store {
+	fail := func() error {
+		time.Sleep(callTimeout)
+		return objectstore.ErrUnavailable.New("cut")
+	}
 	s := store
 	s.Get = func(ctx context.Context, key string) (objectstore.Object, error) {
 		if partitioned.Load() {
-			return objectstore.Object{}, unavailable
+			return objectstore.Object{}, fail()
 		}
 		return store.Get(ctx, key)
 	}
 	s.Put = func(ctx context.Context, key string, value []byte, ifVersion uint64) (uint64, error) {
 		if partitioned.Load() {
-			return 0, unavailable
+			return 0, fail()
 		}
 		return store.Put(ctx, key, value, ifVersion)
 	}
 	s.List = func(ctx context.Context, prefix string) (objectstore.Listing, error) {
 		if partitioned.Load() {
-			return objectstore.Listing{}, unavailable
+			return objectstore.Listing{}, fail()
 		}
 		return store.List(ctx, prefix)
 	}
 	s.Watch = func(ctx context.Context, prefix string, after uint64, wait time.Duration) (objectstore.Changes, error) {
 		if partitioned.Load() {
-			return objectstore.Changes{}, unavailable
+			return objectstore.Changes{}, fail()
 		}
 		return store.Watch(ctx, prefix, after, wait)
 	}
@@ -70,6 +73,8 @@
 	instance.Ownership
 	memory      objectstore.Memory
 	partitioned atomic.Bool
+	// callTimeout is how long a call to the unavailable store takes to fail.
+	callTimeout time.Duration
 
 	mu sync.Mutex
 	// authorities holds the authority function of each target's last owner.
@@ -78,7 +83,7 @@
 
 func (w *ownershipFixture) setUp() {
 	w.authorities = map[string]func(time.Time) target.Authority{}
-	store := partitionedStore(w.memory.Store(), &w.partitioned)
+	store := partitionedStore(w.memory.Store(), &w.partitioned, w.callTimeout)
 	w.memory.SetTargets(targetEntries(""))
 	w.Ownership = instance.Ownership{
 		Zone:         "a",
@@ -163,9 +168,10 @@
 }
 
 // startOwnership starts an instance and waits until it can have acquired all groups.
-func startOwnership(t *testing.T) (w *ownershipFixture, stop func()) {
+// Calls to its store take callTimeout to fail while the store is unavailable.
+func startOwnership(t *testing.T, callTimeout time.Duration) (w *ownershipFixture, stop func()) {
 	t.Helper()
-	w = &ownershipFixture{}
+	w = &ownershipFixture{callTimeout: callTimeout}
 	w.setUp()
 	if err := w.Directory.Refresh(t.Context()); err != nil {
 		t.Fatal(err)
@@ -186,7 +192,7 @@
 // platform becomes unavailable when groups should move to a new instance.
 func TestUnansweredHandoverLeavesNoTargetWithoutOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w, stop := startOwnership(t)
+		w, stop := startOwnership(t, 0)
 		if w.ownedTargets() != 8 || w.heldTargets() != 8 {
 			t.Errorf("%d of 8 targets owned, %d held at the start", w.ownedTargets(), w.heldTargets())
 		}
@@ -208,12 +214,46 @@
 	})
 }
 
+// TestUnansweredHandoverDrainsTargetsOnce guards against targets that have no owner
+// for most of an outage of the platform: while the outcome of a handover's write is
+// unknown, each planning drained the owners again for one more write, and they stayed
+// drained during the writes of the other groups.
+func TestUnansweredHandoverDrainsTargetsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			callTimeout = 800 * time.Millisecond
+			sampleEvery = 10 * time.Millisecond
+		)
+		w, stop := startOwnership(t, callTimeout)
+		w.addPeer(t)
+		w.partitioned.Store(true)
+		unowned := map[string]time.Duration{}
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(sampleEvery) {
+			for _, e := range targetEntries("") {
+				if _, ok := w.Owner(e.ID); !ok {
+					unowned[e.ID] += sampleEvery
+				}
+			}
+		}
+		if len(unowned) != 4 {
+			t.Errorf("%d of 8 targets drained, want the 4 of the 2 groups to hand over", len(unowned))
+		}
+		for id, duration := range unowned {
+			if duration > callTimeout+sampleEvery {
+				t.Errorf("%s had no owner for %s of 10s, want at most the %s of one write", id, duration, callTimeout)
+			}
+		}
+		w.partitioned.Store(false)
+		stop()
+	})
+}
+
 // TestLeavingTargetGetsNoNewRequests checks that a target has no owner for new
 // requests once the platform lists it as leaving, and that its draining owner
 // refuses requests.
 func TestLeavingTargetGetsNoNewRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w, stop := startOwnership(t)
+		w, stop := startOwnership(t, 0)
 		owner, ok := w.Owner("e3")
 		if !ok {
 			t.Fatal("the target has no owner at the start")
