Show what was logged when an adapter is not loaded on demand

Change: a failure of the test also prints the log lines of the request and those on orders, refused loads and the lease. What it checks is unchanged.

--- a/internal/gatewayinstance/cluster_test.go
+++ b/internal/gatewayinstance/cluster_test.go
@@ -242,3 +242,17 @@
 	}
 	return n
 }
+
+// loggedOnLoads returns what the instances logged on orders, on loads that were not
+// ordered and on the lease, with the time since the first line.
+func (c *testCluster) loggedOnLoads() string {
+	text := ""
+	entries := c.logs.All()
+	for _, entry := range entries {
+		switch entry.Message {
+		case "order sent", "adapter not loaded", "placement lease acquired", "placement lease lost", "lease renewal unanswered", "lease renewal failed":
+			text += fmt.Sprintf("\n%s %s %v", entry.Time.Sub(entries[0].Time).Round(time.Millisecond), entry.Message, entry.ContextMap())
+		}
+	}
+	return text
+}
--- a/internal/gatewayinstance/instance_test.go
+++ b/internal/gatewayinstance/instance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -48,10 +49,11 @@
 	cluster.waitFor("first adapter", func() bool {
 		return cluster.send(http.MethodPost, "/stream/", withAdapter("a1")).status == http.StatusOK
 	})
-	for _, name := range []string{"a2", "a3", "a4", "a5", "a6", "a7", "a8", "a1"} {
-		got := cluster.send(http.MethodPost, "/stream/", withAdapter(name))
+	for i, name := range []string{"a2", "a3", "a4", "a5", "a6", "a7", "a8", "a1"} {
+		id := fmt.Sprintf("%d-%s", i, name)
+		got := cluster.send(http.MethodPost, "/stream/", func(h http.Header) { withAdapter(name)(h); h.Set("Request-Id", id) })
 		if got.status != http.StatusOK || got.body != streamBody(eventCount) {
-			t.Errorf("%s: %d %q", name, got.status, got.body)
+			t.Errorf("%s: %d %q; logged: %s; on loads: %s", name, got.status, got.body, cluster.logged(id), cluster.loggedOnLoads())
 		}
 		// An adapter that was used a moment ago is not evicted.
 		time.Sleep(100 * time.Millisecond)
