--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -336,13 +336,15 @@
 	i.shutdownStartedAt.Store(&now)
 	i.Log.Info("instance shutting down", zap.String("instance", i.Settings.InstanceID), zap.Int("underway", i.server.InFlight()))
 	stopLeasing()
-	ctx, cancel := context.WithTimeout(context.Background(), i.Settings.ShutdownGrace.Duration-shutdownMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), i.Settings.drainTimeout())
 	defer cancel()
 	i.network.AnnounceLeaving(ctx)
 	i.network.ReplicateOrigins(ctx, i.versions.Several)
 	if wait.Sleep(ctx, minDrainTime) == nil {
 		i.server.Drain(ctx)
 	}
+	i.Log.Info("drain ended", zap.String("instance", i.Settings.InstanceID), zap.Int("in_flight", i.server.InFlight()),
+		zap.Duration("after", clock.Since(now)))
 }
 
 // runMaintenance periodically closes connections to targets that were idle for too
