--- a/internal/connection/http_client.go
+++ b/internal/connection/http_client.go
@@ -21,12 +21,18 @@
 	// Timeout bounds the time from the start of the request to the end of the
 	// response.
 	Timeout time.Duration
+	// ReadHeader names the header field whose value Response.Header gets; empty for
+	// none.
+	ReadHeader string
 }
 
 // Response is the response to a request.
 type Response struct {
 	Status int
 	Body   []byte
+	// Header is the value of the field that Request.ReadHeader names, empty if the
+	// response has none.
+	Header string
 }
 
 // HTTPClient sends short HTTP requests over pooled connections. Each request is
@@ -117,5 +123,9 @@
 		}
 		return Response{}, err
 	}
-	return Response{Status: httpResponse.StatusCode(), Body: append([]byte(nil), httpResponse.Body()...)}, nil
+	response := Response{Status: httpResponse.StatusCode(), Body: append([]byte(nil), httpResponse.Body()...)}
+	if request.ReadHeader != "" {
+		response.Header = string(httpResponse.Header.Peek(request.ReadHeader))
+	}
+	return response, nil
 }
