Order replicas of the store by generation and revision

Cause: a replica ignores every listing of a lower revision. After the store was restored from a copy it stays as it was, confirms nothing, and its follower lists and watches in turn without a pause; a watch from a revision that was given out again succeeds and misses what the copy lacks. Change: replicas compare positions, a newer generation replaces all objects, results of an older one and watches across a restore are not applied; the follower lists when any answer of the store showed a newer generation. The property test restores the store too, and fails when a watch may be answered in another generation than it was sent in.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -95,12 +95,13 @@
 	return f.CoveredByPeers != nil && !state.ConfirmedAt.IsZero() && f.CoveredByPeers(f.Now().Sub(state.ConfirmedAt))
 }
 
-// step sends one call to the store and applies its result: a list at first and
-// after the history needed by a watch was compacted, else a watch. It reports
+// step sends one call to the store and applies its result: a list at first, after
+// the history needed by a watch was compacted and when the store has been restored
+// from a copy since the replica was read, else a watch. It reports
 // whether the result has objects, even if the replica already held the same ones.
 func (f *Follower) step(ctx context.Context, listed *bool) (bool, error) {
-	sentAt := f.Now()
-	if !*listed {
+	sentAt, from := f.Now(), f.State().Position()
+	if !*listed || f.Store.Generation() > from.Generation {
 		page, err := f.Store.List(ctx, f.Kind, false)
 		if err != nil {
 			return false, err
@@ -110,15 +111,15 @@
 		f.update(func(r *Replica) bool { return r.ApplyList(page, sentAt) })
 		return true, nil
 	}
-	from, maxWait := f.State().Revision, f.MaxWatchWait
+	maxWait := f.MaxWatchWait
 	if f.storeUnavailable() {
 		// A longer watch would delay noticing that the store is available again.
 		maxWait = probeWatchWait
 	}
-	page, err := f.Store.Watch(ctx, f.Kind, from, maxWait)
+	page, err := f.Store.Watch(ctx, f.Kind, from.Revision, maxWait)
 	if platformstore.ErrCompacted.Has(err) {
 		*listed = false
-		f.Log.Info("watch history compacted, listing again", zap.String("kind", string(f.Kind)), zap.Uint64("revision", from))
+		f.Log.Info("watch history compacted, listing again", zap.String("kind", string(f.Kind)), zap.Uint64("revision", from.Revision))
 		return false, nil
 	}
 	if err != nil {
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -83,10 +83,10 @@
 	}
 	var watched, listed catalog.Replica
 	watched.ApplyList(platformstore.Page{Revision: 1, Objects: []platformstore.Object{object1(1, "a")}}, start)
-	if !watched.ApplyWatch(1, platformstore.Page{Revision: 2, Objects: []platformstore.Object{object1(2, "b")}}, start) {
+	if !watched.ApplyWatch(platformstore.Position{Revision: 1}, platformstore.Page{Revision: 2, Objects: []platformstore.Object{object1(2, "b")}}, start) {
 		t.Error("a new value is not reported as a change")
 	}
-	if watched.ApplyWatch(2, platformstore.Page{Revision: 5, Objects: []platformstore.Object{object1(4, "b")}}, start) {
+	if watched.ApplyWatch(platformstore.Position{Revision: 2}, platformstore.Page{Revision: 5, Objects: []platformstore.Object{object1(4, "b")}}, start) {
 		t.Error("the same value is reported as a change")
 	}
 	listed.ApplyList(platformstore.Page{Revision: 6, Objects: []platformstore.Object{object1(4, "b")}}, start.Add(time.Second))
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -16,8 +16,10 @@
 
 // State describes how current a replica is.
 type State struct {
-	// Revision is the store revision up to which the replica is complete.
-	Revision uint64
+	// Revision is the store revision up to which the replica is complete, Generation
+	// the store's generation of that revision.
+	Revision   uint64
+	Generation uint64
 	// ContentHash is a hash of the objects' names and values. Replicas with the same
 	// hash hold the same objects.
 	ContentHash uint64
@@ -26,9 +28,15 @@
 	ConfirmedAt time.Time
 }
 
+// Position returns the state of the store up to which the replica is complete.
+func (s State) Position() platformstore.Position {
+	return platformstore.Position{Generation: s.Generation, Revision: s.Revision}
+}
+
 // Replica holds a copy of all objects of one kind. It applies results of List and
 // Watch calls, and the replicas of peers, in any order, and never returns to an
-// older state. It is not safe for concurrent use.
+// older state: one of an earlier generation of the store, or of a lower revision of
+// the same generation. It is not safe for concurrent use.
 type Replica struct {
 	State
 	objects map[string]platformstore.Object
@@ -40,7 +48,7 @@
 // ApplyList replaces the objects by a complete listing whose read was sent at
 // sentAt, unless the replica is newer. It reports whether objects changed.
 func (r *Replica) ApplyList(page platformstore.Page, sentAt time.Time) bool {
-	if r.Known() && page.Revision < r.Revision {
+	if r.Known() && page.Position().Compare(r.Position()) < 0 {
 		return false
 	}
 	listed := make(map[string]platformstore.Object, len(page.Objects))
@@ -53,7 +61,7 @@
 	}
 	changed := !r.Known() || content != r.ContentHash
 	r.objects, r.ContentHash = listed, content
-	r.advance(page.Revision, sentAt)
+	r.advance(page.Position(), sentAt)
 	return changed
 }
 
@@ -68,17 +76,18 @@
 }
 
 // ApplyWatch applies the result of a watch that was sent at sentAt for the changes
-// after revision from. It ignores a result that leaves a gap after the replica's
-// revision or ends before it. It reports whether objects changed.
-func (r *Replica) ApplyWatch(from uint64, page platformstore.Page, sentAt time.Time) bool {
-	if !r.Known() || from > r.Revision || page.Revision < r.Revision {
+// after the position from. It ignores a result that leaves a gap after the replica's
+// position or ends before it, and one of another generation than from: revisions of
+// two generations have nothing in common. It reports whether objects changed.
+func (r *Replica) ApplyWatch(from platformstore.Position, page platformstore.Page, sentAt time.Time) bool {
+	if !r.Known() || from.Generation != page.Generation || from.Compare(r.Position()) > 0 || page.Position().Compare(r.Position()) < 0 {
 		return false
 	}
 	before := r.ContentHash
 	for _, o := range page.Objects {
 		r.applyObject(o)
 	}
-	r.advance(page.Revision, sentAt)
+	r.advance(page.Position(), sentAt)
 	return r.ContentHash != before
 }
 
@@ -102,22 +111,25 @@
 
 // Merge applies a peer's replica. complete is set when the peer sent its objects;
 // it leaves them out when this replica already has the same ones or newer ones.
-// Even then the peer's revision and confirmation apply, if the contents are equal.
+// Even then the peer's position and confirmation apply, if the contents are equal and
+// the peer's generation is not an older one.
 // It reports whether objects changed.
 func (r *Replica) Merge(peer State, complete bool, objects []platformstore.Object) bool {
 	switch {
-	case complete && (!r.Known() || peer.Revision > r.Revision):
-		return r.ApplyList(platformstore.Page{Objects: objects, Revision: peer.Revision}, peer.ConfirmedAt)
-	case r.Known() && peer.ContentHash == r.ContentHash:
-		r.advance(peer.Revision, peer.ConfirmedAt)
+	case complete && (!r.Known() || peer.Position().Compare(r.Position()) > 0):
+		return r.ApplyList(platformstore.Page{Objects: objects, Revision: peer.Revision, Generation: peer.Generation}, peer.ConfirmedAt)
+	case r.Known() && peer.ContentHash == r.ContentHash && peer.Generation >= r.Generation:
+		r.advance(peer.Position(), peer.ConfirmedAt)
 	}
 	return false
 }
 
-// advance records that the replica is complete up to a revision, as confirmed by a
+// advance records that the replica is complete up to a position, as confirmed by a
 // read sent at confirmedAt. Neither value goes back.
-func (r *Replica) advance(revision uint64, confirmedAt time.Time) {
-	r.Revision = max(r.Revision, revision)
+func (r *Replica) advance(position platformstore.Position, confirmedAt time.Time) {
+	if position.Compare(r.Position()) > 0 {
+		r.Generation, r.Revision = position.Generation, position.Revision
+	}
 	if confirmedAt.After(r.ConfirmedAt) {
 		r.ConfirmedAt = confirmedAt
 	}
--- a/internal/catalog/replica_test.go
+++ b/internal/catalog/replica_test.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
-	"strconv"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,16 +16,37 @@
 
 var start = time.Unix(1000, 0)
 
-// modelStore models a store with one kind of objects and its complete history.
+// modelStore models a store with one kind of objects and its complete history, and
+// keeps the histories that it had before each restore.
 type modelStore struct {
-	revision uint64
-	objects  map[string]platformstore.Object
-	history  []platformstore.Object
+	revision  uint64
+	objects   map[string]platformstore.Object
+	history   []platformstore.Object
+	histories [][]platformstore.Object
+}
+
+func (s *modelStore) generation() uint64 { return uint64(len(s.histories)) }
+
+// restore brings the store back to an earlier revision. Later revisions are given out
+// again.
+func (s *modelStore) restore(revision uint64) {
+	s.histories = append(s.histories, s.history)
+	kept := slices.IndexFunc(s.history, func(o platformstore.Object) bool { return o.Revision > revision })
+	if kept < 0 {
+		kept = len(s.history)
+	}
+	s.history = slices.Clone(s.history[:kept])
+	s.revision, s.objects = revision, map[string]platformstore.Object{}
+	for _, o := range s.history {
+		if s.objects[o.Name] = o; o.Deleted {
+			delete(s.objects, o.Name)
+		}
+	}
 }
 
 func (s *modelStore) put(name string) {
 	s.revision++
-	o := platformstore.Object{Name: name, Revision: s.revision, Value: json.RawMessage(strconv.FormatUint(s.revision, 10))}
+	o := platformstore.Object{Name: name, Revision: s.revision, Value: json.RawMessage(fmt.Sprintf("%d/%d", s.generation(), s.revision))}
 	s.objects[name] = o
 	s.history = append(s.history, o)
 }
@@ -40,7 +61,7 @@
 }
 
 func (s *modelStore) list() platformstore.Page {
-	page := platformstore.Page{Revision: s.revision}
+	page := platformstore.Page{Revision: s.revision, Generation: s.generation()}
 	for o := range maps.Values(s.objects) {
 		page.Objects = append(page.Objects, o)
 	}
@@ -49,7 +70,7 @@
 
 // watch returns the changes after one revision, up to and including another.
 func (s *modelStore) watch(after, upTo uint64) platformstore.Page {
-	page := platformstore.Page{Revision: upTo}
+	page := platformstore.Page{Revision: upTo, Generation: s.generation()}
 	for _, o := range s.history {
 		if o.Revision > after && o.Revision <= upTo {
 			page.Objects = append(page.Objects, o)
@@ -58,16 +79,19 @@
 	return page
 }
 
-// at returns the objects that existed at a revision, by name, with their revisions.
-func (s *modelStore) at(revision uint64) map[string]uint64 {
-	state := map[string]uint64{}
-	for _, o := range s.history {
+// at returns the objects that existed at a position, by name, with their values.
+func (s *modelStore) at(position platformstore.Position) map[string]string {
+	state, history := map[string]string{}, s.history
+	if position.Generation < s.generation() {
+		history = s.histories[position.Generation]
+	}
+	for _, o := range history {
 		switch {
-		case o.Revision > revision:
+		case o.Revision > position.Revision:
 		case o.Deleted:
 			delete(state, o.Name)
 		default:
-			state[o.Name] = o.Revision
+			state[o.Name] = string(o.Value)
 		}
 	}
 	return state
@@ -76,22 +100,23 @@
 // response is a response of the store that has not been delivered yet.
 type response struct {
 	page   platformstore.Page
-	from   uint64
+	from   platformstore.Position
 	listed bool
 	sentAt time.Time
 }
 
-// TestReplicaMatchesStoreAtItsRevision delivers the results of lists and watches,
-// and the replicas of peers, late and in any order. A replica must always equal the
-// store at its revision and never go back. ConfirmedAt, which must not be later
+// TestReplicaMatchesStoreAtItsPosition delivers the results of lists and watches,
+// and the replicas of peers, late and in any order, while the store is at times
+// restored from an older copy. A replica must always equal the store at its position
+// and never go back. ConfirmedAt, which must not be later
 // than the state that the replica holds, is not checked.
-func TestReplicaMatchesStoreAtItsRevision(t *testing.T) {
+func TestReplicaMatchesStoreAtItsPosition(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := &modelStore{objects: map[string]platformstore.Object{}}
 		replicas := []*catalog.Replica{{}, {}}
 		var responses []response
 		now := start
-		lastRevision := []uint64{0, 0}
+		lastPosition := make([]platformstore.Position, 2)
 		drawIndex := func(t *rapid.T) int { return rapid.IntRange(0, 1).Draw(t, "replica") }
 		t.Repeat(map[string]func(*rapid.T){
 			"change": func(t *rapid.T) {
@@ -103,14 +128,20 @@
 				}
 				now = now.Add(time.Second)
 			},
+			"restore": func(t *rapid.T) {
+				store.restore(rapid.Uint64Range(0, store.revision).Draw(t, "copy"))
+			},
 			"call": func(t *rapid.T) {
 				r := replicas[drawIndex(t)]
 				if !r.Known() || rapid.Bool().Draw(t, "list") {
 					responses = append(responses, response{page: store.list(), listed: true, sentAt: now})
 					return
 				}
-				upTo := rapid.Uint64Range(r.Revision, max(store.revision, r.Revision)).Draw(t, "up to")
-				responses = append(responses, response{page: store.watch(r.Revision, upTo), from: r.Revision, sentAt: now})
+				if r.Revision > store.revision {
+					return // the store refuses the watch
+				}
+				upTo := rapid.Uint64Range(r.Revision, store.revision).Draw(t, "up to")
+				responses = append(responses, response{page: store.watch(r.Revision, upTo), from: r.Position(), sentAt: now})
 			},
 			"deliver": func(t *rapid.T) {
 				if len(responses) == 0 {
@@ -135,16 +166,16 @@
 					if !r.Known() {
 						continue
 					}
-					if r.Revision < lastRevision[i] {
-						t.Fatalf("replica %d went back from %d to %d", i, lastRevision[i], r.Revision)
+					if r.Position().Compare(lastPosition[i]) < 0 {
+						t.Fatalf("replica %d went back from %+v to %+v", i, lastPosition[i], r.Position())
 					}
-					lastRevision[i] = r.Revision
-					have := map[string]uint64{}
+					lastPosition[i] = r.Position()
+					have := map[string]string{}
 					for _, o := range r.Objects() {
-						have[o.Name] = o.Revision
+						have[o.Name] = string(o.Value)
 					}
-					if want := store.at(r.Revision); !maps.Equal(have, want) {
-						t.Fatalf("replica %d at %d holds %v, the store held %v", i, r.Revision, have, want)
+					if want := store.at(r.Position()); !maps.Equal(have, want) {
+						t.Fatalf("replica %d at %+v holds %v, the store held %v", i, r.Position(), have, want)
 					}
 				}
 			},
