Exchange the store's generation with the replicas of peers

Cause: an instance that reads the store through peers ignores their replicas after the store was restored from a copy, since the revisions are lower. Change: BeliefState has a field generation (5); replicas are compared and sent by position.

--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -204,7 +204,7 @@
 }
 
 func replicaStateMessage(kind platformstore.Kind, s catalog.State, now time.Time) *v1.BeliefState {
-	m := &v1.BeliefState{Kind: string(kind), Position: s.Revision, Content: s.ContentHash, ConfirmedAgeMs: -1}
+	m := &v1.BeliefState{Kind: string(kind), Generation: s.Generation, Position: s.Revision, Content: s.ContentHash, ConfirmedAgeMs: -1}
 	if !s.ConfirmedAt.IsZero() {
 		// Rounded up, so that the age is never understated.
 		m.ConfirmedAgeMs = now.Sub(s.ConfirmedAt).Milliseconds() + 1
@@ -213,7 +213,7 @@
 }
 
 func replicaStateFrom(m *v1.BeliefState, sentAt time.Time) catalog.State {
-	s := catalog.State{Revision: m.GetPosition(), ContentHash: m.GetContent()}
+	s := catalog.State{Generation: m.GetGeneration(), Revision: m.GetPosition(), ContentHash: m.GetContent()}
 	if m.GetConfirmedAgeMs() >= 0 {
 		s.ConfirmedAt = sentAt.Add(-time.Duration(m.GetConfirmedAgeMs()) * time.Millisecond)
 	}
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -15,12 +15,15 @@
 	"heatherrelay/internal/inflight"
 	"heatherrelay/internal/peer"
 	"heatherrelay/internal/placement"
+	"heatherrelay/internal/platformstore"
 	"heatherrelay/internal/quota"
 )
 
 const (
 	testTarget = deployment.TargetID("engine-1")
 	waitLimit  = 15 * time.Second
+	// testKind is the kind of the objects in the replicas of configurations.
+	testKind = platformstore.Kind("config")
 )
 
 var (
@@ -73,7 +76,7 @@
 		Self:        self,
 		Incarnation: self.ID + "-1",
 		Seeds:       []netip.AddrPort{seed},
-		Catalog:     &catalog.Catalog{Now: time.Now, Log: zap.NewNop()},
+		Catalog:     &catalog.Catalog{Kinds: catalog.Kinds{Configuration: testKind}, Now: time.Now, Log: zap.NewNop()},
 		Tracker:     &inflight.Tracker{},
 		Directory:   directory,
 		Holder:      &placement.Holder{Zone: self.Zone, Lease: &placement.Lease{Now: time.Now}, Now: time.Now, Log: zap.NewNop()},
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -88,13 +88,14 @@
 
 // newerReplica returns this instance's replica of one kind; nil if no read of
 // the store ever confirmed it. The objects are left out if the receiver's replica
-// has the same content or a revision that is not lower.
+// has the same content or a position that is not before this one's.
 func newerReplica(known *v1.BeliefState, f *catalog.Follower, n *Network) *v1.Belief {
 	state := f.State()
 	if state.ConfirmedAt.IsZero() {
 		return nil
 	}
-	if state.ContentHash == known.GetContent() || state.Revision <= known.GetPosition() {
+	position := platformstore.Position{Generation: known.GetGeneration(), Revision: known.GetPosition()}
+	if state.ContentHash == known.GetContent() || state.Position().Compare(position) <= 0 {
 		return &v1.Belief{State: replicaStateMessage(f.Kind, state, n.Now())}
 	}
 	state, objects := f.Snapshot()
