Keep the newer configuration over a restored copy

Cause: after the store was restored from a copy an instance makes the copy's older configuration active: dropped routes and withdrawn keys are served again, and the read of the copy confirms keys whose withdrawal it may lack. Change: a configuration of a lower version than the active one is not applied. The age of the configuration counts from the last read before the restore until the store's version is at least the active one, and for 2 s in any case. Before: regress_test.go:69: version 3 is active after the restore, want 5 regress_test.go:72: a withdrawn key is accepted after the restore regress_test.go:97: age 0s at the first listing after a restore, want 500ms regress_test.go:100: age 0s a second after a restore, want 1.5s regress_test.go:107: age 0s four seconds after a restore, want 4.5s After: go test -race ./internal/catalog passes; so did gatewayinstance and peer.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -36,6 +36,9 @@
 	// relistGrace is how long after an outage of the store a running target may take
 	// to be listed again.
 	relistGrace = 2 * time.Second
+	// rewriteGrace is how long after a restore of the store from a copy the operator
+	// may take to write again what the copy lacks.
+	rewriteGrace = 2 * time.Second
 )
 
 // Kinds names the kinds under which the store holds the deployment's objects.
@@ -82,8 +85,11 @@
 	versionsFollower      Follower
 
 	activeConfiguration atomic.Pointer[deployment.Configuration]
-	versionByName       atomic.Pointer[map[deployment.AdapterName]uint64]
-	targetByID          atomic.Pointer[map[deployment.TargetID]deployment.Target]
+	// storeIsBehind is set while the store has an older version of the configuration
+	// than the active one, or none.
+	storeIsBehind atomic.Bool
+	versionByName atomic.Pointer[map[deployment.AdapterName]uint64]
+	targetByID    atomic.Pointer[map[deployment.TargetID]deployment.Target]
 
 	// unlisted holds the targets that are missing from the store after an outage and
 	// are retained for now. Only applyTargets uses it, which never runs concurrently.
@@ -137,11 +143,16 @@
 func (c *Catalog) Configuration() *deployment.Configuration { return c.activeConfiguration.Load() }
 
 // ConfigurationAge returns the time since a read of the store, by this instance or
-// a peer, last confirmed the configuration. It returns false if there was none.
+// a peer, last confirmed the configuration. It returns false if there was none. Reads
+// of a store that was restored from a copy confirm nothing until the operator has
+// written again: the copy may lack the withdrawal of a key.
 func (c *Catalog) ConfigurationAge() (time.Duration, bool) {
 	c.init()
-	at := c.configurationFollower.State().ConfirmedAt
-	return c.Now().Sub(at), !at.IsZero()
+	now, at := c.Now(), c.configurationFollower.State().ConfirmedAt
+	if restore := c.configurationFollower.LastRestore(); !restore.At.IsZero() && (c.storeIsBehind.Load() || !restore.settled(now)) {
+		at = restore.ConfirmedBefore
+	}
+	return now.Sub(at), !at.IsZero()
 }
 
 // NewestVersion returns the newest announced version of an adapter, or zero if none
@@ -158,8 +169,12 @@
 }
 
 // applyConfiguration makes the stored configuration the active one. If it cannot be
-// decoded, the previous one stays active.
+// decoded or is older, as in a store that was restored from a copy, the previous one
+// stays active.
 func (c *Catalog) applyConfiguration(objects []platformstore.Object) {
+	active := c.activeConfiguration.Load()
+	behind := active != nil
+	defer func() { c.storeIsBehind.Store(behind) }()
 	for _, o := range objects {
 		if o.Name != c.Kinds.ConfigurationName {
 			continue
@@ -169,6 +184,12 @@
 			c.Log.Error("configuration cannot be decoded, the previous one stays active", zap.Uint64("revision", o.Revision), zap.Error(err))
 			continue
 		}
+		if active != nil && configuration.Version < active.Version {
+			c.Log.Warn("stored configuration is older than the active one, which stays", zap.Uint64("version", configuration.Version),
+				zap.Uint64("active", active.Version), zap.Uint64("revision", o.Revision))
+			continue
+		}
+		behind = false
 		c.activeConfiguration.Store(configuration)
 		c.Log.Info("configuration is active", zap.Uint64("version", configuration.Version), zap.Uint64("revision", o.Revision),
 			zap.Int("routes", len(configuration.Routes)), zap.Int("teams", len(configuration.Teams)), zap.Int("keys", len(configuration.TeamByKey)))
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -58,8 +58,22 @@
 	// answered this instance or a peer again.
 	regainedAt     time.Time
 	lastCallFailed bool
+	lastRestore    Restore
 }
 
+// Restore describes how a replica came from one generation of the store to a newer one.
+type Restore struct {
+	// At is when the replica got its first state of the newer generation; zero if the
+	// store was not restored.
+	At time.Time
+	// ConfirmedBefore is when the replica was last confirmed in the older generation,
+	// or in the one before it if that restore was less than rewriteGrace ago.
+	ConfirmedBefore time.Time
+}
+
+// settled reports whether the operator had time to write again what the copy lacks.
+func (r Restore) settled(now time.Time) bool { return !now.Before(r.At.Add(rewriteGrace)) }
+
 // Run lists and watches the store until ctx ends, except while peers keep the
 // replica current.
 func (f *Follower) Run(ctx context.Context) {
@@ -195,17 +209,21 @@
 	f.OnChange(objects)
 }
 
-// update applies a change to the replica and reports it to OnChange. A long time
-// between the confirmations before and after it counts as an outage of the store.
+// LastRestore returns the last restore of the store that the replica went through.
+func (f *Follower) LastRestore() Restore {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastRestore
+}
+
+// update applies a change to the replica and reports it to OnChange.
 func (f *Follower) update(change func(*Replica) bool) {
 	f.notifyMu.Lock()
 	defer f.notifyMu.Unlock()
 	f.mu.Lock()
-	before := f.replica.ConfirmedAt
+	before := f.replica.State
 	changed := change(&f.replica)
-	if !before.IsZero() && f.isOutage(f.replica.ConfirmedAt.Sub(before)) {
-		f.regainedAt = f.Now()
-	}
+	f.recordProgress(before)
 	var objects []platformstore.Object
 	var state State
 	if changed {
@@ -219,6 +237,26 @@
 	}
 }
 
+// recordProgress records the end of an outage of the store and a restore from a copy,
+// if the replica came through one since the given state. A long time between two
+// confirmations counts as an outage, and so does a restore, since the entries of
+// running targets may be missing after it. The caller holds mu.
+func (f *Follower) recordProgress(before State) {
+	if before.ConfirmedAt.IsZero() {
+		return
+	}
+	restored := f.replica.Generation > before.Generation
+	if restored {
+		if f.lastRestore.settled(f.Now()) {
+			f.lastRestore.ConfirmedBefore = before.ConfirmedAt
+		}
+		f.lastRestore.At = f.Now()
+	}
+	if restored || f.isOutage(f.replica.ConfirmedAt.Sub(before.ConfirmedAt)) {
+		f.regainedAt = f.Now()
+	}
+}
+
 // recordCall records whether a call to the store succeeded, and logs when the store
 // becomes unavailable and when it is available again.
 func (f *Follower) recordCall(err error) {
--- /dev/null
+++ b/internal/catalog/regress_test.go
@@ -0,0 +1,129 @@
+package catalog_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/catalog"
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/platformstore"
+	"heatherrelay/platform"
+)
+
+// restoredCatalog is a catalog whose replicas and clock a test sets.
+type restoredCatalog struct {
+	*catalog.Catalog
+	now      time.Time
+	revision uint64
+}
+
+func newRestoredCatalog() *restoredCatalog {
+	c := &restoredCatalog{now: start}
+	c.Catalog = &catalog.Catalog{
+		Kinds:               catalog.Kinds{Configuration: "config", Targets: "targets", Versions: "versions", ConfigurationName: "main"},
+		DecodeConfiguration: platform.DecodeConfiguration,
+		DecodeTarget:        platform.DecodeTarget,
+		DecodeVersion:       platform.DecodeVersion,
+		ConfigurationLimit:  2 * time.Second,
+		TargetsLimit:        2 * time.Second,
+		Now:                 func() time.Time { return c.now },
+		Log:                 zap.NewNop(),
+	}
+	return c
+}
+
+// list applies a listing of a kind in a generation of the store. The objects alternate
+// between names and values.
+func (c *restoredCatalog) list(kind platformstore.Kind, generation uint64, namesAndValues ...string) {
+	c.revision++
+	var objects []platformstore.Object
+	for i := 0; i < len(namesAndValues); i += 2 {
+		objects = append(objects, platformstore.Object{Name: namesAndValues[i], Revision: c.revision, Value: json.RawMessage(namesAndValues[i+1])})
+	}
+	state := catalog.State{Generation: generation, Revision: c.revision, ConfirmedAt: c.now}
+	c.Followers()[kind].Merge(state, true, objects)
+}
+
+// restore makes the store give out revisions again that it gave out before.
+func (c *restoredCatalog) restore() { c.revision = 0 }
+
+// configuration returns a configuration object with the keys of one team.
+func configuration(version int, keys string) string {
+	return fmt.Sprintf(`{"version":%d,"tenants":[{"name":"roads","api-keys":[%s]}]}`, version, keys)
+}
+
+// TestRestoredConfigurationDoesNotReplaceNewerOne guards against an instance that goes
+// back to an older version of the configuration, and so accepts a withdrawn key, until
+// the operator has written its newest one again.
+func TestRestoredConfigurationDoesNotReplaceNewerOne(t *testing.T) {
+	c := newRestoredCatalog()
+	c.list("config", 1, "main", configuration(3, `"withdrawn","kept"`))
+	c.list("config", 1, "main", configuration(5, `"kept"`))
+	c.restore()
+	c.list("config", 2, "main", configuration(3, `"withdrawn","kept"`))
+	if version := c.Configuration().Version; version != 5 {
+		t.Errorf("version %d is active after the restore, want 5", version)
+	}
+	if _, ok := c.Configuration().TeamByKey[deployment.HashKey([]byte("withdrawn"))]; ok {
+		t.Error("a withdrawn key is accepted after the restore")
+	}
+	c.list("config", 2, "main", configuration(7, `"kept"`))
+	if version := c.Configuration().Version; version != 7 {
+		t.Errorf("version %d is active after the operator's write, want 7", version)
+	}
+}
+
+// TestRestoredConfigurationConfirmsNoKeys guards against a key whose withdrawal the
+// restored copy lacks and that is accepted for a whole new term, because the copy was
+// read: it must count as unconfirmed until the operator had time to write again, and
+// as long as the copy is older than the configuration in force.
+func TestRestoredConfigurationConfirmsNoKeys(t *testing.T) {
+	for name, stored := range map[string]int{"older copy": 3, "same version": 5} {
+		t.Run(name, func(t *testing.T) {
+			c := newRestoredCatalog()
+			c.list("config", 1, "main", configuration(5, `"kept"`))
+			ageAfter := func(d time.Duration) time.Duration {
+				c.now = c.now.Add(d)
+				c.list("config", 2, "main", configuration(stored, `"kept"`))
+				age, _ := c.ConfigurationAge()
+				return age
+			}
+			c.restore()
+			if age := ageAfter(500 * time.Millisecond); age != 500*time.Millisecond {
+				t.Errorf("age %s at the first listing after a restore, want 500ms", age)
+			}
+			if age := ageAfter(time.Second); age != 1500*time.Millisecond {
+				t.Errorf("age %s a second after a restore, want 1.5s", age)
+			}
+			want := time.Duration(0)
+			if stored < 5 {
+				want = 4500 * time.Millisecond
+			}
+			if age := ageAfter(3 * time.Second); age != want {
+				t.Errorf("age %s four seconds after a restore, want %s", age, want)
+			}
+			c.list("config", 2, "main", configuration(5, `"kept"`))
+			if age, _ := c.ConfigurationAge(); age != 0 {
+				t.Errorf("age %s after the operator's write", age)
+			}
+		})
+	}
+}
+
+// TestSecondRestoreConfirmsNoKeys guards against a second restore right after the first
+// one that takes the reads in between for confirmations.
+func TestSecondRestoreConfirmsNoKeys(t *testing.T) {
+	c := newRestoredCatalog()
+	for generation := range uint64(3) {
+		c.restore()
+		c.list("config", generation+1, "main", configuration(5, `"kept"`))
+		c.now = c.now.Add(time.Second)
+	}
+	if age, _ := c.ConfigurationAge(); age != 3*time.Second {
+		t.Errorf("age %s, want the three seconds since the last read before the first restore", age)
+	}
+}
