Keep targets and adapter versions over a restored copy

Cause: after the store was restored from a copy, targets that drained are ready again, targets that were removed are used again, and announced adapter versions go back or vanish. Change: a process that drained stays draining; one that was removed in the last minute stays removed for 10 s after the restore; versions never go back.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,9 +34,6 @@
 	// not confirmed its replica reads the store itself. The rest of the limit is left
 	// for applying the change.
 	ownReadFraction = 0.8
-	// relistGrace is how long after an outage of the store a running target may take
-	// to be listed again.
-	relistGrace = 2 * time.Second
 	// rewriteGrace is how long after a restore of the store from a copy the operator
 	// may take to write again what the copy lacks.
 	rewriteGrace = 2 * time.Second
@@ -92,8 +90,10 @@
 	targetByID    atomic.Pointer[map[deployment.TargetID]deployment.Target]
 
 	// unlisted holds the targets that are missing from the store after an outage and
-	// are retained for now. Only applyTargets uses it, which never runs concurrently.
+	// are retained for now, leaving those that drain or were removed. Only applyTargets
+	// uses them, which never runs concurrently.
 	unlisted map[deployment.TargetID]bool
+	leaving  map[deployment.TargetID]leavingTarget
 }
 
 func (c *Catalog) init() {
@@ -107,6 +107,7 @@
 		c.versionByName.Store(&map[deployment.AdapterName]uint64{})
 		c.targetByID.Store(&map[deployment.TargetID]deployment.Target{})
 		c.unlisted = map[deployment.TargetID]bool{}
+		c.leaving = map[deployment.TargetID]leavingTarget{}
 	})
 }
 
@@ -196,9 +197,10 @@
 	}
 }
 
-// applyVersions stores the newest announced version of each adapter.
+// applyVersions stores the newest announced version of each adapter. Versions never go
+// back: a store that was restored from a copy may lack the last announcements.
 func (c *Catalog) applyVersions(objects []platformstore.Object) {
-	versions := map[deployment.AdapterName]uint64{}
+	versions := maps.Clone(*c.versionByName.Load())
 	for _, o := range objects {
 		v, err := c.DecodeVersion(o.Name, o.Value)
 		if err != nil {
@@ -211,46 +213,3 @@
 	}
 	c.versionByName.Store(&versions)
 }
-
-// applyTargets replaces the targets by the listed ones and those that are retained.
-func (c *Catalog) applyTargets(objects []platformstore.Object) {
-	listed := make(map[deployment.TargetID]deployment.Target, len(objects))
-	for _, o := range objects {
-		t, err := c.DecodeTarget(o.Name, o.Value)
-		if err != nil {
-			c.Log.Warn("target entry cannot be decoded, skipped", zap.String("name", o.Name), zap.Error(err))
-			continue
-		}
-		listed[t.ID] = t
-	}
-	c.retainUnlisted(listed)
-	c.targetByID.Store(&listed)
-	if c.OnTargetsChange != nil {
-		c.OnTargetsChange(listed)
-	}
-}
-
-// retainUnlisted adds to the listed targets those that went missing around an
-// outage of the store, until they had time to be listed again: the entry of a
-// running target can lapse while the store is unavailable.
-func (c *Catalog) retainUnlisted(listed map[deployment.TargetID]deployment.Target) {
-	now := c.Now()
-	retainUntil := c.targetsFollower.RegainedAt().Add(relistGrace)
-	for id, t := range *c.targetByID.Load() {
-		if _, ok := listed[id]; ok {
-			delete(c.unlisted, id)
-			continue
-		}
-		if t.Draining || !now.Before(retainUntil) {
-			c.Log.Info("target removed", zap.String("target", string(id)))
-			continue
-		}
-		listed[id] = t
-		if !c.unlisted[id] {
-			c.Log.Info("target not listed after an outage of the store, retained for now", zap.String("target", string(id)))
-			// Drops the target when the grace ends, unless it was listed again.
-			time.AfterFunc(retainUntil.Sub(now), c.targetsFollower.Renotify)
-		}
-		c.unlisted[id] = true
-	}
-}
--- a/internal/catalog/regress_test.go
+++ b/internal/catalog/regress_test.go
@@ -127,3 +127,103 @@
 		t.Errorf("age %s, want the three seconds since the last read before the first restore", age)
 	}
 }
+
+// target returns a target's entry.
+func target(state string, born int) string {
+	return fmt.Sprintf(`{"service":"s","address":"10.0.0.1:80","zone":"z","state":%q,"born":%d}`, state, born)
+}
+
+// TestTargetsMissingInCopyAreRetained guards against a running target that is dropped
+// because the restored copy is older than its entry, and checks that one that is not
+// written again in time is dropped.
+func TestTargetsMissingInCopyAreRetained(t *testing.T) {
+	c := newRestoredCatalog()
+	c.list("targets", 1, "t1", target("ready", 1))
+	c.list("targets", 1, "t1", target("ready", 1), "t2", target("ready", 1))
+	c.restore()
+	c.now = c.now.Add(300 * time.Millisecond)
+	c.list("targets", 2, "t1", target("ready", 1))
+	if len(c.Targets()) != 2 {
+		t.Errorf("targets right after the restore: %v", c.Targets())
+	}
+	c.now = c.now.Add(2 * time.Second)
+	c.list("targets", 2, "t1", target("ready", 2))
+	if _, ok := c.Targets()["t2"]; ok {
+		t.Error("a target that is still missing two seconds after the restore is used")
+	}
+}
+
+// TestDrainingTargetStaysDraining guards against a target that gets requests again
+// because the restored copy has it as ready. A process that starts again under its
+// name is another one.
+func TestDrainingTargetStaysDraining(t *testing.T) {
+	c := newRestoredCatalog()
+	c.list("targets", 1, "t1", target("draining", 1))
+	c.restore()
+	for range 2 {
+		c.list("targets", 2, "t1", target("ready", 1))
+		if !c.Targets()["t1"].Draining {
+			t.Fatal("a draining target is ready after the restore")
+		}
+	}
+	c.list("targets", 2, "t1", target("ready", 2))
+	if c.Targets()["t1"].Draining {
+		t.Error("a target that was started again counts as draining")
+	}
+}
+
+// TestRemovedTargetStaysRemoved guards against a target that left and gets requests
+// again because the restored copy still has its entry; and against one that runs and is
+// not used again although it was started again, or its entry has stayed for longer than
+// the store keeps entries that are not renewed.
+func TestRemovedTargetStaysRemoved(t *testing.T) {
+	for name, test := range map[string]struct {
+		born  int
+		after time.Duration
+		used  bool
+	}{
+		"same entry":       {1, 5 * time.Second, false},
+		"started again":    {2, 0, true},
+		"entry has stayed": {1, 10 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newRestoredCatalog()
+			c.list("targets", 1, "t1", target("ready", 1), "t2", target("ready", 1))
+			c.list("targets", 1, "t2", target("ready", 1))
+			c.restore()
+			c.now = c.now.Add(time.Second)
+			c.list("targets", 2, "t1", target("ready", 1), "t2", target("ready", 1))
+			if _, ok := c.Targets()["t1"]; ok {
+				t.Fatal("a removed target is used after the restore")
+			}
+			c.now = c.now.Add(test.after)
+			c.Followers()["targets"].Renotify()
+			c.list("targets", 2, "t1", target("ready", test.born), "t2", target("ready", 3))
+			if _, ok := c.Targets()["t1"]; ok != test.used {
+				t.Errorf("used %v, want %v", ok, test.used)
+			}
+		})
+	}
+}
+
+// TestAdapterVersionsDoNotGoBack guards against requests that begin on an older version
+// of an adapter because the restored copy lacks the announcement of a newer one.
+func TestAdapterVersionsDoNotGoBack(t *testing.T) {
+	version := func(number int) string { return fmt.Sprintf(`{"model":"m","adapter":"a","version":%d}`, number) }
+	adapter := deployment.AdapterName{Model: "m", Adapter: "a"}
+	c := newRestoredCatalog()
+	c.list("versions", 1, "m.a", version(4))
+	c.restore()
+	c.list("versions", 2, "m.a", version(2))
+	if newest := c.NewestVersion(adapter); newest != 4 {
+		t.Errorf("newest version %d after the restore, want 4", newest)
+	}
+	c.list("versions", 2)
+	if newest := c.NewestVersion(adapter); newest != 4 {
+		t.Errorf("newest version %d with a copy that lacks it, want 4", newest)
+	}
+	c.list("versions", 2, "m.a", version(6))
+	if newest := c.NewestVersion(adapter); newest != 6 {
+		t.Errorf("newest version %d, want 6", newest)
+	}
+}
