Hold one lease, under rising fencing numbers, over a restored store

Cause: after the store was restored from a copy, a holder whose lease object is gone gets no answer but not found and never holds it again; others create the missing lease at once, or take a released one or one of their own name, while the last holder may still send orders; the fencing number, a revision, is given out again or falls. Change: a lease object names the generation in which it was written. One of an earlier generation, or none after a restore, is taken only after a whole term since it was first read in this generation. The holder writes its lease again within the term of its last confirmed renewal. A write counts only in the generation in which its condition was read.

--- a/internal/placement/holder_test.go
+++ b/internal/placement/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"testing"
 	"time"
@@ -18,12 +19,40 @@
 	mu       sync.Mutex
 	revision uint64
 	objects  map[string]platformstore.Object
+	// generation rises with each restore, seen is the highest one of any answer.
+	generation, seen uint64
 	// fails is the error that all calls return; nil lets them succeed.
 	fails error
 }
 
 func (s *memoryStore) store() platformstore.Store {
-	return platformstore.Store{Get: s.get, Create: s.create, Replace: s.replace}
+	return platformstore.Store{Get: s.get, Create: s.create, Replace: s.replace, SeenGeneration: s.seenGeneration}
+}
+
+func (s *memoryStore) seenGeneration() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
+
+// copyOf is a copy of a memoryStore.
+type copyOf struct {
+	revision uint64
+	objects  map[string]platformstore.Object
+}
+
+func (s *memoryStore) snapshot() copyOf {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return copyOf{revision: s.revision, objects: maps.Clone(s.objects)}
+}
+
+// restore brings the store back to a copy.
+func (s *memoryStore) restore(c copyOf) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.generation++
+	s.revision, s.objects = c.revision, maps.Clone(c.objects)
 }
 
 func (s *memoryStore) get(_ context.Context, _ platformstore.Kind, name string) (platformstore.Object, error) {
@@ -32,10 +61,12 @@
 	if s.fails != nil {
 		return platformstore.Object{}, s.fails
 	}
+	s.seen = s.generation
 	o, ok := s.objects[name]
 	if !ok {
 		return platformstore.Object{}, platformstore.ErrNotFound.New("%s", name)
 	}
+	o.Generation = s.generation
 	return o, nil
 }
 
@@ -53,11 +84,15 @@
 	if s.fails != nil {
 		return platformstore.Object{}, s.fails
 	}
+	s.seen = s.generation
+	if _, ok := s.objects[name]; revision > 0 && !ok {
+		return platformstore.Object{}, platformstore.ErrNotFound.New("%s", name)
+	}
 	if s.objects[name].Revision != revision {
 		return platformstore.Object{}, platformstore.ErrConflict.New("%s", name)
 	}
 	s.revision++
-	o := platformstore.Object{Name: name, Revision: s.revision, Value: mustJSON(value)}
+	o := platformstore.Object{Name: name, Revision: s.revision, Generation: s.generation, Value: mustJSON(value)}
 	if s.objects == nil {
 		s.objects = map[string]platformstore.Object{}
 	}
--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -34,13 +34,15 @@
 	Renewals    uint64 `json:"renewals"`
 	// Released is set when the holder released the lease and sends no more orders.
 	Released bool `json:"released,omitempty"`
+	// Generation is the store's generation in which the lease was written.
+	Generation uint64 `json:"generation,omitempty"`
 }
 
 // Lease is the right to order the engines of one zone. It is an object in the
 // store that the holder renews. Another instance takes it over once it has seen
 // the object unchanged for the whole term. It measures the term by its own clock,
-// which keeps running while the machine is suspended. The revision of the write
-// that acquired the lease is the fencing number. After a takeover from another
+// which keeps running while the machine is suspended. The position of the write
+// that acquired the lease gives the fencing number. After a takeover from another
 // instance no order is sent until QuietTime after the last moment at which the
 // previous holder may have sent one. Set the exported fields before Run.
 type Lease struct {
@@ -60,14 +62,19 @@
 
 	mu            sync.Mutex
 	revision      uint64
+	generation    uint64
 	renewals      uint64
 	fencingNumber uint64
 	validUntil    time.Time
 	quietUntil    time.Time
-	// otherRevision is the last revision read of another instance's lease, and
-	// otherSeenAt is when it was first read.
-	otherRevision uint64
-	otherSeenAt   time.Time
+	// other is the last position read of a lease that this instance does not hold,
+	// and otherSeenAt is when it was first read.
+	other       platformstore.Position
+	otherSeenAt time.Time
+	// lowestGeneration is the lowest generation of the store that the lease was read
+	// in, if hasRead is set.
+	lowestGeneration uint64
+	hasRead          bool
 }
 
 // Held returns the fencing number if orders may be sent from now until at least
@@ -95,9 +102,12 @@
 // next step.
 func (l *Lease) step(ctx context.Context) time.Duration {
 	l.mu.Lock()
-	holds := l.revision > 0
+	holds, generation := l.revision > 0, l.generation
 	l.mu.Unlock()
-	if holds {
+	switch {
+	case holds && l.Store.Generation() > generation:
+		return l.regain(ctx)
+	case holds:
 		return l.renew(ctx)
 	}
 	if l.Wanted != nil && !l.Wanted() {
@@ -110,12 +120,15 @@
 func (l *Lease) renew(ctx context.Context) time.Duration {
 	l.mu.Lock()
 	l.renewals++
-	value, revision, sent := l.value(false), l.revision, l.Now()
+	generation, revision, sent := l.generation, l.revision, l.Now()
+	value := l.value(generation, false)
 	l.mu.Unlock()
 	written, err := l.Store.Replace(ctx, l.Kind, l.Name, revision, value)
 	switch {
-	case err == nil:
+	case err == nil && written.Generation == generation:
 		l.extend(written.Revision, sent)
+	case err == nil, platformstore.ErrConflict.Has(err) && l.Store.Generation() > generation, platformstore.ErrNotFound.Has(err) && l.Store.Generation() > generation:
+		return l.regain(ctx)
 	case platformstore.ErrConflict.Has(err), platformstore.ErrNotFound.Has(err):
 		l.suspend()
 		return l.readBack(ctx, sent)
@@ -149,48 +162,72 @@
 // readBack reads the lease after a renewal that was refused or not answered, and
 // keeps or gives up the lease accordingly. It returns the delay until the next step.
 func (l *Lease) readBack(ctx context.Context, sent time.Time) time.Duration {
-	o, err := l.Store.Get(ctx, l.Kind, l.Name)
+	o, err := l.read(ctx)
 	if err != nil {
 		return takeoverPollInterval / 4
 	}
+	l.mu.Lock()
+	restored := o.Generation != l.generation
+	l.mu.Unlock()
 	stored := decodeLease(o)
-	if stored.Holder == l.Holder && stored.Incarnation == l.Incarnation && !stored.Released {
+	switch {
+	case restored:
+		return l.regainFrom(ctx, o)
+	case l.isOwn(stored):
 		l.extend(o.Revision, sent)
 		return renewInterval
 	}
-	l.lose("another instance holds the lease", o.Revision)
+	l.lose("another instance holds the lease", o)
 	return takeoverPollInterval
 }
 
-// lose gives up the lease and remembers the revision of the other instance's lease.
-func (l *Lease) lose(reason string, revision uint64) {
+// isOwn reports whether this process wrote a lease and has not released it.
+func (l *Lease) isOwn(stored storedLease) bool {
+	return stored.Holder == l.Holder && stored.Incarnation == l.Incarnation && !stored.Released
+}
+
+// read returns the stored lease. Without one it returns an object of revision zero
+// with the store's generation.
+func (l *Lease) read(ctx context.Context) (platformstore.Object, error) {
+	o, err := l.Store.Get(ctx, l.Kind, l.Name)
+	if platformstore.ErrNotFound.Has(err) {
+		o, err = platformstore.Object{Generation: l.Store.Generation()}, nil
+	}
+	if err == nil && (!l.hasRead || o.Generation < l.lowestGeneration) {
+		l.hasRead, l.lowestGeneration = true, o.Generation
+	}
+	return o, err
+}
+
+// lose gives up the lease and remembers the position of the stored one.
+func (l *Lease) lose(reason string, stored platformstore.Object) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.revision, l.validUntil = 0, time.Time{}
-	l.otherRevision, l.otherSeenAt = revision, l.Now()
-	l.Log.Info("placement lease lost", zap.String("lease", l.Name), zap.String("reason", reason), zap.Uint64("revision", revision))
+	l.other, l.otherSeenAt = stored.Position(), l.Now()
+	l.Log.Info("placement lease lost", zap.String("lease", l.Name), zap.String("reason", reason), zap.Uint64("revision", stored.Revision))
 }
 
 // tryTakeOver acquires the lease if no other instance holds it any longer. It
 // returns the delay until the next step.
 func (l *Lease) tryTakeOver(ctx context.Context) time.Duration {
 	readStart := l.Now()
-	o, err := l.Store.Get(ctx, l.Kind, l.Name)
-	if platformstore.ErrNotFound.Has(err) {
-		return l.acquire(ctx, platformstore.Object{}, 0)
-	}
+	o, err := l.read(ctx)
 	if err != nil {
 		return takeoverPollInterval
 	}
+	if l.otherSeenAt.IsZero() || o.Position() != l.other {
+		l.other, l.otherSeenAt = o.Position(), l.Now()
+	}
 	stored := decodeLease(o)
-	if stored.Holder == l.Holder {
-		// The lease is from an earlier process of this instance, which has ended.
+	switch {
+	case l.mayLackLastHolder(o):
+		// Only the term shows that the last holder sends no more orders.
+	case o.Revision == 0, stored.Holder == l.Holder:
+		// There was no holder, or it was an earlier process of this instance, which
+		// has ended.
 		return l.acquire(ctx, o, 0)
-	}
-	if o.Revision != l.otherRevision {
-		l.otherRevision, l.otherSeenAt = o.Revision, l.Now()
-	}
-	if stored.Released {
+	case stored.Released:
 		return l.acquire(ctx, o, l.QuietTime)
 	}
 	if readStart.Sub(l.otherSeenAt) >= leaseTerm {
@@ -201,34 +238,45 @@
 
 // acquire writes the lease for this instance, over the previous object if there is
 // one. No order is sent until quietTime after the write. It returns the delay until
-// the next step.
+// the next step. A write that the store answers in another generation than it was read
+// in does not count: the revision that it depends on is not the one that was read.
 func (l *Lease) acquire(ctx context.Context, previous platformstore.Object, quietTime time.Duration) time.Duration {
-	l.mu.Lock()
-	l.renewals++
-	value, sent := l.value(false), l.Now()
-	l.mu.Unlock()
-	var written platformstore.Object
-	var err error
-	if previous.Revision == 0 {
-		written, err = l.Store.Create(ctx, l.Kind, l.Name, value)
-	} else {
-		written, err = l.Store.Replace(ctx, l.Kind, l.Name, previous.Revision, value)
-	}
-	if err != nil {
+	sent := l.Now()
+	written, err := l.write(ctx, previous)
+	if err != nil || written.Generation != previous.Generation {
 		return takeoverPollInterval / 2
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.revision, l.fencingNumber = written.Revision, written.Revision
-	l.validUntil = sent.Add(leaseTerm - leaseMargin)
+	l.hold(written, sent)
 	l.quietUntil = l.Now().Add(quietTime)
 	l.Log.Info("placement lease acquired", zap.String("lease", l.Name), zap.Uint64("fencing_number", l.fencingNumber), zap.Duration("quiet", quietTime))
 	return renewInterval
 }
 
-// value returns the value to store. The caller holds the lock.
-func (l *Lease) value(released bool) storedLease {
-	return storedLease{Holder: l.Holder, Incarnation: l.Incarnation, Renewals: l.renewals, Released: released}
+// write writes the lease for this instance, over the previous object if there is one.
+func (l *Lease) write(ctx context.Context, previous platformstore.Object) (platformstore.Object, error) {
+	l.mu.Lock()
+	l.renewals++
+	value := l.value(previous.Generation, false)
+	l.mu.Unlock()
+	if previous.Revision == 0 {
+		return l.Store.Create(ctx, l.Kind, l.Name, value)
+	}
+	return l.Store.Replace(ctx, l.Kind, l.Name, previous.Revision, value)
+}
+
+// hold records a write, sent at the given time, that acquired the lease. The caller
+// holds the lock.
+func (l *Lease) hold(written platformstore.Object, sent time.Time) {
+	l.revision, l.generation = written.Revision, written.Generation
+	l.fencingNumber = fencingNumber(written.Position())
+	l.validUntil = sent.Add(leaseTerm - leaseMargin)
+}
+
+// value returns the value to store in a generation. The caller holds the lock.
+func (l *Lease) value(generation uint64, released bool) storedLease {
+	return storedLease{Holder: l.Holder, Incarnation: l.Incarnation, Renewals: l.renewals, Released: released, Generation: generation}
 }
 
 // releaseTimeout limits the write that releases the lease.
@@ -240,7 +288,7 @@
 	revision := l.revision
 	l.revision, l.validUntil = 0, time.Time{}
 	l.renewals++
-	value := l.value(true)
+	value := l.value(l.generation, true)
 	l.mu.Unlock()
 	if revision == 0 {
 		return
--- a/internal/platformstore/object.go
+++ b/internal/platformstore/object.go
@@ -56,6 +56,11 @@
 	Deleted bool
 }
 
+// Position returns the state of the store right after the object's last change.
+func (o Object) Position() Position {
+	return Position{Generation: o.Generation, Revision: o.Revision}
+}
+
 // Page is the result of a List, which holds all objects of a kind, or of a Watch,
 // which holds the changed ones. Revision is where the next watch starts, Generation
 // that of the store's answer.
