Keep the quiet time of a lease over a restart of its process

Cause: a process that took a lease over from another instance is restarted before its quiet time is over; the new process takes the lease of its own name without one and sends orders right after the previous holder's. Change: the lease object says that its holder was still in the quiet time; its next process waits for a whole one.

--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -36,6 +36,8 @@
 	Released bool `json:"released,omitempty"`
 	// Generation is the store's generation in which the lease was written.
 	Generation uint64 `json:"generation,omitempty"`
+	// Quiet is set when the holder was still in its quiet time.
+	Quiet bool `json:"quiet,omitempty"`
 }
 
 // Lease is the right to order the engines of one zone. It is an object in the
@@ -223,12 +225,12 @@
 	switch {
 	case l.mayLackLastHolder(o):
 		// Only the term shows that the last holder sends no more orders.
+	case stored.Released && stored.Holder != l.Holder, stored.Holder == l.Holder && stored.Quiet:
+		return l.acquire(ctx, o, l.QuietTime)
 	case o.Revision == 0, stored.Holder == l.Holder:
 		// There was no holder, or it was an earlier process of this instance, which
 		// has ended.
 		return l.acquire(ctx, o, 0)
-	case stored.Released:
-		return l.acquire(ctx, o, l.QuietTime)
 	}
 	if readStart.Sub(l.otherSeenAt) >= leaseTerm {
 		return l.acquire(ctx, o, l.QuietTime)
@@ -242,6 +244,9 @@
 // in does not count: the revision that it depends on is not the one that was read.
 func (l *Lease) acquire(ctx context.Context, previous platformstore.Object, quietTime time.Duration) time.Duration {
 	sent := l.Now()
+	l.mu.Lock()
+	l.quietUntil = sent.Add(quietTime)
+	l.mu.Unlock()
 	written, err := l.write(ctx, previous)
 	if err != nil || written.Generation != previous.Generation {
 		return takeoverPollInterval / 2
@@ -276,7 +281,7 @@
 
 // value returns the value to store in a generation. The caller holds the lock.
 func (l *Lease) value(generation uint64, released bool) storedLease {
-	return storedLease{Holder: l.Holder, Incarnation: l.Incarnation, Renewals: l.renewals, Released: released, Generation: generation}
+	return storedLease{Holder: l.Holder, Incarnation: l.Incarnation, Renewals: l.renewals, Released: released, Generation: generation, Quiet: l.Now().Before(l.quietUntil)}
 }
 
 // releaseTimeout limits the write that releases the lease.
--- a/internal/placement/lease_test.go
+++ b/internal/placement/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -127,6 +128,38 @@
 	})
 }
 
+// TestRestartInQuietTimeWaits guards against a process that takes a lease over, is
+// restarted before the quiet time is over, and then sends orders at once, while the
+// previous holder may just have sent one.
+func TestRestartInQuietTimeWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memoryStore{}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		if _, err := store.write("zone", 0, map[string]any{"holder": "a", "incarnation": "1"}); err != nil {
+			t.Fatal(err)
+		}
+		go newLease(store.store(), "b", "1").Run(ctx)
+		var acquired time.Time
+		for acquired.IsZero() {
+			time.Sleep(10 * time.Millisecond)
+			if o, err := store.get(ctx, "", "zone"); err == nil && strings.Contains(string(o.Value), `"b"`) {
+				acquired = time.Now()
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		second := newLease(store.store(), "b", "2")
+		go second.Run(ctx)
+		for !held(second) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if quiet := time.Since(acquired); quiet < testQuiet-10*time.Millisecond {
+			t.Errorf("orders %s after a takeover", quiet)
+		}
+	})
+}
+
 // TestReleasedLeaseWaitsForQuietTime checks that a released lease is acquired by
 // another instance only after the quiet time.
 func TestReleasedLeaseWaitsForQuietTime(t *testing.T) {
