Count a lease's term from the renewal that the store carried out

Cause: after renewals without an answer the holder reads its lease back and counts the term from the last renewal that it sent, although the stored one may be seconds older; other instances count from the stored one, and take the lease over while the holder still sends orders. Change: the holder keeps when it sent each unconfirmed renewal, counts from the stored one, and renews 100 ms later.

--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	leaseMargin = 700 * time.Millisecond
 	// renewInterval is the time between renewals.
 	renewInterval = 1500 * time.Millisecond
+	// confirmDelay is the time from reading the own lease back to its next renewal.
+	confirmDelay = 100 * time.Millisecond
 	// takeoverPollInterval is the time between reads of another instance's lease.
 	takeoverPollInterval = 2 * time.Second
 	// wantedPollInterval is the time between calls of Wanted while it reports false.
@@ -62,10 +65,12 @@
 	Now    func() time.Time
 	Log    *zap.Logger
 
-	mu            sync.Mutex
-	revision      uint64
-	generation    uint64
-	renewals      uint64
+	mu         sync.Mutex
+	revision   uint64
+	generation uint64
+	renewals   uint64
+	// sentAt holds when each renewal that is not confirmed yet was sent.
+	sentAt        map[uint64]time.Time
 	fencingNumber uint64
 	validUntil    time.Time
 	quietUntil    time.Time
@@ -124,6 +129,7 @@
 	l.renewals++
 	generation, revision, sent := l.generation, l.revision, l.Now()
 	value := l.value(generation, false)
+	l.recordSent(sent)
 	l.mu.Unlock()
 	written, err := l.Store.Replace(ctx, l.Kind, l.Name, revision, value)
 	switch {
@@ -133,10 +139,10 @@
 		return l.regain(ctx)
 	case platformstore.ErrConflict.Has(err), platformstore.ErrNotFound.Has(err):
 		l.suspend()
-		return l.readBack(ctx, sent)
+		return l.readBack(ctx)
 	case platformstore.ErrUnavailable.Has(err):
 		l.Log.Warn("lease renewal unanswered", zap.String("lease", l.Name), zap.Error(err))
-		return l.readBack(ctx, sent)
+		return l.readBack(ctx)
 	default:
 		l.Log.Warn("lease renewal failed", zap.String("lease", l.Name), zap.Error(err))
 		return takeoverPollInterval / 4
@@ -161,9 +167,18 @@
 	l.validUntil = sent.Add(leaseTerm - leaseMargin)
 }
 
+// recordSent records when the present renewal was sent. The caller holds the lock.
+func (l *Lease) recordSent(at time.Time) {
+	if l.sentAt == nil {
+		l.sentAt = map[uint64]time.Time{}
+	}
+	maps.DeleteFunc(l.sentAt, func(_ uint64, earlier time.Time) bool { return at.Sub(earlier) > leaseTerm })
+	l.sentAt[l.renewals] = at
+}
+
 // readBack reads the lease after a renewal that was refused or not answered, and
 // keeps or gives up the lease accordingly. It returns the delay until the next step.
-func (l *Lease) readBack(ctx context.Context, sent time.Time) time.Duration {
+func (l *Lease) readBack(ctx context.Context) time.Duration {
 	o, err := l.read(ctx)
 	if err != nil {
 		return takeoverPollInterval / 4
@@ -176,8 +191,13 @@
 	case restored:
 		return l.regainFrom(ctx, o)
 	case l.isOwn(stored):
+		// Of several renewals without an answer the store may have carried out only
+		// an early one, and others count the term from that.
+		l.mu.Lock()
+		sent := l.sentAt[stored.Renewals]
+		l.mu.Unlock()
 		l.extend(o.Revision, sent)
-		return renewInterval
+		return confirmDelay
 	}
 	l.lose("another instance holds the lease", o)
 	return takeoverPollInterval
@@ -264,6 +284,7 @@
 	l.mu.Lock()
 	l.renewals++
 	value := l.value(previous.Generation, false)
+	l.recordSent(l.Now())
 	l.mu.Unlock()
 	if previous.Revision == 0 {
 		return l.Store.Create(ctx, l.Kind, l.Name, value)
--- a/internal/placement/lease_test.go
+++ b/internal/placement/lease_test.go
@@ -160,6 +160,52 @@
 	})
 }
 
+// TestReadBackExtendsFromTheStoredRenewal guards against a holder that reads its lease
+// back after renewals without an answer, and counts its term from the last of them
+// although the store carried out only the first: others count from that one.
+func TestReadBackExtendsFromTheStoredRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memoryStore{}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		l := newLease(store.store(), "a", "1")
+		var unanswered, unreadable atomic.Bool
+		var unansweredWrites atomic.Int64
+		l.Store.Replace = func(ctx context.Context, kind platformstore.Kind, name string, revision uint64, value any) (platformstore.Object, error) {
+			if !unanswered.Load() {
+				return store.replace(ctx, kind, name, revision, value)
+			}
+			if unansweredWrites.Add(1) == 1 {
+				if _, err := store.replace(ctx, kind, name, revision, value); err != nil {
+					t.Error(err)
+				}
+			}
+			return platformstore.Object{}, platformstore.ErrUnavailable.New("no answer")
+		}
+		l.Store.Get = func(ctx context.Context, kind platformstore.Kind, name string) (platformstore.Object, error) {
+			if unreadable.Load() {
+				return platformstore.Object{}, platformstore.ErrUnavailable.New("no answer")
+			}
+			return store.get(ctx, kind, name)
+		}
+		started := time.Now()
+		go l.Run(ctx)
+		time.Sleep(2 * time.Second)
+		unanswered.Store(true)
+		unreadable.Store(true)
+		time.Sleep(4500 * time.Millisecond)
+		unreadable.Store(false)
+		const lastRenewal, term = 3 * time.Second, 6 * time.Second
+		for range 500 {
+			time.Sleep(10 * time.Millisecond)
+			if since := time.Since(started) - lastRenewal; held(l) && since > term {
+				t.Fatalf("the lease is held %s after the last renewal that was carried out", since)
+			}
+		}
+	})
+}
+
 // TestReleasedLeaseWaitsForQuietTime checks that a released lease is acquired by
 // another instance only after the quiet time.
 func TestReleasedLeaseWaitsForQuietTime(t *testing.T) {
