--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -140,6 +140,16 @@
 	}
 }
 
+// StoreGeneration returns the highest generation of the store that this instance knows
+// of, from the store's answers or from the replicas of its peers.
+func (c *Catalog) StoreGeneration() uint64 {
+	generation := c.Store.Generation()
+	for _, f := range c.Followers() {
+		generation = max(generation, f.State().Generation)
+	}
+	return generation
+}
+
 // Configuration returns the active configuration, or nil until one is known.
 func (c *Catalog) Configuration() *deployment.Configuration { return c.activeConfiguration.Load() }
 
--- a/internal/gatewayinstance/register.go
+++ b/internal/gatewayinstance/register.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"heatherrelay/internal/clock"
 	"heatherrelay/internal/peer"
 	"heatherrelay/internal/platformstore"
 	"heatherrelay/internal/wait"
@@ -32,24 +33,27 @@
 }
 
 // register writes this instance's object to the store, retrying until it succeeds,
-// and discovers other instances until ctx ends.
+// and discovers other instances until ctx ends. It writes the object again after the
+// store was restored from a copy, which may be older than the object.
 func (i *Instance) register(ctx context.Context) {
-	registered := false
+	registered, writtenIn := false, uint64(0)
+	var discoveredAt time.Time
 	for ctx.Err() == nil {
 		pause := discoverInterval
-		if i.network.MemberCount() > 1 {
-			pause = connectedDiscoverInterval
-		}
-		if !registered {
+		if generation := i.catalog.StoreGeneration(); !registered || generation > writtenIn {
 			err := i.writeInstance(ctx)
-			registered = err == nil
-			if err != nil {
+			if registered = err == nil; registered {
+				writtenIn = max(generation, i.Store.Generation())
+			} else {
 				pause = registerRetryDelay
 				i.Log.Warn("instance registration failed", zap.Error(err))
 			}
 		}
-		if err := i.discover(ctx, i.network.MemberCount() > 1); err != nil {
-			i.Log.Debug("instances cannot be listed", zap.Error(err))
+		if connected := i.network.MemberCount() > 1; !connected || clock.Since(discoveredAt) >= connectedDiscoverInterval {
+			discoveredAt = clock.Now()
+			if err := i.discover(ctx, connected); err != nil {
+				i.Log.Debug("instances cannot be listed", zap.Error(err))
+			}
 		}
 		if wait.Sleep(ctx, pause) != nil {
 			return
@@ -58,7 +62,7 @@
 }
 
 // writeInstance creates this instance's object in the store, or replaces the one
-// that an earlier incarnation left.
+// that an earlier incarnation left if that has other contents.
 func (i *Instance) writeInstance(ctx context.Context) error {
 	value := storedInstance{Zone: i.Settings.Zone, Address: i.Settings.Listen.Peers}
 	_, err := i.Store.Create(ctx, instanceKind, i.Settings.InstanceID, value)
@@ -69,6 +73,10 @@
 	if err != nil {
 		return err
 	}
+	var stored storedInstance
+	if json.Unmarshal(previous.Value, &stored) == nil && stored == value {
+		return nil
+	}
 	_, err = i.Store.Replace(ctx, instanceKind, i.Settings.InstanceID, previous.Revision, value)
 	return err
 }
