Keep a restarted target over a restored copy

Cause: a copy that is older than the start of a target's process lists the earlier process, with its old address; the replica of the targets goes back to it. The result of startInstance in the tests of gatewayinstance, which nothing uses, is dropped. Before: regress_test.go: process 1 is known after the restore, want 2 After: go test -race ./internal/catalog passes.

--- a/internal/catalog/regress_test.go
+++ b/internal/catalog/regress_test.go
@@ -206,6 +206,23 @@
 	}
 }
 
+// TestRestartedTargetStaysKnown guards against a target that was started again and is
+// replaced by its earlier process, which the restored copy still has.
+func TestRestartedTargetStaysKnown(t *testing.T) {
+	c := newRestoredCatalog()
+	c.list("targets", 1, "t1", target("ready", 1))
+	c.list("targets", 1, "t1", target("ready", 2))
+	c.restore()
+	c.list("targets", 2, "t1", target("ready", 1))
+	if process := c.Targets()["t1"].Generation; process != 2 {
+		t.Errorf("process %d is known after the restore, want 2", process)
+	}
+	c.list("targets", 2, "t1", target("ready", 3))
+	if process := c.Targets()["t1"].Generation; process != 3 {
+		t.Errorf("process %d is known, want 3", process)
+	}
+}
+
 // TestAdapterVersionsDoNotGoBack guards against requests that begin on an older version
 // of an adapter because the restored copy lacks the announcement of a newer one.
 func TestAdapterVersionsDoNotGoBack(t *testing.T) {
--- a/internal/catalog/targets.go
+++ b/internal/catalog/targets.go
@@ -44,6 +44,7 @@
 		}
 		listed[t.ID] = t
 	}
+	c.keepNewerProcesses(listed)
 	c.applyLeaving(listed)
 	c.retainUnlisted(listed)
 	c.targetByID.Store(&listed)
@@ -78,6 +79,19 @@
 	}
 }
 
+// keepNewerProcesses replaces the listed targets of which a newer process is known: the
+// store may have been restored from a copy that is older than its start.
+func (c *Catalog) keepNewerProcesses(listed map[deployment.TargetID]deployment.Target) {
+	if !c.Now().Before(c.targetsFollower.LastRestore().At.Add(lapseTime)) {
+		return
+	}
+	for id, known := range *c.targetByID.Load() {
+		if t, ok := listed[id]; ok && t.Generation < known.Generation {
+			listed[id] = known
+		}
+	}
+}
+
 // recordLeaving remembers that a target drains or was removed.
 func (c *Catalog) recordLeaving(t deployment.Target, removed bool) {
 	c.leaving[t.ID] = leavingTarget{
--- a/internal/gatewayinstance/cluster_test.go
+++ b/internal/gatewayinstance/cluster_test.go
@@ -92,7 +92,7 @@
 }
 
 // startInstance starts an instance and returns when it is ready.
-func (c *testCluster) startInstance() *instance {
+func (c *testCluster) startInstance() {
 	c.t.Helper()
 	i := &instance{done: make(chan error, 1), registry: prometheus.NewRegistry()}
 	i.settings = gatewayinstance.Settings{
@@ -118,7 +118,6 @@
 	c.instances = append(c.instances, i)
 	c.t.Cleanup(func() { i.stopAndWait(c.t) })
 	c.waitFor("instance ready", func() bool { return c.isReady(i) })
-	return i
 }
 
 // stopAndWait shuts the instance down and waits until Run returns. It may be called
