Hand a retained configuration to instances that start after a restore

Cause: an instance that starts between a restore of the store and the operator's write finds only the copy's older configuration, and accepts keys that the other instances know to be withdrawn. Change: a request of the exchange states the active version (configuration_version, 8); an instance that retains a newer configuration than the store has sends it in its response (retained_configuration, 9). Without a restore since the active version was read, a lower version applies as it did before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -34,9 +34,6 @@
 	// not confirmed its replica reads the store itself. The rest of the limit is left
 	// for applying the change.
 	ownReadFraction = 0.8
-	// rewriteGrace is how long after a restore of the store from a copy the operator
-	// may take to write again what the copy lacks.
-	rewriteGrace = 2 * time.Second
 )
 
 // Kinds names the kinds under which the store holds the deployment's objects.
@@ -83,9 +80,15 @@
 	versionsFollower      Follower
 
 	activeConfiguration atomic.Pointer[deployment.Configuration]
+	// configurationMu guards changes of activeConfiguration and the fields below.
+	configurationMu sync.Mutex
+	// activeObject is the stored object of the active configuration, activeGeneration
+	// the store's generation in which it was read; zero if a peer retained it.
+	activeObject     platformstore.Object
+	activeGeneration uint64
 	// storeIsBehind is set while the store has an older version of the configuration
 	// than the active one, or none.
-	storeIsBehind atomic.Bool
+	storeIsBehind bool
 	versionByName atomic.Pointer[map[deployment.AdapterName]uint64]
 	targetByID    atomic.Pointer[map[deployment.TargetID]deployment.Target]
 
@@ -153,19 +156,6 @@
 // Configuration returns the active configuration, or nil until one is known.
 func (c *Catalog) Configuration() *deployment.Configuration { return c.activeConfiguration.Load() }
 
-// ConfigurationAge returns the time since a read of the store, by this instance or
-// a peer, last confirmed the configuration. It returns false if there was none. Reads
-// of a store that was restored from a copy confirm nothing until the operator has
-// written again: the copy may lack the withdrawal of a key.
-func (c *Catalog) ConfigurationAge() (time.Duration, bool) {
-	c.init()
-	now, at := c.Now(), c.configurationFollower.State().ConfirmedAt
-	if restore := c.configurationFollower.LastRestore(); !restore.At.IsZero() && (c.storeIsBehind.Load() || !restore.settled(now)) {
-		at = restore.ConfirmedBefore
-	}
-	return now.Sub(at), !at.IsZero()
-}
-
 // NewestVersion returns the newest announced version of an adapter, or zero if none
 // was announced.
 func (c *Catalog) NewestVersion(name deployment.AdapterName) uint64 {
@@ -179,34 +169,6 @@
 	return *c.targetByID.Load()
 }
 
-// applyConfiguration makes the stored configuration the active one. If it cannot be
-// decoded or is older, as in a store that was restored from a copy, the previous one
-// stays active.
-func (c *Catalog) applyConfiguration(objects []platformstore.Object) {
-	active := c.activeConfiguration.Load()
-	behind := active != nil
-	defer func() { c.storeIsBehind.Store(behind) }()
-	for _, o := range objects {
-		if o.Name != c.Kinds.ConfigurationName {
-			continue
-		}
-		configuration, err := c.DecodeConfiguration(o.Value)
-		if err != nil {
-			c.Log.Error("configuration cannot be decoded, the previous one stays active", zap.Uint64("revision", o.Revision), zap.Error(err))
-			continue
-		}
-		if active != nil && configuration.Version < active.Version {
-			c.Log.Warn("stored configuration is older than the active one, which stays", zap.Uint64("version", configuration.Version),
-				zap.Uint64("active", active.Version), zap.Uint64("revision", o.Revision))
-			continue
-		}
-		behind = false
-		c.activeConfiguration.Store(configuration)
-		c.Log.Info("configuration is active", zap.Uint64("version", configuration.Version), zap.Uint64("revision", o.Revision),
-			zap.Int("routes", len(configuration.Routes)), zap.Int("teams", len(configuration.Teams)), zap.Int("keys", len(configuration.TeamByKey)))
-	}
-}
-
 // applyVersions stores the newest announced version of each adapter. Versions never go
 // back: a store that was restored from a copy may lack the last announcements.
 func (c *Catalog) applyVersions(objects []platformstore.Object) {
--- a/internal/catalog/regress_test.go
+++ b/internal/catalog/regress_test.go
@@ -77,6 +77,25 @@
 	}
 }
 
+// TestLowerVersionWithoutRestoreIsApplied guards against an operator's write that is
+// taken for the state of a restored copy, and against keys that then count as
+// unconfirmed, when the store was not restored since the active version was read.
+func TestLowerVersionWithoutRestoreIsApplied(t *testing.T) {
+	c := newRestoredCatalog()
+	for _, generation := range []uint64{1, 2} {
+		c.restore()
+		c.list("config", generation, "main", configuration(5, `"kept"`))
+		c.now = c.now.Add(5 * time.Second)
+		c.list("config", generation, "main", configuration(3, `"kept"`))
+		if version := c.Configuration().Version; version != 3 {
+			t.Errorf("generation %d: version %d is active, want 3", generation, version)
+		}
+		if age, ok := c.ConfigurationAge(); !ok || age != 0 {
+			t.Errorf("generation %d: age %s, %v", generation, age, ok)
+		}
+	}
+}
+
 // TestRestoredConfigurationConfirmsNoKeys guards against a key whose withdrawal the
 // restored copy lacks and that is accepted for a whole new term, because the copy was
 // read: it must count as unconfirmed until the operator had time to write again, and
--- a/internal/gatewayinstance/restore_test.go
+++ b/internal/gatewayinstance/restore_test.go
@@ -120,3 +120,36 @@
 		}
 	}
 }
+
+// TestStartedInstanceLearnsRetainedConfiguration guards against an instance that starts
+// after a restore, finds only the older configuration of the copy, and accepts a key
+// that the other instances know to be withdrawn.
+func TestStartedInstanceLearnsRetainedConfiguration(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 0)
+	cluster.config.Keys = map[string]string{testKey: "roads", "withdrawn": "roads"}
+	cluster.config.Publish(cluster.store)
+	cluster.startInstance()
+	snapshot := cluster.store.Snapshot()
+	cluster.config.Version, cluster.config.Keys = 2, map[string]string{testKey: "roads"}
+	cluster.config.Publish(cluster.store)
+	status := func(i int, key string) int {
+		return cluster.sendThrough(cluster.instances[i], http.MethodGet, "/read/", withKey(key)).status
+	}
+	cluster.waitFor("withdrawal", func() bool { return status(0, "withdrawn") == http.StatusUnauthorized })
+	cluster.store.Restore(snapshot)
+	cluster.startInstance()
+	// It cannot confirm the retained configuration and so answers that keys are stale.
+	cluster.waitFor("withdrawal at the new instance", func() bool { return status(1, "withdrawn") == http.StatusServiceUnavailable })
+	for range 50 {
+		if got := status(1, "withdrawn"); got == http.StatusOK {
+			t.Fatal("the withdrawn key is accepted")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	cluster.config.Publish(cluster.store)
+	cluster.waitFor("key in force at the new instance", func() bool { return status(1, testKey) == http.StatusOK })
+	if got := status(1, "withdrawn"); got != http.StatusUnauthorized {
+		t.Errorf("status %d for the withdrawn key, want 401", got)
+	}
+}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -41,6 +41,9 @@
 // seed if the id is empty.
 func (n *Network) newRequest(id string) *v1.ExchangeRequest {
 	request := &v1.ExchangeRequest{Sender: n.nextState(), Beliefs: n.replicaStates(), WantsAdapters: n.Holder.Holds()}
+	if configuration := n.Catalog.Configuration(); configuration != nil {
+		request.ConfigurationVersion = configuration.Version
+	}
 	n.mu.RLock()
 	if r, ok := n.remotes[id]; ok {
 		request.ChangesSource = r.incarnation
@@ -223,19 +226,27 @@
 func objectMessages(objects []platformstore.Object) []*v1.StoredObject {
 	messages := make([]*v1.StoredObject, 0, len(objects))
 	for _, o := range objects {
-		messages = append(messages, &v1.StoredObject{Name: o.Name, Revision: o.Revision, Value: o.Value})
+		messages = append(messages, objectMessage(o))
 	}
 	return messages
 }
 
+func objectMessage(o platformstore.Object) *v1.StoredObject {
+	return &v1.StoredObject{Name: o.Name, Revision: o.Revision, Value: o.Value}
+}
+
 func objectsFrom(messages []*v1.StoredObject) []platformstore.Object {
 	objects := make([]platformstore.Object, 0, len(messages))
 	for _, m := range messages {
-		objects = append(objects, platformstore.Object{Name: m.GetName(), Revision: m.GetRevision(), Value: json.RawMessage(m.GetValue())})
+		objects = append(objects, objectFrom(m))
 	}
 	return objects
 }
 
+func objectFrom(m *v1.StoredObject) platformstore.Object {
+	return platformstore.Object{Name: m.GetName(), Revision: m.GetRevision(), Value: json.RawMessage(m.GetValue())}
+}
+
 var resultMessages = map[placement.Result]v1.LoadAdapterResponse_Result{
 	placement.Ready:     v1.LoadAdapterResponse_RESULT_READY,
 	placement.Full:      v1.LoadAdapterResponse_RESULT_FULL,
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -255,4 +255,7 @@
 	for _, b := range response.GetBeliefs() {
 		n.mergeReplica(b, sentAt)
 	}
+	if o := response.GetRetainedConfiguration(); o != nil {
+		n.Catalog.AdoptConfiguration(objectFrom(o))
+	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,6 +34,9 @@
 		// know none of the other instances.
 		response.Members = n.memberMessages()
 	}
+	if o, ok := n.Catalog.RetainedConfiguration(request.GetConfigurationVersion()); ok {
+		response.RetainedConfiguration = objectMessage(o)
+	}
 	n.addChanges(response, request, requester)
 	return response, nil
 }
