Pause after a listing that is older than the replica

Cause: a store whose revisions are below the replica's and that shows no restore makes the follower list and watch in turn without a pause. Change: such a listing is followed by the pause after a failed call.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -86,13 +86,13 @@
 			}
 			continue
 		}
-		hasObjects, err := f.step(ctx, &listed)
+		result, err := f.step(ctx, &listed)
 		f.recordCall(err)
 		pause := f.BatchDelay
 		switch {
-		case err != nil:
+		case err != nil || result.behind:
 			pause, backoff = backoff, min(2*backoff, maxBackoff)
-		case !hasObjects:
+		case !result.hasObjects:
 			pause, backoff = 0, initialBackoff
 		default:
 			backoff = initialBackoff
@@ -109,21 +109,31 @@
 	return f.CoveredByPeers != nil && !state.ConfirmedAt.IsZero() && f.CoveredByPeers(f.Now().Sub(state.ConfirmedAt))
 }
 
+// stepResult describes the result of a call to the store.
+type stepResult struct {
+	// hasObjects is set if the result has objects, even if the replica already held the
+	// same ones.
+	hasObjects bool
+	// behind is set if a listing is older than the replica, or of an older generation
+	// than another answer of the store.
+	behind bool
+}
+
 // step sends one call to the store and applies its result: a list at first, after
 // the history needed by a watch was compacted and when the store has been restored
-// from a copy since the replica was read, else a watch. It reports
-// whether the result has objects, even if the replica already held the same ones.
-func (f *Follower) step(ctx context.Context, listed *bool) (bool, error) {
+// from a copy since the replica was read, else a watch.
+func (f *Follower) step(ctx context.Context, listed *bool) (stepResult, error) {
 	sentAt, from := f.Now(), f.State().Position()
 	if !*listed || f.Store.Generation() > from.Generation {
 		page, err := f.Store.List(ctx, f.Kind, false)
 		if err != nil {
-			return false, err
+			return stepResult{}, err
 		}
 		*listed = true
 		f.sanitize(page)
 		f.update(func(r *Replica) bool { return r.ApplyList(page, sentAt) })
-		return true, nil
+		behind := page.Generation < f.Store.Generation() || page.Position().Compare(f.State().Position()) < 0
+		return stepResult{hasObjects: true, behind: behind}, nil
 	}
 	maxWait := f.MaxWatchWait
 	if f.storeUnavailable() {
@@ -134,14 +144,14 @@
 	if platformstore.ErrCompacted.Has(err) {
 		*listed = false
 		f.Log.Info("watch history compacted, listing again", zap.String("kind", string(f.Kind)), zap.Uint64("revision", from.Revision))
-		return false, nil
+		return stepResult{}, nil
 	}
 	if err != nil {
-		return false, err
+		return stepResult{}, err
 	}
 	f.sanitize(page)
 	f.update(func(r *Replica) bool { return r.ApplyWatch(from, page, sentAt) })
-	return len(page.Objects) > 0, nil
+	return stepResult{hasObjects: len(page.Objects) > 0}, nil
 }
 
 // sanitize applies Sanitize to the objects of a page, in place.
--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -178,3 +178,32 @@
 		t.Errorf("the change is not applied: %s", valuesOf(r.Objects()))
 	}
 }
+
+// TestLowerRevisionsDoNotCauseACallStorm guards against a follower that lists and
+// watches in turn without a pause when the store's revisions are below its replica's and
+// nothing shows a restore.
+func TestLowerRevisionsDoNotCauseACallStorm(t *testing.T) {
+	fake, store := newFakeStore(t)
+	list, watch := store.List, store.Watch
+	store.SeenGeneration = nil
+	store.List = func(ctx context.Context, kind platformstore.Kind, stale bool) (platformstore.Page, error) {
+		page, err := list(ctx, kind, stale)
+		page.Generation = 0
+		return page, err
+	}
+	store.Watch = func(ctx context.Context, kind platformstore.Kind, after uint64, wait time.Duration) (platformstore.Page, error) {
+		page, err := watch(ctx, kind, after, wait)
+		page.Generation = 0
+		return page, err
+	}
+	snapshot := fake.Snapshot()
+	fake.Put("things", "a", 1)
+	f := follow(t, store)
+	await(t, "first listing", func() bool { return f.reported() == "a=1" })
+	calls := fake.Calls()
+	fake.Restore(snapshot)
+	time.Sleep(time.Second)
+	if more := fake.Calls() - calls; more > 30 {
+		t.Errorf("%d calls in one second", more)
+	}
+}
