--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,9 +34,6 @@
 	// not confirmed its replica reads the store itself. The rest of the limit is left
 	// for applying the change.
 	ownReadFraction = 0.8
-	// relistGrace is how long after an outage of the store a running target may take
-	// to be listed again.
-	relistGrace = 2 * time.Second
 )
 
 // Kinds names the kinds under which the store holds the deployment's objects.
@@ -82,12 +80,23 @@
 	versionsFollower      Follower
 
 	activeConfiguration atomic.Pointer[deployment.Configuration]
-	versionByName       atomic.Pointer[map[deployment.AdapterName]uint64]
-	targetByID          atomic.Pointer[map[deployment.TargetID]deployment.Target]
+	// configurationMu guards changes of activeConfiguration and the fields below.
+	configurationMu sync.Mutex
+	// activeObject is the stored object of the active configuration, activeGeneration
+	// the store's generation in which it was read; zero if a peer retained it.
+	activeObject     platformstore.Object
+	activeGeneration uint64
+	// storeIsBehind is set while the store has an older version of the configuration
+	// than the active one, or none.
+	storeIsBehind bool
+	versionByName atomic.Pointer[map[deployment.AdapterName]uint64]
+	targetByID    atomic.Pointer[map[deployment.TargetID]deployment.Target]
 
 	// unlisted holds the targets that are missing from the store after an outage and
-	// are retained for now. Only applyTargets uses it, which never runs concurrently.
+	// are retained for now, leaving those that drain or were removed. Only applyTargets
+	// uses them, which never runs concurrently.
 	unlisted map[deployment.TargetID]bool
+	leaving  map[deployment.TargetID]leavingTarget
 }
 
 func (c *Catalog) init() {
@@ -101,6 +110,7 @@
 		c.versionByName.Store(&map[deployment.AdapterName]uint64{})
 		c.targetByID.Store(&map[deployment.TargetID]deployment.Target{})
 		c.unlisted = map[deployment.TargetID]bool{}
+		c.leaving = map[deployment.TargetID]leavingTarget{}
 	})
 }
 
@@ -133,17 +143,19 @@
 	}
 }
 
+// StoreGeneration returns the highest generation of the store that this instance knows
+// of, from the store's answers or from the replicas of its peers.
+func (c *Catalog) StoreGeneration() uint64 {
+	generation := c.Store.Generation()
+	for _, f := range c.Followers() {
+		generation = max(generation, f.State().Generation)
+	}
+	return generation
+}
+
 // Configuration returns the active configuration, or nil until one is known.
 func (c *Catalog) Configuration() *deployment.Configuration { return c.activeConfiguration.Load() }
 
-// ConfigurationAge returns the time since a read of the store, by this instance or
-// a peer, last confirmed the configuration. It returns false if there was none.
-func (c *Catalog) ConfigurationAge() (time.Duration, bool) {
-	c.init()
-	at := c.configurationFollower.State().ConfirmedAt
-	return c.Now().Sub(at), !at.IsZero()
-}
-
 // NewestVersion returns the newest announced version of an adapter, or zero if none
 // was announced.
 func (c *Catalog) NewestVersion(name deployment.AdapterName) uint64 {
@@ -157,27 +169,10 @@
 	return *c.targetByID.Load()
 }
 
-// applyConfiguration makes the stored configuration the active one. If it cannot be
-// decoded, the previous one stays active.
-func (c *Catalog) applyConfiguration(objects []platformstore.Object) {
-	for _, o := range objects {
-		if o.Name != c.Kinds.ConfigurationName {
-			continue
-		}
-		configuration, err := c.DecodeConfiguration(o.Value)
-		if err != nil {
-			c.Log.Error("configuration cannot be decoded, the previous one stays active", zap.Uint64("revision", o.Revision), zap.Error(err))
-			continue
-		}
-		c.activeConfiguration.Store(configuration)
-		c.Log.Info("configuration is active", zap.Uint64("version", configuration.Version), zap.Uint64("revision", o.Revision),
-			zap.Int("routes", len(configuration.Routes)), zap.Int("teams", len(configuration.Teams)), zap.Int("keys", len(configuration.TeamByKey)))
-	}
-}
-
-// applyVersions stores the newest announced version of each adapter.
+// applyVersions stores the newest announced version of each adapter. Versions never go
+// back: a store that was restored from a copy may lack the last announcements.
 func (c *Catalog) applyVersions(objects []platformstore.Object) {
-	versions := map[deployment.AdapterName]uint64{}
+	versions := maps.Clone(*c.versionByName.Load())
 	for _, o := range objects {
 		v, err := c.DecodeVersion(o.Name, o.Value)
 		if err != nil {
@@ -190,46 +185,3 @@
 	}
 	c.versionByName.Store(&versions)
 }
-
-// applyTargets replaces the targets by the listed ones and those that are retained.
-func (c *Catalog) applyTargets(objects []platformstore.Object) {
-	listed := make(map[deployment.TargetID]deployment.Target, len(objects))
-	for _, o := range objects {
-		t, err := c.DecodeTarget(o.Name, o.Value)
-		if err != nil {
-			c.Log.Warn("target entry cannot be decoded, skipped", zap.String("name", o.Name), zap.Error(err))
-			continue
-		}
-		listed[t.ID] = t
-	}
-	c.retainUnlisted(listed)
-	c.targetByID.Store(&listed)
-	if c.OnTargetsChange != nil {
-		c.OnTargetsChange(listed)
-	}
-}
-
-// retainUnlisted adds to the listed targets those that went missing around an
-// outage of the store, until they had time to be listed again: the entry of a
-// running target can lapse while the store is unavailable.
-func (c *Catalog) retainUnlisted(listed map[deployment.TargetID]deployment.Target) {
-	now := c.Now()
-	retainUntil := c.targetsFollower.RegainedAt().Add(relistGrace)
-	for id, t := range *c.targetByID.Load() {
-		if _, ok := listed[id]; ok {
-			delete(c.unlisted, id)
-			continue
-		}
-		if t.Draining || !now.Before(retainUntil) {
-			c.Log.Info("target removed", zap.String("target", string(id)))
-			continue
-		}
-		listed[id] = t
-		if !c.unlisted[id] {
-			c.Log.Info("target not listed after an outage of the store, retained for now", zap.String("target", string(id)))
-			// Drops the target when the grace ends, unless it was listed again.
-			time.AfterFunc(retainUntil.Sub(now), c.targetsFollower.Renotify)
-		}
-		c.unlisted[id] = true
-	}
-}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -58,8 +58,22 @@
 	// answered this instance or a peer again.
 	regainedAt     time.Time
 	lastCallFailed bool
+	lastRestore    Restore
 }
 
+// Restore describes how a replica came from one generation of the store to a newer one.
+type Restore struct {
+	// At is when the replica got its first state of the newer generation; zero if the
+	// store was not restored.
+	At time.Time
+	// ConfirmedBefore is when the replica was last confirmed in the older generation,
+	// or in the one before it if that restore was less than rewriteGrace ago.
+	ConfirmedBefore time.Time
+}
+
+// settled reports whether the operator had time to write again what the copy lacks.
+func (r Restore) settled(now time.Time) bool { return !now.Before(r.At.Add(rewriteGrace)) }
+
 // Run lists and watches the store until ctx ends, except while peers keep the
 // replica current.
 func (f *Follower) Run(ctx context.Context) {
@@ -72,13 +86,13 @@
 			}
 			continue
 		}
-		hasObjects, err := f.step(ctx, &listed)
+		result, err := f.step(ctx, &listed)
 		f.recordCall(err)
 		pause := f.BatchDelay
 		switch {
-		case err != nil:
+		case err != nil || result.behind:
 			pause, backoff = backoff, min(2*backoff, maxBackoff)
-		case !hasObjects:
+		case !result.hasObjects:
 			pause, backoff = 0, initialBackoff
 		default:
 			backoff = initialBackoff
@@ -95,38 +109,49 @@
 	return f.CoveredByPeers != nil && !state.ConfirmedAt.IsZero() && f.CoveredByPeers(f.Now().Sub(state.ConfirmedAt))
 }
 
-// step sends one call to the store and applies its result: a list at first and
-// after the history needed by a watch was compacted, else a watch. It reports
-// whether the result has objects, even if the replica already held the same ones.
-func (f *Follower) step(ctx context.Context, listed *bool) (bool, error) {
-	sentAt := f.Now()
-	if !*listed {
+// stepResult describes the result of a call to the store.
+type stepResult struct {
+	// hasObjects is set if the result has objects, even if the replica already held the
+	// same ones.
+	hasObjects bool
+	// behind is set if a listing is older than the replica, or of an older generation
+	// than another answer of the store.
+	behind bool
+}
+
+// step sends one call to the store and applies its result: a list at first, after
+// the history needed by a watch was compacted and when the store has been restored
+// from a copy since the replica was read, else a watch.
+func (f *Follower) step(ctx context.Context, listed *bool) (stepResult, error) {
+	sentAt, from := f.Now(), f.State().Position()
+	if !*listed || f.Store.Generation() > from.Generation {
 		page, err := f.Store.List(ctx, f.Kind, false)
 		if err != nil {
-			return false, err
+			return stepResult{}, err
 		}
 		*listed = true
 		f.sanitize(page)
 		f.update(func(r *Replica) bool { return r.ApplyList(page, sentAt) })
-		return true, nil
+		behind := page.Generation < f.Store.Generation() || page.Position().Compare(f.State().Position()) < 0
+		return stepResult{hasObjects: true, behind: behind}, nil
 	}
-	from, maxWait := f.State().Revision, f.MaxWatchWait
+	maxWait := f.MaxWatchWait
 	if f.storeUnavailable() {
 		// A longer watch would delay noticing that the store is available again.
 		maxWait = probeWatchWait
 	}
-	page, err := f.Store.Watch(ctx, f.Kind, from, maxWait)
+	page, err := f.Store.Watch(ctx, f.Kind, from.Revision, maxWait)
 	if platformstore.ErrCompacted.Has(err) {
 		*listed = false
-		f.Log.Info("watch history compacted, listing again", zap.String("kind", string(f.Kind)), zap.Uint64("revision", from))
-		return false, nil
+		f.Log.Info("watch history compacted, listing again", zap.String("kind", string(f.Kind)), zap.Uint64("revision", from.Revision))
+		return stepResult{}, nil
 	}
 	if err != nil {
-		return false, err
+		return stepResult{}, err
 	}
 	f.sanitize(page)
 	f.update(func(r *Replica) bool { return r.ApplyWatch(from, page, sentAt) })
-	return len(page.Objects) > 0, nil
+	return stepResult{hasObjects: len(page.Objects) > 0}, nil
 }
 
 // sanitize applies Sanitize to the objects of a page, in place.
@@ -194,17 +219,21 @@
 	f.OnChange(objects)
 }
 
-// update applies a change to the replica and reports it to OnChange. A long time
-// between the confirmations before and after it counts as an outage of the store.
+// LastRestore returns the last restore of the store that the replica went through.
+func (f *Follower) LastRestore() Restore {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastRestore
+}
+
+// update applies a change to the replica and reports it to OnChange.
 func (f *Follower) update(change func(*Replica) bool) {
 	f.notifyMu.Lock()
 	defer f.notifyMu.Unlock()
 	f.mu.Lock()
-	before := f.replica.ConfirmedAt
+	before := f.replica.State
 	changed := change(&f.replica)
-	if !before.IsZero() && f.isOutage(f.replica.ConfirmedAt.Sub(before)) {
-		f.regainedAt = f.Now()
-	}
+	f.recordProgress(before)
 	var objects []platformstore.Object
 	var state State
 	if changed {
@@ -218,6 +247,26 @@
 	}
 }
 
+// recordProgress records the end of an outage of the store and a restore from a copy,
+// if the replica came through one since the given state. A long time between two
+// confirmations counts as an outage, and so does a restore, since the entries of
+// running targets may be missing after it. The caller holds mu.
+func (f *Follower) recordProgress(before State) {
+	if before.ConfirmedAt.IsZero() {
+		return
+	}
+	restored := f.replica.Generation > before.Generation
+	if restored {
+		if f.lastRestore.settled(f.Now()) {
+			f.lastRestore.ConfirmedBefore = before.ConfirmedAt
+		}
+		f.lastRestore.At = f.Now()
+	}
+	if restored || f.isOutage(f.replica.ConfirmedAt.Sub(before.ConfirmedAt)) {
+		f.regainedAt = f.Now()
+	}
+}
+
 // recordCall records whether a call to the store succeeded, and logs when the store
 // becomes unavailable and when it is available again.
 func (f *Follower) recordCall(err error) {
