Ignore an engine's report that arrives during an order

Cause: maintenance reads reports beside the orders. A report that overtook the answer to an order already counted it; the answer then counted it again, and the engine refused the next order as conflicting, until reports were accepted again up to 600 ms later. Found by reading for TestAdapterIsLoadedOnDemand; that its failure came about so is not shown. Change: a report that arrives between the sending of an order and the recording of its outcome is ignored; it is due again at the next maintenance.

--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -78,6 +78,8 @@
 	mu         sync.Mutex
 	state      Engine
 	reportedAt time.Time
+	// ordering is set from before an order is sent until its outcome is recorded.
+	ordering bool
 	// unansweredAt is when the engine last failed to report.
 	unansweredAt time.Time
 	// conflictAt is when the engine last refused an order as conflicting.
@@ -205,7 +207,8 @@
 	return func(name deployment.AdapterName) bool { return h.InUse(id, name) }
 }
 
-// sync reads an engine's report. It reports whether the state is known afterwards.
+// sync reads an engine's report. It reports whether the state is known afterwards. A
+// report that arrives during an order is ignored, since it may count the order already.
 func (h *Holder) sync(ctx context.Context, t deployment.Target, e *managedEngine) bool {
 	h.Reports.Add(1)
 	report, err := h.Report(ctx, t)
@@ -219,6 +222,9 @@
 	if s := h.Service(t.Service); s != nil && s.Engine != nil {
 		e.state.Slots = s.Engine.AdapterSlots
 	}
+	if e.ordering {
+		return e.state.Synced()
+	}
 	e.reportedAt = h.Now()
 	return e.state.ApplyReport(report, e.reportedAt)
 }
@@ -251,6 +257,7 @@
 	outcome := h.order(ctx, t, e, Order{Operation: Load, AdapterName: name, Version: version})
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.ordering = false
 	switch outcome {
 	case Started:
 		h.Loads.Add(1)
@@ -266,6 +273,7 @@
 	outcome := h.order(ctx, t, e, Order{Operation: Unload, AdapterName: name})
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.ordering = false
 	if outcome == Started || outcome == Done {
 		h.Unloads.Add(1)
 		e.state.RecordUnload(name, outcome == Done, h.Now())
@@ -273,7 +281,8 @@
 }
 
 // order sends one order under the lease. Unless the engine accepts it, the
-// engine's state has to be read again.
+// engine's state has to be read again. The caller records the outcome and then clears
+// ordering.
 func (h *Holder) order(ctx context.Context, t deployment.Target, e *managedEngine, order Order) Outcome {
 	fencing, ok := h.mayOrder()
 	if !ok {
@@ -281,6 +290,7 @@
 	}
 	e.mu.Lock()
 	order.Sequence = e.state.Sequence
+	e.ordering = true
 	e.mu.Unlock()
 	order.Holder, order.FencingNumber = h.Lease.Holder, fencing
 	outcome, err := h.Order(ctx, t, order)
--- a/internal/placement/model_load.go
+++ b/internal/placement/model_load.go
@@ -43,6 +43,7 @@
 	outcome := h.order(ctx, t, e, Order{Operation: Load, AdapterName: deployment.AdapterName{Model: model.Name}})
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.ordering = false
 	switch outcome {
 	case Started:
 		e.state.recordAccepted(h.Now())
