--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -21,6 +21,7 @@
 	instances     int
 	clients       int
 	faultDuration time.Duration
+	restores      bool
 	verbose       bool
 }
 
@@ -40,6 +41,7 @@
 	flags.IntVar(&o.instances, "instances", 6, "number of instances")
 	flags.IntVar(&o.clients, "clients", 12, "number of clients")
 	flags.DurationVar(&o.faultDuration, "faulty", 10*time.Second, "how long faults are injected")
+	flags.BoolVar(&o.restores, "restores", false, "restore the store from older copies too")
 	flags.BoolVar(&o.verbose, "verbose", false, "print each fault")
 	if err := command.Execute(); err != nil {
 		os.Exit(1)
@@ -79,7 +81,7 @@
 		fmt.Println(err)
 		return false
 	}
-	cluster := &soak.Cluster{Seed: seed, Binary: binary, Dir: runDir, Instances: o.instances, Clients: o.clients, FaultDuration: o.faultDuration}
+	cluster := &soak.Cluster{Seed: seed, Binary: binary, Dir: runDir, Instances: o.instances, Clients: o.clients, FaultDuration: o.faultDuration, Restores: o.restores}
 	cluster.Log = func(text string) {
 		if o.verbose {
 			fmt.Println("  ", text)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -45,6 +45,8 @@
 	Instances, Clients int
 	// FaultDuration is how long new faults are injected.
 	FaultDuration time.Duration
+	// Restores adds restores of the store from older copies to the faults.
+	Restores bool
 	// Log receives a line for each fault and for the result; optional.
 	Log func(string)
 
@@ -57,6 +59,9 @@
 	targetProxies []*Proxy
 	requests      requestLog
 
+	// restoring is held during a restore, since copies must not overlap.
+	restoring sync.Mutex
+
 	mu     sync.Mutex
 	config platformtest.Config
 	// revokedAt holds the time of withdrawal of each withdrawn key.
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -85,6 +86,35 @@
 	{"a key is withdrawn", func(c *Cluster, random *rand.Rand) { c.revokeKey(random) }},
 }
 
+// restoreFault is a fault of runs with Cluster.Restores. It is not one of faults, so
+// that the seeds of other runs inject what they did before it was added.
+var restoreFault = fault{"the store comes back from an older copy", func(c *Cluster, random *rand.Rand) { c.restoreStore(random) }}
+
+// maxRewriteDelay is the longest time between a restore and the operator's next write.
+const maxRewriteDelay = 800 * time.Millisecond
+
+// restoreStore has the store refuse all calls for a moment and brings it back from a
+// copy of some seconds before. The operator and the targets then write again.
+func (c *Cluster) restoreStore(random *rand.Rand) {
+	if !c.restoring.TryLock() {
+		return
+	}
+	defer c.restoring.Unlock()
+	snapshot := c.store.Snapshot()
+	time.Sleep(randomDuration(random))
+	c.store.Fail(http.StatusServiceUnavailable)
+	time.Sleep(randomDuration(random) / 8)
+	c.store.Restore(snapshot)
+	c.store.Fail(0)
+	time.Sleep(time.Duration(random.Int64N(int64(maxRewriteDelay))))
+	c.mu.Lock()
+	c.config.Publish(c.store)
+	c.mu.Unlock()
+	for _, t := range c.targets {
+		t.Register(c.store, "ready")
+	}
+}
+
 // restart starts a process that has exited. If it cannot be started, the requests to
 // it fail and count against minSuccessRate.
 func (c *Cluster) restart(p *Process) {
@@ -128,8 +158,12 @@
 // until each inject has returned.
 func (c *Cluster) injectFaults(random *rand.Rand) {
 	var group sync.WaitGroup
+	kinds := faults
+	if c.Restores {
+		kinds = append(slices.Clone(faults), restoreFault)
+	}
 	for end := time.Now().Add(c.FaultDuration); time.Now().Before(end); {
-		f := faults[random.IntN(len(faults))]
+		f := kinds[random.IntN(len(kinds))]
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), 0))
 		c.logf("%s", f.name)
 		group.Go(func() { f.inject(c, faultRandom) })
