--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -113,6 +114,35 @@
 	silenceFault, silenceFault, silenceFault, silenceFault, silenceFault,
 }
 
+// restoreFault is a fault of runs with Cluster.Restores. It is not one of faults, so
+// that the seeds of other runs inject what they did before it was added.
+var restoreFault = fault{"the store comes back from an older copy", func(c *Cluster, random *rand.Rand) { c.restoreStore(random) }}
+
+// maxRewriteDelay is the longest time between a restore and the operator's next write.
+const maxRewriteDelay = 800 * time.Millisecond
+
+// restoreStore has the store refuse all calls for a moment and brings it back from a
+// copy of some seconds before. The operator and the targets then write again.
+func (c *Cluster) restoreStore(random *rand.Rand) {
+	if !c.restoring.TryLock() {
+		return
+	}
+	defer c.restoring.Unlock()
+	snapshot := c.store.Snapshot()
+	time.Sleep(randomDuration(random))
+	c.store.Fail(http.StatusServiceUnavailable)
+	time.Sleep(randomDuration(random) / 8)
+	c.store.Restore(snapshot)
+	c.store.Fail(0)
+	time.Sleep(time.Duration(random.Int64N(int64(maxRewriteDelay))))
+	c.mu.Lock()
+	c.config.Publish(c.store)
+	c.mu.Unlock()
+	for _, t := range c.targets {
+		t.Register(c.store, "ready")
+	}
+}
+
 // restart starts a process that has exited. If it cannot be started, the requests to
 // it fail and count against minSuccessRate.
 func (c *Cluster) restart(p *Process) {
@@ -200,7 +230,11 @@
 	}
 	overlaidRandom := rand.New(rand.NewPCG(c.Seed, math.MaxUint64))
 	var group sync.WaitGroup
-	group.Go(func() { c.injectFaults(overlaidFaults, overlaidRandom) })
+	overlaid := overlaidFaults
+	if c.Restores {
+		overlaid = append(slices.Clone(overlaidFaults), restoreFault)
+	}
+	group.Go(func() { c.injectFaults(overlaid, overlaidRandom) })
 	group.Go(func() { c.injectFaults(faults, random) })
 	group.Wait()
 }
