Apply the states of an instance's own engines without peers

What callers saw: no_target, or loads of an adapter that was loaded, at an instance that knows no other one. Cause: the directory got the states of the engines that this instance holds the lease for only when a message to a peer was built. Change: they are applied at each tick while no peer is known. Result: TestLoneInstanceKnowsLoadedAdapters failed before (3 of 3, 'used on both engines: 1 and 1 times') and passes, 3 of 3.

--- a/internal/gatewayinstance/instance_test.go
+++ b/internal/gatewayinstance/instance_test.go
@@ -359,3 +359,23 @@
 		return first.status == http.StatusOK && second.status == http.StatusOK
 	})
 }
+
+// TestLoneInstanceKnowsLoadedAdapters checks that an instance without peers goes on
+// using an adapter where it had it loaded, after its own observation of the load is no
+// longer valid.
+func TestLoneInstanceKnowsLoadedAdapters(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 1)
+	cluster.waitFor("first adapter", func() bool {
+		return cluster.send(http.MethodPost, "/stream/", withAdapter("a1")).status == http.StatusOK
+	})
+	for range 4 {
+		time.Sleep(time.Second)
+		if got := cluster.send(http.MethodPost, "/stream/", withAdapter("a1")); got.status != http.StatusOK {
+			t.Errorf("status %d, body %q", got.status, got.body)
+		}
+	}
+	if n1, n2 := executions(cluster.engine1), executions(cluster.engine2); n1 > 0 && n2 > 0 {
+		t.Errorf("the adapter was used on both engines: %d and %d times", n1, n2)
+	}
+}
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -172,6 +172,7 @@
 		}
 		n.removeExpired()
 		n.updateRole()
+		n.applyOwnEngines()
 		n.invalidateRemoteUses()
 	}
 }
--- a/internal/peer/relayed_states.go
+++ b/internal/peer/relayed_states.go
@@ -76,6 +76,14 @@
 	return states
 }
 
+// applyOwnEngines applies the states of the engines that this instance holds the lease
+// for while it knows no other instance: otherwise each exchange does.
+func (n *Network) applyOwnEngines() {
+	if n.MemberCount() == 1 {
+		n.leasedEngines()
+	}
+}
+
 // addChanges adds the forwarded states that a requester lacks to a response. A
 // relay sends team usage and engines: those of all zones to an instance of its
 // own zone, and those of its own zone to any other. In a full mesh only the
