--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,7 +70,9 @@
 	// lastEventID is the id of the last event passed to the client; at first, of the
 	// event after which the client's request resumes the stream.
 	lastEventID string
-	response    *upstream.Response
+	// sentAt is when the current attempt was started.
+	sentAt   time.Time
+	response *upstream.Response
 	// cancelAttempt ends the current attempt and its response.
 	cancelAttempt context.CancelCauseFunc
 	// uncounted is set while the current attempt is not counted in progress yet.
@@ -221,7 +223,7 @@
 	s.Network.Holder.RecordUse(e.target.ID, e.request.Adapter, 1)
 	var ctx context.Context
 	ctx, e.cancelAttempt = context.WithCancelCause(e.ctx)
-	e.uncounted = true
+	e.uncounted, e.sentAt = true, s.Now()
 	response, err := s.Upstream.Do(ctx, e.target.Address, e.request, attempt)
 	result := e.classify(response, err)
 	if h := e.settleHedge(result == attemptAnswered); h != nil {
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -75,6 +75,9 @@
 // recordTargetFailure records that the target could not be reached or gave no
 // complete response.
 func (e *exchange) recordTargetFailure(err error) {
+	e.server.Log.Info("target failed a request", targetField(e.target.ID), zap.Int64("generation", e.target.Generation),
+		zap.String("request_id", e.request.ID), zap.Strings("prompt_parts", e.request.PromptParts),
+		zap.Duration("after", e.server.Now().Sub(e.sentAt)), zap.Int("in_flight", e.server.Tracker.Target(e.target.ID).Requests), zap.Error(err))
 	if e.server.Detector.RecordFailure(e.target.ID) {
 		e.server.Log.Info("target ejected", targetField(e.target.ID), zap.Error(err))
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -224,7 +224,7 @@
 	}
 	if e.request != nil {
 		allFields = append(allFields, zap.String("request_id", e.request.ID), zap.String("model", e.request.Adapter.Model),
-			zap.String("adapter", e.request.Adapter.Adapter))
+			zap.String("adapter", e.request.Adapter.Adapter), zap.Strings("prompt_parts", e.request.PromptParts))
 		if e.request.LastEventID != "" {
 			allFields = append(allFields, zap.String("resumes", e.request.ResumedID))
 		}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -37,6 +37,9 @@
 	OutputTokens int
 	// HasTokenCounts is set when the request states both.
 	HasTokenCounts bool
+	// PromptParts are the ids of the parts of the prompt, in their order. Requests share
+	// parts; the last part is the request's own, or that of its session.
+	PromptParts []string
 	// LastEventID is the id of the event after which the client resumes a stream.
 	LastEventID string
 	// ResumedID is the id of the request that brought the first event of the stream
@@ -47,6 +50,12 @@
 	Body    []byte
 }
 
+// SharedPromptParts returns the parts of the prompt that other requests may have too:
+// all but the last.
+func (r *Request) SharedPromptParts() []string {
+	return r.PromptParts[:max(len(r.PromptParts)-1, 0)]
+}
+
 // Attempt holds the parameters of one attempt: what an instance adds to a request
 // that it sends to a target.
 type Attempt struct {
