--- /dev/null
+++ b/internal/gatewayinstance/crashing_prompt_test.go
@@ -0,0 +1,246 @@
+package gatewayinstance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"heatherrelay/platform/platformtest"
+)
+
+const (
+	crashingPart = "bad0"
+	// crashWindow is the time after the fifth crash within which requests with the part
+	// must be shut out, maxRequestsAfterCrashWindow how many may still reach targets
+	// after it.
+	crashWindow                 = 3 * time.Second
+	maxRequestsAfterCrashWindow = 3
+	// boundedCrashes is the number of crashes from which the bound applies.
+	boundedCrashes  = 5
+	crashingEngines = 6
+	soundParts      = 4
+	// deepestParts are the parts before the crashing one in a long prompt.
+	deepestParts = "first:80,second:10,third:10,"
+)
+
+// newCrashingCluster starts a cluster whose engines crash on crashingPart.
+func newCrashingCluster(t *testing.T, instances int) *testCluster {
+	t.Helper()
+	cluster := newTestCluster(t, 0)
+	cluster.retry.Extra = 500
+	cluster.engines = []*platformtest.Target{cluster.engine1, cluster.engine2}
+	for n := 3; n <= crashingEngines; n++ {
+		cluster.engines = append(cluster.engines, cluster.startTarget(platformtest.ModelService, fmt.Sprint("engine-", n)))
+	}
+	for _, e := range cluster.engines {
+		e.Inject(func(e *platformtest.Target) {
+			e.CrashPart, e.Downtime, e.CrashStore, e.AnswerDelay = crashingPart, 400*time.Millisecond, cluster.store, 30*time.Millisecond
+		})
+	}
+	for range instances {
+		cluster.startInstance()
+	}
+	return cluster
+}
+
+// withParts selects the base model and a prompt with the given parts and one of its
+// own.
+func withParts(parts string) func(http.Header) {
+	return func(h http.Header) {
+		withModel(h)
+		h.Set("Token-Count", "100,50")
+		h.Set("Prompt-Prefix", fmt.Sprintf("%s,own%d:20", parts, rand.Uint64()))
+	}
+}
+
+// crashes returns the times of all crashes of engines, in their order.
+func (c *testCluster) crashes() []time.Time {
+	var times []time.Time
+	for _, e := range c.engines {
+		times = append(times, e.Crashes()...)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// receivedWith returns how many requests with a part of the prompt reached engines after
+// a moment.
+func (c *testCluster) receivedWith(part string, after time.Time) int {
+	n := 0
+	for _, e := range c.engines {
+		for _, r := range e.ReceivedRequests() {
+			if r.At.After(after) && slices.Contains(platformtest.PromptParts(r.Header.Get("Prompt-Prefix")), part) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// successCount counts the requests of a sender and those that were answered whole.
+type successCount struct{ sent, complete atomic.Int64 }
+
+func (s *successCount) share() float64 {
+	return float64(s.complete.Load()) / float64(max(s.sent.Load(), 1))
+}
+
+// sendRepeatedly sends streams through random instances until stop is closed, each
+// with the headers that edit returns, and counts them. It returns when the last one is
+// answered.
+func (c *testCluster) sendRepeatedly(stop <-chan struct{}, interval time.Duration, count func() *successCount, edit func() func(http.Header)) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(interval):
+		}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			s := count()
+			s.sent.Add(1)
+			got := c.sendThrough(c.instances[rand.IntN(len(c.instances))], http.MethodPost, "/stream/", edit())
+			if got.body == streamBody(eventCount) {
+				s.complete.Add(1)
+			}
+		}()
+	}
+}
+
+// TestPromptPartThatCrashesTargetsIsShut guards against requests with a part of the
+// prompt that crashes engines which reach engine after engine, in new requests, retries
+// and resumed streams alike, and against shutting out the sound requests that share
+// their key and their other parts.
+func TestPromptPartThatCrashesTargetsIsShut(t *testing.T) {
+	for name, parts := range map[string]string{
+		"second part": "first:80," + crashingPart + ":10",
+		"first part":  crashingPart + ":80",
+		"among many":  deepestParts + crashingPart + ":10,fifth:10",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newCrashingCluster(t, 3)
+			stop := make(chan struct{})
+			var group sync.WaitGroup
+			var late atomic.Bool
+			bad, early, sound := &successCount{}, &successCount{}, &successCount{}
+			start := func(interval time.Duration, count func() *successCount, edit func() func(http.Header)) {
+				group.Add(1)
+				go func() { defer group.Done(); cluster.sendRepeatedly(stop, interval, count, edit) }()
+			}
+			start(15*time.Millisecond, func() *successCount {
+				if late.Load() {
+					return sound
+				}
+				return early
+			}, func() func(http.Header) {
+				return withParts(fmt.Sprint(deepestParts, "sound", rand.IntN(soundParts), ":10"))
+			})
+			time.Sleep(500 * time.Millisecond)
+			start(70*time.Millisecond, func() *successCount { return bad }, func() func(http.Header) {
+				edit := withParts(parts)
+				return func(h http.Header) {
+					edit(h)
+					if rand.IntN(4) == 0 {
+						h.Set("Last-Event-Id", "2")
+					}
+				}
+			})
+			cluster.waitFor("fifth crash or all shut", func() bool { return len(cluster.crashes()) >= boundedCrashes || bad.sent.Load() > 60 })
+			time.Sleep(crashWindow)
+			late.Store(true)
+			time.Sleep(crashWindow)
+			close(stop)
+			group.Wait()
+			crashes := cluster.crashes()
+			last := crashes[min(boundedCrashes, len(crashes))-1]
+			if n := cluster.receivedWith(crashingPart, last.Add(crashWindow)); n > maxRequestsAfterCrashWindow {
+				t.Errorf("%d requests with the part reached engines later than %s after crash %d, %d crashes in all", n, crashWindow, boundedCrashes, len(crashes))
+			}
+			if sound.share() < 0.9 {
+				t.Errorf("%d of %d sound requests were answered", sound.complete.Load(), sound.sent.Load())
+			}
+			if bad.complete.Load() > 0 {
+				t.Errorf("%d requests with the part were answered", bad.complete.Load())
+			}
+		})
+	}
+}
+
+// TestEvidenceOfCrashesOutlastsInstances guards against instances that begin to count
+// crashes anew: each of them sees a single crash and is killed, the next one
+// continues the count, and instances that start when all others are gone still refuse
+// the part, at once and as not run.
+func TestEvidenceOfCrashesOutlastsInstances(t *testing.T) {
+	t.Parallel()
+	cluster := newCrashingCluster(t, 0)
+	for n := range boundedCrashes {
+		i := cluster.startKillableInstance()
+		cluster.waitFor("crash, or the part refused", func() bool {
+			got := cluster.sendThrough(i, http.MethodPost, "/stream/", withParts("first:80,"+crashingPart+":10"))
+			return len(cluster.crashes()) > n || strings.Contains(got.body, "prompt_part_blocked")
+		})
+		time.Sleep(time.Second)
+		i.stop()
+	}
+	i := cluster.startInstance()
+	cluster.waitFor("sound request answered", func() bool {
+		return cluster.sendThrough(i, http.MethodPost, "/stream/", withParts("first:80,sound:10")).body == streamBody(eventCount)
+	})
+	before := time.Now()
+	for range 20 {
+		got := cluster.sendThrough(i, http.MethodPost, "/stream/", withParts("first:80,"+crashingPart+":10"))
+		if got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, `"not_run":true`) || got.header.Get("Retry-After") == "" {
+			t.Errorf("reply %+v", got)
+		}
+	}
+	if n := cluster.receivedWith(crashingPart, before); n > 0 {
+		t.Errorf("%d requests with the part reached engines after %d crashes", n, len(cluster.crashes()))
+	}
+	if took := time.Since(before); took > 2*time.Second {
+		t.Errorf("20 refusals took %s", took)
+	}
+}
+
+// TestResetsAndLeavingTargetsShutNoPart guards against parts of prompts that are shut
+// out because streams with them broke off at targets that were reset or left, and did
+// not crash.
+func TestResetsAndLeavingTargetsShutNoPart(t *testing.T) {
+	t.Parallel()
+	cluster := newCrashingCluster(t, 2)
+	request := withParts("first:80,rare:10")
+	for range 4 * boundedCrashes {
+		for _, e := range cluster.engines {
+			e.Inject(func(e *platformtest.Target) { e.LoseNext = 1 })
+		}
+		cluster.sendThrough(cluster.instances[rand.IntN(2)], http.MethodPost, "/stream/", request)
+	}
+	leaving := cluster.engines[1:]
+	for _, e := range leaving {
+		e.Inject(func(e *platformtest.Target) { e.Leaving, e.AnswerDelay, e.LoseNext = true, time.Second, 0 })
+	}
+	cluster.engines[0].Inject(func(e *platformtest.Target) { e.LoseNext = 0 })
+	for _, e := range leaving {
+		go cluster.send(http.MethodPost, "/stream/", request)
+		e.Register(cluster.store, "draining")
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, e := range leaving {
+		e.Crash()
+	}
+	cluster.waitFor("request with the part answered", func() bool {
+		got := cluster.send(http.MethodPost, "/stream/", request)
+		if strings.Contains(got.body, "prompt_part_blocked") {
+			t.Fatalf("the part is shut out: %s", got.body)
+		}
+		return got.body == streamBody(eventCount)
+	})
+}
