--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -30,6 +30,9 @@
 	versionsBatchDelay = 200 * time.Millisecond
 	// versionsLimit is the time within which an announced version must be known.
 	versionsLimit = 4 * time.Second
+	// crashesLimit is the same for reports on crashed targets, which reach most
+	// instances sooner from their peers.
+	crashesLimit = 4 * time.Second
 	// ownReadFraction is the part of a limit after which an instance whose peers have
 	// not confirmed its replica reads the store itself. The rest of the limit is left
 	// for applying the change.
@@ -41,6 +44,9 @@
 	Configuration platformstore.Kind
 	Targets       platformstore.Kind
 	Versions      platformstore.Kind
+	// Crashes is the kind of the reports on crashed targets, which instances write;
+	// empty for none.
+	Crashes platformstore.Kind
 	// ConfigurationName is the name of the configuration object.
 	ConfigurationName string
 }
@@ -71,6 +77,8 @@
 	TargetsLimit       time.Duration
 	// OnTargetsChange is called with all targets after each change; may be nil.
 	OnTargetsChange func(map[deployment.TargetID]deployment.Target)
+	// OnCrashesChange is called with all objects of the kind Crashes after each change.
+	OnCrashesChange func([]platformstore.Object)
 	Now             func() time.Time
 	Log             *zap.Logger
 
@@ -78,6 +86,7 @@
 	configurationFollower Follower
 	targetsFollower       Follower
 	versionsFollower      Follower
+	crashesFollower       Follower
 
 	activeConfiguration atomic.Pointer[deployment.Configuration]
 	// configurationMu guards changes of activeConfiguration and the fields below.
@@ -107,6 +116,9 @@
 		c.targetsFollower.Sanitize, c.targetsFollower.BatchDelay = c.TrimTarget, targetsBatchDelay
 		c.versionsFollower = c.follower(c.Kinds.Versions, versionsLimit, c.applyVersions)
 		c.versionsFollower.BatchDelay = versionsBatchDelay
+		if c.Kinds.Crashes != "" {
+			c.crashesFollower = c.follower(c.Kinds.Crashes, crashesLimit, c.OnCrashesChange)
+		}
 		c.versionByName.Store(&map[deployment.AdapterName]uint64{})
 		c.targetByID.Store(&map[deployment.TargetID]deployment.Target{})
 		c.unlisted = map[deployment.TargetID]bool{}
@@ -130,17 +142,31 @@
 	group.Go(func() { c.configurationFollower.Run(ctx) })
 	group.Go(func() { c.targetsFollower.Run(ctx) })
 	group.Go(func() { c.versionsFollower.Run(ctx) })
+	if c.Kinds.Crashes != "" {
+		group.Go(func() { c.crashesFollower.Run(ctx) })
+	}
 	group.Wait()
 }
 
 // Followers returns the followers by the kind of their objects.
 func (c *Catalog) Followers() map[platformstore.Kind]*Follower {
 	c.init()
-	return map[platformstore.Kind]*Follower{
+	followers := map[platformstore.Kind]*Follower{
 		c.Kinds.Configuration: &c.configurationFollower,
 		c.Kinds.Targets:       &c.targetsFollower,
 		c.Kinds.Versions:      &c.versionsFollower,
 	}
+	if c.Kinds.Crashes != "" {
+		followers[c.Kinds.Crashes] = &c.crashesFollower
+	}
+	return followers
+}
+
+// CrashObjects returns the stored reports on crashed targets.
+func (c *Catalog) CrashObjects() []platformstore.Object {
+	c.init()
+	_, objects := c.crashesFollower.Snapshot()
+	return objects
 }
 
 // StoreGeneration returns the highest generation of the store that this instance knows
--- /dev/null
+++ b/internal/crash/detector.go
@@ -0,0 +1,224 @@
+package crash
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/wait"
+)
+
+const (
+	// probeDelay is the time from the end of a connection to the probe: a process that
+	// ends closes its connections and its listener one after the other.
+	probeDelay = 30 * time.Millisecond
+	// probeTimeout bounds the connection attempt of a probe.
+	probeTimeout = 400 * time.Millisecond
+	// probeInterval is the least time between two probes of a target.
+	probeInterval = time.Second
+	// endingRetention is how long the end of a target's connections waits for evidence of
+	// a crash, and how long requests that fail after a crash count to it.
+	endingRetention = 5 * time.Second
+)
+
+// Status says how a process of a target stands, as far as is known.
+type Status int
+
+// The statuses of a process.
+const (
+	// Running processes are listed and take requests.
+	Running Status = iota
+	// Leaving processes are about to end as planned, or have ended so.
+	Leaving
+	// Replaced processes ended unplanned: the target has started again.
+	Replaced
+)
+
+// Detector tells the crash of a target from other reasons for which its connections
+// end: a target that was reset, is silent, cut off or leaving has not crashed. It
+// observes the requests whose connections ended before the answer was complete, and
+// confirms a crash when the target's address then refuses connections or the target
+// has started again. It is safe for concurrent use. Set the exported fields before the
+// first use.
+type Detector struct {
+	Ledger *Ledger
+	// Probe opens a connection to an address.
+	Probe func(ctx context.Context, address netip.AddrPort) error
+	// Status returns the status of a target's process.
+	Status func(deployment.Target) Status
+	Now    func() time.Time
+
+	mu      sync.Mutex
+	endings map[Process]*ending
+}
+
+// ending is the end of a process's connections, with what the requests on them held.
+type ending struct {
+	target deployment.Target
+	at     time.Time
+	// parts maps the parts of the prompts to their depths.
+	parts   map[string]int
+	crashed bool
+	// probing is closed at the end of the latest probe; nil if there was none.
+	probing  chan struct{}
+	probedAt time.Time
+}
+
+// EndedByTarget reports whether an error of a request means that the target's side
+// ended the connection.
+func EndedByTarget(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// RecordEnd records that the target's side ended the connection of a request before the
+// answer was complete. The parts are those of the request's prompt that may have
+// caused it. It does not block.
+func (d *Detector) RecordEnd(target deployment.Target, parts []string) { d.recordEnd(target, parts) }
+
+// recordEnd is RecordEnd. It returns the ending; nil if the target is leaving.
+func (d *Detector) recordEnd(target deployment.Target, parts []string) *ending {
+	status := d.Status(target)
+	if status == Leaving {
+		return nil
+	}
+	d.mu.Lock()
+	e := d.ending(target)
+	for i, part := range parts {
+		e.parts[part] = max(e.parts[part], i+1)
+	}
+	crashed := e.crashed
+	if !crashed && status == Running {
+		d.startProbe(e)
+	}
+	d.mu.Unlock()
+	switch {
+	case crashed:
+		d.Ledger.RecordCrash(processOf(target), depths(parts))
+	case status == Replaced:
+		d.confirm(e)
+	}
+	return e
+}
+
+func processOf(t deployment.Target) Process { return Process{Target: t.ID, Generation: t.Generation} }
+
+// startProbe starts a probe of a process, unless one was started within probeInterval.
+// The caller holds the lock.
+func (d *Detector) startProbe(e *ending) {
+	if now := d.Now(); now.Sub(e.probedAt) >= probeInterval {
+		e.probing, e.probedAt = make(chan struct{}), now
+		go d.probe(e, e.probing)
+	}
+}
+
+func depths(parts []string) map[string]int {
+	result := make(map[string]int, len(parts))
+	for i, part := range parts {
+		result[part] = i + 1
+	}
+	return result
+}
+
+// RecordRefused records that the target's address refused a connection. Together with
+// connections that ended shortly before, that is a crash.
+func (d *Detector) RecordRefused(target deployment.Target) {
+	d.mu.Lock()
+	e, ok := d.endings[processOf(target)]
+	ok = ok && d.Now().Sub(e.at) <= endingRetention
+	d.mu.Unlock()
+	if ok {
+		d.confirm(e)
+	}
+}
+
+// RecordTargets confirms the crashes of the targets that have started again.
+func (d *Detector) RecordTargets(listed map[deployment.TargetID]deployment.Target) {
+	var replaced []*ending
+	d.mu.Lock()
+	for p, e := range d.endings {
+		if !e.crashed && listed[p.Target].Generation > p.Generation {
+			replaced = append(replaced, e)
+		}
+	}
+	d.mu.Unlock()
+	for _, e := range replaced {
+		d.confirm(e)
+	}
+}
+
+// Crashed records the end of a connection like RecordEnd, waits for the probe and
+// reports whether the target has crashed.
+func (d *Detector) Crashed(ctx context.Context, target deployment.Target, parts []string) bool {
+	e := d.recordEnd(target, parts)
+	if e == nil {
+		return false
+	}
+	d.mu.Lock()
+	probing := e.probing
+	d.mu.Unlock()
+	if probing != nil {
+		select {
+		case <-probing:
+		case <-ctx.Done():
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return e.crashed
+}
+
+// ending returns the ending of a target's process, and drops the others that are older
+// than endingRetention. The caller holds the lock.
+func (d *Detector) ending(target deployment.Target) *ending {
+	now := d.Now()
+	for p, e := range d.endings {
+		if now.Sub(e.at) > endingRetention {
+			delete(d.endings, p)
+		}
+	}
+	p := processOf(target)
+	e, ok := d.endings[p]
+	if !ok {
+		e = &ending{target: target, at: now, parts: map[string]int{}}
+		if d.endings == nil {
+			d.endings = map[Process]*ending{}
+		}
+		d.endings[p] = e
+	}
+	return e
+}
+
+// probe connects to the target of an ending and confirms the crash if the connection is
+// refused. Any other failure shows nothing.
+func (d *Detector) probe(e *ending, done chan struct{}) {
+	defer close(done)
+	// The sleep cannot end early.
+	_ = wait.Sleep(context.Background(), probeDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if err := d.Probe(ctx, e.target.Address); errors.Is(err, syscall.ECONNREFUSED) {
+		d.confirm(e)
+	}
+}
+
+// confirm records a crash in the ledger, unless the target is leaving or the crash is
+// recorded already.
+func (d *Detector) confirm(e *ending) {
+	if d.Status(e.target) == Leaving {
+		return
+	}
+	d.mu.Lock()
+	already := e.crashed
+	e.crashed = true
+	parts := maps.Clone(e.parts)
+	d.mu.Unlock()
+	if !already {
+		d.Ledger.RecordCrash(processOf(e.target), parts)
+	}
+}
--- /dev/null
+++ b/internal/crash/ledger_test.go
@@ -0,0 +1,215 @@
+package crash_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"heatherrelay/internal/crash"
+	"heatherrelay/internal/deployment"
+)
+
+// start is the time at which the test clocks begin.
+var start = time.Unix(1_000_000, 0)
+
+// testLedger is a ledger with a clock of its own.
+type testLedger struct {
+	*crash.Ledger
+	now time.Time
+	// changed are the reports of OnChange.
+	changed []crash.Report
+}
+
+func newLedger() *testLedger {
+	l := &testLedger{now: start}
+	l.Ledger = &crash.Ledger{
+		Now: func() time.Time { return l.now }, Log: zap.NewNop(),
+		OnChange: func(r crash.Report, _ bool) { l.changed = append(l.changed, r) },
+	}
+	return l
+}
+
+func process(n int) crash.Process {
+	return crash.Process{Target: deployment.TargetID(fmt.Sprint("engine-", n%4)), Generation: int64(n)}
+}
+
+func blocked(l *crash.Ledger, part string) bool {
+	_, ok := l.Blocked([]string{part})
+	return ok
+}
+
+// TestOnlyTheCommonPartIsBlocked guards against shutting out parts that were at crashed
+// targets by chance: the first part of all prompts, which is answered elsewhere, and
+// parts of some requests that were at some of the targets.
+func TestOnlyTheCommonPartIsBlocked(t *testing.T) {
+	l := newLedger()
+	l.RecordSound([]string{"first"})
+	for n := range 3 {
+		l.RecordCrash(process(n), map[string]int{"first": 1, "bad": 2, fmt.Sprint("other", n): 2, fmt.Sprint("pair", n/2): 2})
+	}
+	for part, want := range map[string]bool{"bad": true, "first": false, "other0": false, "pair0": false} {
+		if got := blocked(l.Ledger, part); got != want {
+			t.Errorf("%s: blocked %t, want %t", part, got, want)
+		}
+	}
+}
+
+// TestPartsThatAlwaysComeTogether checks that of two parts that occur in the same
+// crashes the one further back is blocked, which the fewest other requests share, and
+// that the other one replaces it when it explains more.
+func TestPartsThatAlwaysComeTogether(t *testing.T) {
+	l := newLedger()
+	for n := range 3 {
+		l.RecordCrash(process(n), map[string]int{"front": 1, "back": 2})
+	}
+	if blocked(l.Ledger, "front") || !blocked(l.Ledger, "back") {
+		t.Error("want just the part further back blocked")
+	}
+	l.RecordCrash(process(3), map[string]int{"front": 1, "another": 2})
+	if !blocked(l.Ledger, "front") || blocked(l.Ledger, "back") {
+		t.Error("want just the part blocked that explains all crashes")
+	}
+}
+
+// TestAnswerReleasesPart checks that an answer that was under way releases a part that
+// was blocked wrongly, and that an answer long before a crash does not protect it.
+func TestAnswerReleasesPart(t *testing.T) {
+	l := newLedger()
+	l.RecordSound([]string{"part"})
+	l.now = l.now.Add(time.Minute)
+	for n := range 3 {
+		l.RecordCrash(process(n), map[string]int{"part": 1})
+	}
+	if !blocked(l.Ledger, "part") {
+		t.Fatal("not blocked")
+	}
+	l.RecordSound([]string{"part"})
+	if blocked(l.Ledger, "part") {
+		t.Error("still blocked after an answer")
+	}
+}
+
+// TestBlockOutlastsRequests checks that a part stays blocked as long as requests for it
+// come, without a trial, and is released an hour after the last one.
+func TestBlockOutlastsRequests(t *testing.T) {
+	l := newLedger()
+	for n := range 3 {
+		l.RecordCrash(process(n), map[string]int{"bad": 1})
+	}
+	for range 20 {
+		l.now = l.now.Add(30 * time.Minute)
+		l.RemoveExpired()
+		if !blocked(l.Ledger, "bad") {
+			t.Fatalf("released after %s", l.now.Sub(start))
+		}
+		l.RecordRefusal("bad")
+	}
+	l.now = l.now.Add(61 * time.Minute)
+	l.RemoveExpired()
+	if blocked(l.Ledger, "bad") {
+		t.Error("still blocked")
+	}
+}
+
+// TestStateIsBounded checks that neither crashes nor parts of prompts are kept without
+// a bound, however many callers send.
+func TestStateIsBounded(t *testing.T) {
+	l := newLedger()
+	for n := range 300 {
+		parts := map[string]int{}
+		for i := range 600 {
+			parts[fmt.Sprint(n, "-", i)] = i
+		}
+		l.RecordCrash(crash.Process{Target: "engine", Generation: int64(n)}, parts)
+	}
+	reports := l.Reports()
+	if len(reports) > 256 {
+		t.Errorf("%d reports", len(reports))
+	}
+	for _, r := range reports {
+		if len(r.Suspects) > 512 {
+			t.Fatalf("%d suspects", len(r.Suspects))
+		}
+	}
+}
+
+// exchangeReports gives each ledger the reports of the others three times, the present
+// ones and some earlier ones, each time in an order that depends on seed.
+func exchangeReports(ledgers []*testLedger, earlier int, seed uint64) {
+	for range 3 {
+		for i, from := range ledgers {
+			reports := append(from.Reports(), from.changed[:min(len(from.changed), earlier)]...)
+			rand.New(rand.NewPCG(seed, uint64(i))).Shuffle(len(reports), func(a, b int) { reports[a], reports[b] = reports[b], reports[a] })
+			for _, to := range ledgers {
+				for _, r := range reports {
+					to.Merge(r)
+				}
+			}
+		}
+	}
+}
+
+func sameSets(a, b crash.Report) bool {
+	return slices.Equal(a.Suspects, b.Suspects) && slices.Equal(a.Cleared, b.Cleared)
+}
+
+// TestInstancesAgree checks that instances that receive each other's reports late,
+// twice, in any order and some of them only in stored form block the same parts: the
+// one that crashes targets and no other that is ever answered.
+func TestInstancesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ledgers := []*testLedger{newLedger(), newLedger(), newLedger()}
+		crashes := rapid.IntRange(3, 8).Draw(t, "crashes")
+		for n := range crashes {
+			for i, l := range ledgers {
+				if i == n%len(ledgers) {
+					l.RecordCrash(process(n), map[string]int{"first": 1, "bad": 2, fmt.Sprint("other", n): 3})
+				} else if rapid.Bool().Draw(t, "observes") {
+					l.RecordCrash(process(n), map[string]int{"first": 1, fmt.Sprint("victim", i): 2})
+				}
+			}
+		}
+		ledgers[rapid.IntRange(0, 2).Draw(t, "answers")].RecordSound([]string{"first"})
+		exchangeReports(ledgers, crashes, rapid.Uint64().Draw(t, "order"))
+		restarted := newLedger()
+		value, err := json.Marshal(ledgers[0].Store(start))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := restarted.MergeStored(value, start); err != nil {
+			t.Fatal(err)
+		}
+		if !crash.Covers([]crash.StoredReports{ledgers[0].Store(start)}, restarted.Store(start)) {
+			t.Error("the stored reports do not cover those of the restarted instance")
+		}
+		for i, l := range append(ledgers, restarted) {
+			if !blocked(l.Ledger, "bad") || blocked(l.Ledger, "first") {
+				t.Errorf("instance %d: bad %t, first %t", i, blocked(l.Ledger, "bad"), blocked(l.Ledger, "first"))
+			}
+			if i < len(ledgers) && !slices.EqualFunc(l.Reports(), ledgers[0].Reports(), sameSets) {
+				t.Errorf("instance %d has other reports", i)
+			}
+		}
+	})
+}
+
+// TestStoredPartIsClearedByOperators checks that an object that operators write releases
+// a part, and that a malformed object is an error.
+func TestStoredPartIsClearedByOperators(t *testing.T) {
+	l := newLedger()
+	for n := range 3 {
+		l.RecordCrash(process(n), map[string]int{"bad": 1})
+	}
+	if err := l.MergeStored(json.RawMessage(`{"cleared_parts":["bad"]}`), start); err != nil || blocked(l.Ledger, "bad") {
+		t.Errorf("error %v, blocked %t", err, blocked(l.Ledger, "bad"))
+	}
+	if err := l.MergeStored(json.RawMessage(`{"crashes":7}`), start); err == nil {
+		t.Error("no error")
+	}
+}
--- /dev/null
+++ b/internal/crash/stored.go
@@ -0,0 +1,105 @@
+package crash
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"heatherrelay/internal/deployment"
+)
+
+// StoredReports is the value of an object of the store with the reports of a zone. It
+// lets them outlast the instances and reach instances that are cut off from the
+// others.
+type StoredReports struct {
+	Crashes []StoredReport `json:"crashes"`
+	// ClearedParts are parts of prompts that the operators declare to be sound. An
+	// object that operators write may have no other field.
+	ClearedParts []string `json:"cleared_parts,omitempty"`
+}
+
+// StoredReport is the stored form of a Report, without the suspects that are cleared.
+type StoredReport struct {
+	Target     deployment.TargetID `json:"target"`
+	Generation int64               `json:"generation"`
+	At         time.Time           `json:"at"`
+	RenewedAt  time.Time           `json:"renewed_at"`
+	// Suspects maps each suspected part to its depth.
+	Suspects map[string]int `json:"suspects"`
+}
+
+// Store returns the stored form of the ledger's reports. Those without suspects are
+// left out. The times are those of the wall clock, which instances share.
+func (l *Ledger) Store(wallClock time.Time) StoredReports {
+	now := l.Now()
+	stored := StoredReports{Crashes: []StoredReport{}}
+	for _, r := range l.Reports() {
+		suspects := map[string]int{}
+		for _, s := range r.Suspects {
+			if !slices.Contains(r.Cleared, s.Part) {
+				suspects[s.Part] = s.Depth
+			}
+		}
+		if len(suspects) > 0 {
+			stored.Crashes = append(stored.Crashes, StoredReport{
+				Target: r.Target, Generation: r.Generation, Suspects: suspects,
+				At: wallClock.Add(r.At.Sub(now)).UTC().Truncate(time.Second), RenewedAt: wallClock.Add(r.RenewedAt.Sub(now)).UTC().Truncate(time.Second),
+			})
+		}
+	}
+	return stored
+}
+
+// MergeStored adds the reports of a stored object. It returns an error if the value
+// cannot be decoded.
+func (l *Ledger) MergeStored(value json.RawMessage, wallClock time.Time) error {
+	var stored StoredReports
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return err
+	}
+	now := l.Now()
+	for _, s := range stored.Crashes {
+		report := Report{
+			Process: Process{Target: s.Target, Generation: s.Generation},
+			At:      now.Add(-max(wallClock.Sub(s.At), 0)), RenewedAt: now.Add(-max(wallClock.Sub(s.RenewedAt), 0)),
+		}
+		for part, depth := range s.Suspects {
+			report.Suspects = append(report.Suspects, Suspect{Part: part, Depth: depth})
+		}
+		l.Merge(report)
+	}
+	if len(stored.ClearedParts) > 0 {
+		l.RecordSound(stored.ClearedParts)
+	}
+	return nil
+}
+
+// Covers reports whether stored objects hold all reports of s, with their suspects and
+// renewals.
+func Covers(objects []StoredReports, s StoredReports) bool {
+	type key struct {
+		Process
+		part string
+	}
+	renewed := map[key]time.Time{}
+	for _, o := range objects {
+		for _, r := range o.Crashes {
+			for part := range r.Suspects {
+				k := key{Process{r.Target, r.Generation}, part}
+				if r.RenewedAt.After(renewed[k]) {
+					renewed[k] = r.RenewedAt
+				}
+			}
+		}
+	}
+	for _, r := range s.Crashes {
+		for part := range maps.Keys(r.Suspects) {
+			at, ok := renewed[key{Process{r.Target, r.Generation}, part}]
+			if !ok || r.RenewedAt.Sub(at) > renewInterval {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -73,6 +73,11 @@
 	// sentAt is when the current attempt was started.
 	sentAt   time.Time
 	response *upstream.Response
+	// firstEventAt is when the current target sent its first event; zero before that.
+	firstEventAt time.Time
+	// soundRecorded is set when the current target's answer has cleared the parts of
+	// the prompt.
+	soundRecorded bool
 	// cancelAttempt ends the current attempt and its response.
 	cancelAttempt context.CancelCauseFunc
 	// uncounted is set while the current attempt is not counted in progress yet.
@@ -188,6 +193,8 @@
 	switch cause := context.Cause(e.ctx); {
 	case errors.Is(cause, errClientGone):
 		return e.downgradeNotRun(refusal.NotRun(refusal.CodeCallerGone, "client gone").WithCause(cause))
+	case errors.Is(cause, errPromptBlocked):
+		return e.downgradeNotRun(refusal.NotRun(refusal.CodePromptPartBlocked, "%s", cause).WithRetryAfter(blockedRetryAfter))
 	case cause != nil || e.remaining() < minRemainingTime:
 		if e.mayHaveRun() {
 			return refusal.MayHaveRun(refusal.CodeDeadlineExceeded, "no time left")
@@ -198,13 +205,18 @@
 }
 
 // authorizeAttempt checks, right before an attempt, that the request may still be
-// sent: the key may have been withdrawn while the request waited, and the retry
-// budget, which bounds retries over all instances, may be used up.
+// sent: the key may have been withdrawn or a part of the prompt blocked while the
+// request waited, and the retry budget, which bounds retries over all instances, may
+// be used up.
 func (e *exchange) authorizeAttempt() *refusal.Error {
 	if refused := e.checkKey(); refused != nil {
 		e.recordStep("key", e.target.ID, string(refused.Code))
 		return refused
 	}
+	if refused := e.checkPrompt(); refused != nil {
+		e.recordStep("prompt", e.target.ID, string(refused.Code))
+		return refused
+	}
 	if attempts, _ := e.counts(); attempts > 0 && !e.server.Budget.TryWithdraw(e.service) {
 		e.recordStep("retry", e.target.ID, "no_budget")
 		return refusal.NotRun(refusal.CodeNoTarget, "no repeat is left").WithRetryAfter(retrySoon)
@@ -223,7 +235,7 @@
 	s.Network.Holder.RecordUse(e.target.ID, e.request.Adapter, 1)
 	var ctx context.Context
 	ctx, e.cancelAttempt = context.WithCancelCause(e.ctx)
-	e.uncounted, e.sentAt = true, s.Now()
+	e.uncounted, e.sentAt, e.firstEventAt, e.soundRecorded = true, s.Now(), time.Time{}, false
 	response, err := s.Upstream.Do(ctx, e.target.Address, e.request, attempt)
 	result := e.classify(response, err)
 	if h := e.settleHedge(result == attemptAnswered); h != nil {
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -15,6 +15,7 @@
 	s := e.server
 	if upstream.ErrNotSent.Has(err) {
 		e.refundRetry()
+		e.observeRefused(err)
 		if e.ctx.Err() == nil {
 			e.recordStep("send", e.target.ID, "not_sent: "+err.Error())
 			e.recordTargetFailure(err)
@@ -27,6 +28,7 @@
 	}
 	if err != nil {
 		e.recordStep("send", e.target.ID, "broken: "+err.Error())
+		e.observeEnd(err)
 		if e.ctx.Err() == nil {
 			e.recordTargetFailure(err)
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -50,6 +51,8 @@
 	ctx        context.Context
 	cancel     context.CancelCauseFunc
 	finishOnce sync.Once
+	// answering is set when a target has sent an event.
+	answering atomic.Bool
 	// streaming is set while the response is being forwarded after the handler
 	// returned.
 	streaming bool
@@ -57,8 +60,8 @@
 	delivery
 }
 
-// admit finds the route, and checks the body size, the key and the team's
-// allowance. It returns a refusal if the request is not admitted.
+// admit finds the route, and checks the body size, the key, the parts of the prompt and
+// the team's allowance. It returns a refusal if the request is not admitted.
 func (e *exchange) admit() *refusal.Error {
 	configuration := e.server.Catalog.Configuration()
 	if configuration == nil {
@@ -75,11 +78,9 @@
 	}
 	e.setDeadline()
 	if configuration.NeedsKeys() && !route.Anonymous {
-		if refused := e.admitKey(configuration); refused != nil {
-			return refused
-		}
+		return e.admitKey(configuration)
 	}
-	return nil
+	return e.checkPrompt()
 }
 
 func (e *exchange) setDeadline() {
@@ -114,6 +115,9 @@
 	if refused := e.checkKey(); refused != nil {
 		return refused
 	}
+	if refused := e.checkPrompt(); refused != nil {
+		return refused
+	}
 	cost := quota.Cost(team, e.request.HasTokenCounts, e.request.PromptTokens, e.request.OutputTokens)
 	ok, wait := e.server.Meter.Admit(team, cost)
 	if !ok {
@@ -144,7 +148,8 @@
 func (e *exchange) remaining() time.Duration { return e.deadline.Sub(e.server.Now()) }
 
 // watchClient starts a goroutine that cancels the exchange when the client closes
-// its connection or the deadline passes.
+// its connection, the deadline passes, or the prompt turns out to crash targets before
+// one has begun to answer.
 func (e *exchange) watchClient() {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	e.ctx, e.cancel = ctx, cancel
@@ -166,6 +171,10 @@
 					cancel(errClientGone)
 					return
 				}
+				if e.promptBlocked() {
+					cancel(errPromptBlocked)
+					return
+				}
 			}
 		}
 	}()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -22,6 +22,9 @@
 			e.response.SetSilence(0, nil)
 		}
 		body, err := e.response.ReadAll()
+		if err != nil {
+			e.observeEnd(err)
+		}
 		h := e.settleHedge(err == nil)
 		if h == nil {
 			return body, err
@@ -40,6 +43,9 @@
 	for {
 		body, err := e.readBody()
 		if err == nil {
+			if e.response.Success() && e.response.Length != upstream.LengthUntilClose {
+				e.recordSound()
+			}
 			e.forwardResponse(&bufferedResponse{ResponseHead: e.response.ResponseHead, body: body})
 			return
 		}
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -184,6 +184,7 @@
 func (e *exchange) prefetchEvent() *refusal.Error {
 	p := &prefetched{reader: eventstream.NewReader(e.response)}
 	p.event, p.err = p.reader.Next()
+	p.err = e.checkStreamEnd(e.ctx, p.err)
 	if h := e.settleHedge(p.err == nil || errors.Is(p.err, io.EOF)); h != nil {
 		e.adopt(h)
 		return nil
@@ -194,6 +195,9 @@
 	if p.event.ID != "" && !inOrder(e.lastEventID, p.event.ID) {
 		return refusal.MayHaveRun(refusal.CodeBrokenStream, "the hedge sent event id %s after %s", p.event.ID, e.lastEventID)
 	}
+	if p.err == nil {
+		e.observeEvent()
+	}
 	e.prefetched = p
 	return nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/catalog"
+	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/inflight"
 	"heatherrelay/internal/outlier"
@@ -43,15 +44,19 @@
 	Zone string
 	// KeyLimit is the longest time since the configuration was last confirmed for
 	// which its keys are still accepted.
-	KeyLimit  time.Duration
-	Catalog   *catalog.Catalog
-	Network   *peer.Network
-	Meter     *quota.Meter
-	Budget    *retry.Budget
-	Detector  *outlier.Detector
-	Tracker   *inflight.Tracker
-	Directory *placement.Directory
-	Demand    *placement.Demand
+	KeyLimit time.Duration
+	Catalog  *catalog.Catalog
+	Network  *peer.Network
+	Meter    *quota.Meter
+	Budget   *retry.Budget
+	Detector *outlier.Detector
+	// Crashes knows the parts of prompts that crash targets, CrashDetector finds the
+	// crashes.
+	Crashes       *crash.Ledger
+	CrashDetector *crash.Detector
+	Tracker       *inflight.Tracker
+	Directory     *placement.Directory
+	Demand        *placement.Demand
 	// StreamPauses records whether streams paused for longer than their objective;
 	// if many did, prompts are paced.
 	StreamPauses placement.PauseMonitor
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,6 +74,7 @@
 func (s *stream) readEvent() (eventstream.Event, error) {
 	if s.prefetched == nil {
 		event, err := s.reader.Next()
+		err = s.checkStreamEnd(s.ctx, err)
 		h := s.settleHedge(err == nil || errors.Is(err, io.EOF))
 		if h == nil {
 			return event, err
@@ -98,6 +99,7 @@
 	if err != nil {
 		return event, err
 	}
+	s.observeEvent()
 	if s.events == 0 || s.resumes > 0 {
 		s.tracked.ObserveFirstEvent()
 	}
--- /dev/null
+++ b/internal/gatewayinstance/crashes.go
@@ -0,0 +1,120 @@
+package gatewayinstance
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/clock"
+	"heatherrelay/internal/crash"
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/platformstore"
+	"heatherrelay/internal/wait"
+)
+
+const (
+	// crashKind is the kind of the objects with the reports on crashed targets, one
+	// for each zone.
+	crashKind platformstore.Kind = "heatherrelay-crashes"
+	// storeCrashesInterval is the time between two checks whether the store lacks a
+	// report.
+	storeCrashesInterval = 200 * time.Millisecond
+	// otherWriterDelay is how long an instance that does not read the store for its
+	// zone leaves the writing of a report to the one that does.
+	otherWriterDelay = 600 * time.Millisecond
+)
+
+// assembleCrashes creates the components that find parts of prompts that crash targets.
+// The network and the catalog must exist.
+func (i *Instance) assembleCrashes() {
+	i.network.Crashes = i.crashes
+	i.crashes.OnChange = func(report crash.Report, observed bool) {
+		i.crashesChanged.Store(true)
+		i.network.PublishCrash(report, observed)
+	}
+	i.crashDetector.Probe = i.client.Probe
+	i.crashDetector.Status = i.processStatus
+}
+
+// processStatus returns the status of a target's process. One that is no longer listed
+// has ended as planned: the entry of one that crashed is listed for some seconds.
+func (i *Instance) processStatus(t deployment.Target) crash.Status {
+	listed, ok := i.catalog.Targets()[t.ID]
+	switch {
+	case ok && listed.Generation > t.Generation:
+		return crash.Replaced
+	case !ok || listed.Draining || listed.TimeRemaining > 0 || i.server.Availability.Leaving(t):
+		return crash.Leaving
+	}
+	return crash.Running
+}
+
+// applyCrashObjects merges the reports of the store.
+func (i *Instance) applyCrashObjects(objects []platformstore.Object) {
+	i.crashesChanged.Store(true)
+	for _, o := range objects {
+		if err := i.crashes.MergeStored(o.Value, time.Now()); err != nil {
+			i.Log.Warn("reports on crashes cannot be decoded, skipped", zap.String("name", o.Name), zap.Error(err))
+		}
+	}
+}
+
+// storeCrashes writes the reports that the store lacks to the object of this instance's
+// zone until ctx ends. The instance that reads the store for its zone does so at once,
+// any other one when the reports are still missing after otherWriterDelay: it may know
+// better than others who is alive. The comparison with the replica makes a write again
+// that failed, or that a restored store has lost.
+func (i *Instance) storeCrashes(ctx context.Context) {
+	var missingSince time.Time
+	for wait.Sleep(ctx, storeCrashesInterval) == nil {
+		if missingSince.IsZero() && !i.crashesChanged.Swap(false) {
+			continue
+		}
+		own, covered := i.compareStoredCrashes()
+		if covered {
+			missingSince = time.Time{}
+			continue
+		}
+		if missingSince.IsZero() {
+			missingSince = clock.Now()
+		}
+		if !i.network.ReadsStore() && clock.Since(missingSince) < otherWriterDelay {
+			continue
+		}
+		if err := i.writeCrashes(ctx, own); err != nil {
+			i.Log.Debug("reports on crashes not stored", zap.Error(err))
+		}
+	}
+}
+
+// compareStoredCrashes returns the object of this instance's zone, and whether the store
+// has all reports of this instance.
+func (i *Instance) compareStoredCrashes() (own platformstore.Object, covered bool) {
+	var stored []crash.StoredReports
+	for _, o := range i.catalog.CrashObjects() {
+		if o.Name == i.Settings.Zone {
+			own = o
+		}
+		var s crash.StoredReports
+		// An object that cannot be decoded was logged when it was read.
+		if json.Unmarshal(o.Value, &s) == nil {
+			stored = append(stored, s)
+		}
+	}
+	return own, crash.Covers(stored, i.crashes.Store(time.Now()))
+}
+
+// writeCrashes writes all reports of this instance to the object of its zone. Another
+// instance may have written it meanwhile; then the write is made again once its
+// reports are merged.
+func (i *Instance) writeCrashes(ctx context.Context, own platformstore.Object) error {
+	value := i.crashes.Store(time.Now())
+	if own.Name == "" {
+		_, err := i.Store.Create(ctx, crashKind, i.Settings.Zone, value)
+		return err
+	}
+	_, err := i.Store.Replace(ctx, crashKind, i.Settings.Zone, own.Revision, value)
+	return err
+}
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -20,6 +20,7 @@
 
 	"heatherrelay/internal/catalog"
 	"heatherrelay/internal/clock"
+	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/gateway"
 	"heatherrelay/internal/inflight"
@@ -67,6 +68,9 @@
 	shutdownStartedAt atomic.Pointer[time.Time]
 	// lastReady is the readiness at the last check, for logging changes.
 	lastReady atomic.Bool
+	// crashesChanged is set when the reports on crashes, here or in the store, have
+	// changed since the last comparison.
+	crashesChanged atomic.Bool
 
 	catalog   *catalog.Catalog
 	network   *peer.Network
@@ -77,10 +81,13 @@
 	detector  *outlier.Detector
 	origins   *origin.Table
 	versions  *origin.Versions
-	meter     *quota.Meter
-	budget    *retry.Budget
-	client    *upstream.Client
-	server    *gateway.Server
+	crashes   *crash.Ledger
+	// crashDetector finds crashed targets.
+	crashDetector *crash.Detector
+	meter         *quota.Meter
+	budget        *retry.Budget
+	client        *upstream.Client
+	server        *gateway.Server
 }
 
 // Platform holds the parts of an instance that depend on the platform's protocols.
@@ -133,6 +140,7 @@
 	group.Go(func() { i.lease.Run(leaseCtx) })
 	group.Go(func() { i.holder.Run(leaseCtx) })
 	group.Go(func() { i.register(runCtx) })
+	group.Go(func() { i.storeCrashes(runCtx) })
 	group.Go(func() { i.runMaintenance(runCtx) })
 	group.Go(func() { i.serveHTTP(runCtx, "ready", listeners.ready, http.HandlerFunc(i.handleReady)) })
 	if listeners.metrics != nil {
@@ -156,8 +164,13 @@
 	i.detector = &outlier.Detector{Now: clock.Now}
 	i.origins, i.versions = &origin.Table{Now: clock.Now}, &origin.Versions{Now: clock.Now}
 	tracker := &inflight.Tracker{}
+	i.crashes = &crash.Ledger{Now: clock.Now, Log: i.Log}
+	i.crashDetector = &crash.Detector{Ledger: i.crashes, Now: clock.Now}
+	kinds := i.Kinds
+	kinds.Crashes = crashKind
 	i.catalog = &catalog.Catalog{
-		Kinds:               i.Kinds,
+		Kinds:               kinds,
+		OnCrashesChange:     i.applyCrashObjects,
 		Store:               i.Store,
 		HashKeys:            i.Platform.Decoders.HashKeys,
 		DecodeConfiguration: i.Platform.Decoders.DecodeConfiguration,
@@ -208,6 +221,8 @@
 	i.server.Demand = &placement.Demand{Now: clock.Now}
 	i.server.Leaving, i.server.Now, i.server.Log = i.leavingFor, clock.Now, i.Log
 	i.server.Metrics = gateway.NewMetrics(i.Registry)
+	i.server.Crashes, i.server.CrashDetector = i.crashes, i.crashDetector
+	i.assembleCrashes()
 	i.registerMetrics()
 }
 
@@ -230,6 +245,7 @@
 	i.directory.Retain(listed)
 	i.prompts.Retain(listed)
 	i.detector.Retain(listed)
+	i.crashDetector.RecordTargets(listed)
 	i.server.Availability.Retain(listed)
 	if mixed := i.versions.Observe(listed); len(mixed) > 0 {
 		i.Log.Info("services have targets of several software versions", zap.Strings("services", mixed))
@@ -360,6 +376,8 @@
 		}
 		i.client.CloseExpiredIdle(time.Now())
 		i.origins.RemoveExpired()
+		i.crashes.RemoveExpired()
+		i.network.RetainCrashes()
 		if configuration := i.catalog.Configuration(); configuration != nil {
 			i.meter.Prepare(configuration.Teams)
 		}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -38,24 +38,26 @@
 }
 
 // newRequest returns the exchange request for the instance with an id, or for a
-// seed if the id is empty.
-func (n *Network) newRequest(id string) *v1.ExchangeRequest {
-	request := &v1.ExchangeRequest{Sender: n.nextState(), Beliefs: n.replicaStates(), WantsAdapters: n.Holder.Holds()}
+// seed if the id is empty, and the number of the last change of crashes in it.
+func (n *Network) newRequest(id string) (request *v1.ExchangeRequest, crashesChange uint64) {
+	request = &v1.ExchangeRequest{Sender: n.nextState(), Beliefs: n.replicaStates(), WantsAdapters: n.Holder.Holds()}
 	if configuration := n.Catalog.Configuration(); configuration != nil {
 		request.ConfigurationVersion = configuration.Version
 	}
+	var cursor changeCursor
 	n.mu.RLock()
 	if r, ok := n.remotes[id]; ok {
-		request.ChangesSource = r.incarnation
-		request.EnginesAfter, request.SpendingsAfter = r.cursor.engines, r.cursor.teamUsage
+		request.ChangesSource, cursor = r.incarnation, r.cursor
 	}
 	role := n.role
 	n.mu.RUnlock()
+	request.EnginesAfter, request.SpendingsAfter, request.CrashesAfter = cursor.engines, cursor.teamUsage, cursor.crashes
+	request.Crashes, crashesChange = n.crashesSince(cursor.pushedCrashes)
 	request.WantsAdapters = request.WantsAdapters || role == roleRelaying
 	if role != roleRelayed {
 		request.Members = n.memberListFor(id)
 	}
-	return request
+	return request, crashesChange
 }
 
 // The minimum times between two member lists sent to the same instance. The
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -22,6 +22,7 @@
 
 	"heatherrelay/internal/catalog"
 	"heatherrelay/internal/connection"
+	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
 	"heatherrelay/internal/inflight"
@@ -73,6 +74,8 @@
 	// services.
 	Origins  *origin.Table
 	Versions *origin.Versions
+	// Crashes collects what all instances know of crashed targets.
+	Crashes *crash.Ledger
 	// Leaving reports whether this instance is shutting down.
 	Leaving func() bool
 	Now     func() time.Time
@@ -244,7 +247,7 @@
 func (n *Network) exchange(ctx context.Context, call dueExchange) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	request := n.newRequest(call.id)
+	request, crashesChange := n.newRequest(call.id)
 	sentAt := n.Now()
 	response, err := call.client.Exchange(ctx, request)
 	n.mu.Lock()
@@ -257,6 +260,9 @@
 		return
 	}
 	n.receiveState(response.GetResponder())
+	if response.GetResponder().GetIncarnation() == request.GetChangesSource() {
+		n.recordPushedCrashes(call.id, crashesChange)
+	}
 	n.addMembers(response.GetMembers(), sentAt)
 	n.applyRelayedStates(response)
 	n.applyZoneSummaries(response, sentAt)
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/catalog"
+	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/inflight"
 	"heatherrelay/internal/origin"
@@ -87,6 +88,7 @@
 		Now:         time.Now,
 		Log:         zap.NewNop(),
 	}
+	n.Crashes = &crash.Ledger{OnChange: n.PublishCrash, Now: time.Now, Log: zap.NewNop()}
 	n.Meter = &quota.Meter{Now: time.Now, ReachableFraction: n.AliveFraction}
 	n.Meter.Prepare([]*deployment.Team{testTeam})
 	return &member{Network: n}
--- a/internal/peer/relayed_states.go
+++ b/internal/peer/relayed_states.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
 )
@@ -18,10 +19,12 @@
 	applyMu   sync.Mutex
 	teamUsage changeLog[*v1.Spending]
 	engines   changeLog[*v1.EngineState]
+	crashes   changeLog[crash.Report]
 }
 
-// changeCursor holds the numbers of the last changes received from an instance.
-type changeCursor struct{ teamUsage, engines uint64 }
+// changeCursor holds the numbers of the last changes received from an instance, and in
+// pushedCrashes of the last change of crashes that the instance has received.
+type changeCursor struct{ teamUsage, engines, crashes, pushedCrashes uint64 }
 
 // applyTeamUsage applies what another instance admitted, received from it or
 // through a relay.
@@ -56,10 +59,11 @@
 	for _, e := range response.GetEngines() {
 		n.applyEngine(e, now)
 	}
+	n.mergeCrashes(response.GetCrashes())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r, ok := n.remotes[response.GetResponder().GetMember().GetInstanceId()]; ok {
-		r.cursor = changeCursor{teamUsage: response.GetSpendingsChange(), engines: response.GetEnginesChange()}
+		r.cursor.teamUsage, r.cursor.engines, r.cursor.crashes = response.GetSpendingsChange(), response.GetEnginesChange(), response.GetCrashesChange()
 	}
 }
 
@@ -84,15 +88,17 @@
 	}
 }
 
-// addChanges adds the forwarded states that a requester lacks to a response. A
+// addChanges adds the forwarded states that a requester lacks to a response. Every
+// instance sends the crashes. A
 // relay sends team usage and engines: those of all zones to an instance of its
 // own zone, and those of its own zone to any other. In a full mesh only the
 // lease holder adds something, the engines of its zone.
 func (n *Network) addChanges(response *v1.ExchangeResponse, request *v1.ExchangeRequest, requester Member) {
 	var cursor changeCursor
 	if request.GetChangesSource() == n.Incarnation {
-		cursor = changeCursor{teamUsage: request.GetSpendingsAfter(), engines: request.GetEnginesAfter()}
+		cursor = changeCursor{teamUsage: request.GetSpendingsAfter(), engines: request.GetEnginesAfter(), crashes: request.GetCrashesAfter()}
 	}
+	response.Crashes, response.CrashesChange = n.crashesSince(cursor.crashes)
 	role := n.currentRole()
 	if role == roleRelayed || role == roleMeshed && !n.Holder.Holds() {
 		return
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,6 +21,7 @@
 	n := s.network
 	n.receiveState(request.GetSender())
 	n.addMembers(request.GetMembers(), n.Now())
+	n.mergeCrashes(request.GetCrashes())
 	requester := memberFrom(request.GetSender().GetMember())
 	response := &v1.ExchangeResponse{
 		Responder: n.nextState(),
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -40,6 +40,7 @@
 	CodeTargetUnreachable    Code = "target_unreachable"
 	CodeNotReady             Code = "not_ready"
 	CodeCallerGone           Code = "caller_gone"
+	CodePromptPartBlocked    Code = "prompt_part_blocked"
 	CodeInternal             Code = "internal"
 )
 
@@ -68,6 +69,7 @@
 	CodeNotOwner:             http.StatusServiceUnavailable,
 	CodeTargetUnreachable:    http.StatusServiceUnavailable,
 	CodeNotReady:             http.StatusServiceUnavailable,
+	CodePromptPartBlocked:    http.StatusServiceUnavailable,
 	CodeCallerGone:           499,
 	CodeInternal:             http.StatusInternalServerError,
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -30,6 +30,9 @@
 	// connection is closed.
 	idleMargin     = 300 * time.Millisecond
 	readBufferSize = 4 << 10
+	// probedIdleTimeout is how long a connection of Probe is kept if no request uses
+	// it. How long the target keeps it is not known.
+	probedIdleTimeout = time.Second
 )
 
 // Client sends requests to targets over pooled connections. Set the exported
@@ -88,6 +91,10 @@
 		}
 		cn.abort()
 	}
+	return c.dial(ctx, address)
+}
+
+func (c *Client) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
 	c.Dials.Add(1)
 	dialer := connection.Dialer{ConnectTimeout: connectTimeout, AckTimeout: ackTimeout, KeepAlive: true}
 	raw, err := dialer.DialContext(ctx, "tcp", address.String())
@@ -97,6 +104,17 @@
 	return newConn(raw), nil
 }
 
+// Probe opens a connection to an address, which shows whether a process listens there,
+// and keeps it for a later request.
+func (c *Client) Probe(ctx context.Context, address netip.AddrPort) error {
+	cn, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.putIdle(address, cn, probedIdleTimeout)
+	return nil
+}
+
 // popIdle removes the most recently used idle connection to an address from its
 // pool and returns it; nil if there is none.
 func (c *Client) popIdle(address netip.AddrPort) *conn {
