--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -238,6 +238,9 @@
 			allFields = append(allFields, zap.String("resumes", e.request.ResumedID))
 		}
 	}
+	if e.response != nil && e.response.Limited {
+		allFields = append(allFields, zap.Float64("target_limit", e.response.RequestsPerSecond))
+	}
 	if e.team != nil {
 		allFields = append(allFields, zap.String("team", e.team.Name), zap.Float64("cost", e.cost))
 	}
--- a/internal/upstream/availability.go
+++ b/internal/upstream/availability.go
@@ -52,6 +52,10 @@
 // Observe records what a target states in the head of a response.
 func (a *Availability) Observe(target deployment.Target, head *ResponseHead) {
 	pause := head.Pause()
+	if head.Limited {
+		a.Log.Debug("target states a limit", zap.String("target", string(target.ID)), zap.Int64("generation", target.Generation),
+			zap.Float64("requests_per_second", head.RequestsPerSecond))
+	}
 	if !head.Leaving && pause == 0 || head.TargetID != "" && head.TargetID != target.ID {
 		return
 	}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -104,6 +104,10 @@
 	TargetID deployment.TargetID
 	// Leaving is set when the target states that it is shutting down.
 	Leaving bool
+	// Limited is set when the target states how many requests it takes from all
+	// instances together, RequestsPerSecond.
+	Limited           bool
+	RequestsPerSecond float64
 	// Length is the body's length in bytes, or one of the Length constants.
 	Length int
 	// Close is set when the target closes the connection after the response.
