--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -147,6 +147,10 @@
 		if attempt == nil {
 			continue
 		}
+		if !e.server.Limits.Take(e.target) {
+			e.recordStep("select", e.target.ID, "limit")
+			continue
+		}
 		if refused := e.authorizeAttempt(); refused != nil {
 			return e.downgradeNotRun(refused)
 		}
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -36,6 +36,9 @@
 	}
 	head := &response.ResponseHead
 	s.Availability.Observe(e.target, head)
+	if head.Success() && head.Signed && !head.Limited {
+		s.Limits.Observe(e.target, false, 0)
+	}
 	switch {
 	case head.NotRun:
 		e.recordStep("send", e.target.ID, "refused "+strconv.Itoa(head.Status))
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -11,6 +11,7 @@
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/refusal"
+	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/internal/wait"
 )
@@ -190,13 +191,14 @@
 	return zones
 }
 
-// candidates returns the service's targets that take requests, are not excluded for
-// this request, and have the software version that its stream is bound to.
+// candidates returns the service's targets that take requests, of this instance within
+// the limits that they state, are not excluded for this request, and have the software
+// version that its stream is bound to.
 func (e *exchange) candidates(service *deployment.Service) []placement.Candidate {
 	s := e.server
 	var candidates []placement.Candidate
 	for id, t := range s.Catalog.Targets() {
-		if t.Service != service.Name || t.Draining || e.excluded[id] || !e.software.admits(t) || !s.Availability.Available(t) {
+		if t.Service != service.Name || t.Draining || e.excluded[id] || !e.software.admits(t) || !s.Availability.Available(t) || s.Limits.Wait(t) > 0 {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{
@@ -212,7 +214,8 @@
 
 // retryAfter returns when a client should retry that no target of the service can
 // serve now: after the given delay, if the service has targets that take requests, or
-// when the first target ends its pause, if that is sooner or all of them pause.
+// that other instances may send to, or when the first target takes one again, if that
+// is sooner or none takes requests.
 func (e *exchange) retryAfter(service *deployment.Service, delay time.Duration) time.Duration {
 	s := e.server
 	var delays []time.Duration
@@ -220,11 +223,11 @@
 		if t.Service != service.Name || t.Draining || s.Availability.Leaving(t) {
 			continue
 		}
-		if pause := s.Availability.PausedFor(t); pause > 0 {
-			delays = append(delays, pause)
-		} else {
-			delays = append(delays, delay)
+		pause := max(s.Availability.PausedFor(t), s.Limits.Wait(t))
+		if pause == 0 || pause == throttle.OthersOnly {
+			pause = delay
 		}
+		delays = append(delays, pause)
 	}
 	if len(delays) == 0 {
 		return delay
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -22,6 +22,7 @@
 	"heatherrelay/internal/quota"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/retry"
+	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/internal/wait"
 )
@@ -54,9 +55,11 @@
 	// crashes.
 	Crashes       *crash.Ledger
 	CrashDetector *crash.Detector
-	Tracker       *inflight.Tracker
-	Directory     *placement.Directory
-	Demand        *placement.Demand
+	// Limits holds the limits that targets state.
+	Limits    *throttle.Limiter
+	Tracker   *inflight.Tracker
+	Directory *placement.Directory
+	Demand    *placement.Demand
 	// StreamPauses records whether streams paused for longer than their objective;
 	// if many did, prompts are paced.
 	StreamPauses placement.PauseMonitor
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -31,6 +31,7 @@
 	"heatherrelay/internal/platformstore"
 	"heatherrelay/internal/quota"
 	"heatherrelay/internal/retry"
+	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/internal/wait"
 )
@@ -84,6 +85,7 @@
 	crashes   *crash.Ledger
 	// crashDetector finds crashed targets.
 	crashDetector *crash.Detector
+	limits        *throttle.Limiter
 	meter         *quota.Meter
 	budget        *retry.Budget
 	client        *upstream.Client
@@ -223,9 +225,18 @@
 	i.server.Metrics = gateway.NewMetrics(i.Registry)
 	i.server.Crashes, i.server.CrashDetector = i.crashes, i.crashDetector
 	i.assembleCrashes()
+	i.assembleLimits()
 	i.registerMetrics()
 }
 
+// assembleLimits creates the component that keeps requests within the limits that
+// targets state. The network and the server must exist.
+func (i *Instance) assembleLimits() {
+	i.limits = &throttle.Limiter{Self: i.Settings.InstanceID, Members: i.network.MemberIDs, OnChange: i.network.PublishLimit, Now: clock.Now, Log: i.Log}
+	i.network.Limits, i.server.Limits = i.limits, i.limits
+	i.server.Availability.OnLimit = func(target deployment.Target, perSecond float64) { i.limits.Observe(target, true, perSecond) }
+}
+
 // orderMargin is added to the quiet time between the orders of two lease holders, for
 // an order that is still in flight to an engine.
 const orderMargin = 200 * time.Millisecond
@@ -246,6 +257,7 @@
 	i.prompts.Retain(listed)
 	i.detector.Retain(listed)
 	i.crashDetector.RecordTargets(listed)
+	i.limits.Retain(listed)
 	i.server.Availability.Retain(listed)
 	if mixed := i.versions.Observe(listed); len(mixed) > 0 {
 		i.Log.Info("services have targets of several software versions", zap.Strings("services", mixed))
@@ -378,6 +390,7 @@
 		i.origins.RemoveExpired()
 		i.crashes.RemoveExpired()
 		i.network.RetainCrashes()
+		i.network.RetainLimits()
 		if configuration := i.catalog.Configuration(); configuration != nil {
 			i.meter.Prepare(configuration.Teams)
 		}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -38,8 +38,8 @@
 }
 
 // newRequest returns the exchange request for the instance with an id, or for a
-// seed if the id is empty, and the number of the last change of crashes in it.
-func (n *Network) newRequest(id string) (request *v1.ExchangeRequest, crashesChange uint64) {
+// seed if the id is empty, and the numbers of the last changes of notices in it.
+func (n *Network) newRequest(id string) (request *v1.ExchangeRequest, pushed noticeCursor) {
 	request = &v1.ExchangeRequest{Sender: n.nextState(), Beliefs: n.replicaStates(), WantsAdapters: n.Holder.Holds()}
 	if configuration := n.Catalog.Configuration(); configuration != nil {
 		request.ConfigurationVersion = configuration.Version
@@ -51,13 +51,15 @@
 	}
 	role := n.role
 	n.mu.RUnlock()
-	request.EnginesAfter, request.SpendingsAfter, request.CrashesAfter = cursor.engines, cursor.teamUsage, cursor.crashes
-	request.Crashes, crashesChange = n.crashesSince(cursor.pushedCrashes)
+	request.EnginesAfter, request.SpendingsAfter = cursor.engines, cursor.teamUsage
+	request.CrashesAfter, request.LimitsAfter = cursor.notices.crashes, cursor.notices.limits
+	request.Crashes, pushed.crashes = n.crashesSince(cursor.pushed.crashes)
+	request.Limits, pushed.limits = n.limitsSince(cursor.pushed.limits)
 	request.WantsAdapters = request.WantsAdapters || role == roleRelaying
 	if role != roleRelayed {
 		request.Members = n.memberListFor(id)
 	}
-	return request, crashesChange
+	return request, pushed
 }
 
 // The minimum times between two member lists sent to the same instance. The
--- a/internal/peer/crashes.go
+++ b/internal/peer/crashes.go
@@ -55,17 +55,6 @@
 	}
 }
 
-// recordPushedCrashes records that the instance with an id has received the reports up
-// to a change number. An incarnation that has started since the request was built lacks
-// the earlier ones.
-func (n *Network) recordPushedCrashes(id string, number uint64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if r, ok := n.remotes[id]; ok {
-		r.cursor.pushedCrashes = max(r.cursor.pushedCrashes, number)
-	}
-}
-
 func crashMessage(r crash.Report, now time.Time) *v1.TargetCrash {
 	m := &v1.TargetCrash{
 		TargetId: string(r.Target), Generation: r.Generation, ClearedParts: r.Cleared,
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -29,6 +29,7 @@
 	"heatherrelay/internal/origin"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/quota"
+	"heatherrelay/internal/throttle"
 )
 
 // The intervals and timeouts of the exchange between instances.
@@ -76,6 +77,8 @@
 	Versions *origin.Versions
 	// Crashes collects what all instances know of crashed targets.
 	Crashes *crash.Ledger
+	// Limits holds the limits that targets state.
+	Limits *throttle.Limiter
 	// Leaving reports whether this instance is shutting down.
 	Leaving func() bool
 	Now     func() time.Time
@@ -247,7 +250,7 @@
 func (n *Network) exchange(ctx context.Context, call dueExchange) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	request, crashesChange := n.newRequest(call.id)
+	request, pushed := n.newRequest(call.id)
 	sentAt := n.Now()
 	response, err := call.client.Exchange(ctx, request)
 	n.mu.Lock()
@@ -261,7 +264,7 @@
 	}
 	n.receiveState(response.GetResponder())
 	if response.GetResponder().GetIncarnation() == request.GetChangesSource() {
-		n.recordPushedCrashes(call.id, crashesChange)
+		n.recordPushed(call.id, pushed)
 	}
 	n.addMembers(response.GetMembers(), sentAt)
 	n.applyRelayedStates(response)
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -19,6 +19,7 @@
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/platformstore"
 	"heatherrelay/internal/quota"
+	"heatherrelay/internal/throttle"
 )
 
 const (
@@ -89,6 +90,7 @@
 		Log:         zap.NewNop(),
 	}
 	n.Crashes = &crash.Ledger{OnChange: n.PublishCrash, Now: time.Now, Log: zap.NewNop()}
+	n.Limits = &throttle.Limiter{Self: self.ID, Members: n.MemberIDs, OnChange: n.PublishLimit, Now: time.Now, Log: zap.NewNop()}
 	n.Meter = &quota.Meter{Now: time.Now, ReachableFraction: n.AliveFraction}
 	n.Meter.Prepare([]*deployment.Team{testTeam})
 	return &member{Network: n}
--- a/internal/peer/relayed_states.go
+++ b/internal/peer/relayed_states.go
@@ -7,6 +7,7 @@
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+	"heatherrelay/internal/throttle"
 )
 
 // relayedStates are the states that relays forward unchanged, one by one,
@@ -20,11 +21,19 @@
 	teamUsage changeLog[*v1.Spending]
 	engines   changeLog[*v1.EngineState]
 	crashes   changeLog[crash.Report]
+	limits    changeLog[throttle.Statement]
 }
 
-// changeCursor holds the numbers of the last changes received from an instance, and in
-// pushedCrashes of the last change of crashes that the instance has received.
-type changeCursor struct{ teamUsage, engines, crashes, pushedCrashes uint64 }
+// changeCursor holds the numbers of the last changes received from an instance, and of
+// those that the instance has received.
+type changeCursor struct {
+	teamUsage, engines uint64
+	notices, pushed    noticeCursor
+}
+
+// noticeCursor holds the numbers of the last changes of the notices about targets, which
+// every instance sends to its partners and returns to those that call it.
+type noticeCursor struct{ crashes, limits uint64 }
 
 // applyTeamUsage applies what another instance admitted, received from it or
 // through a relay.
@@ -60,10 +69,23 @@
 		n.applyEngine(e, now)
 	}
 	n.mergeCrashes(response.GetCrashes())
+	n.mergeLimits(response.GetLimits())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r, ok := n.remotes[response.GetResponder().GetMember().GetInstanceId()]; ok {
-		r.cursor.teamUsage, r.cursor.engines, r.cursor.crashes = response.GetSpendingsChange(), response.GetEnginesChange(), response.GetCrashesChange()
+		r.cursor.teamUsage, r.cursor.engines = response.GetSpendingsChange(), response.GetEnginesChange()
+		r.cursor.notices = noticeCursor{crashes: response.GetCrashesChange(), limits: response.GetLimitsChange()}
+	}
+}
+
+// recordPushed records that the instance with an id has received the notices up to
+// given change numbers. An incarnation that has started since the request was built
+// lacks the earlier ones.
+func (n *Network) recordPushed(id string, pushed noticeCursor) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r, ok := n.remotes[id]; ok {
+		r.cursor.pushed = noticeCursor{crashes: max(r.cursor.pushed.crashes, pushed.crashes), limits: max(r.cursor.pushed.limits, pushed.limits)}
 	}
 }
 
@@ -89,16 +111,17 @@
 }
 
 // addChanges adds the forwarded states that a requester lacks to a response. Every
-// instance sends the crashes. A
+// instance sends the crashes and the limits of targets. A
 // relay sends team usage and engines: those of all zones to an instance of its
 // own zone, and those of its own zone to any other. In a full mesh only the
 // lease holder adds something, the engines of its zone.
 func (n *Network) addChanges(response *v1.ExchangeResponse, request *v1.ExchangeRequest, requester Member) {
 	var cursor changeCursor
 	if request.GetChangesSource() == n.Incarnation {
-		cursor = changeCursor{teamUsage: request.GetSpendingsAfter(), engines: request.GetEnginesAfter(), crashes: request.GetCrashesAfter()}
+		cursor = changeCursor{teamUsage: request.GetSpendingsAfter(), engines: request.GetEnginesAfter(), notices: noticeCursor{crashes: request.GetCrashesAfter(), limits: request.GetLimitsAfter()}}
 	}
-	response.Crashes, response.CrashesChange = n.crashesSince(cursor.crashes)
+	response.Crashes, response.CrashesChange = n.crashesSince(cursor.notices.crashes)
+	response.Limits, response.LimitsChange = n.limitsSince(cursor.notices.limits)
 	role := n.currentRole()
 	if role == roleRelayed || role == roleMeshed && !n.Holder.Holds() {
 		return
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -22,6 +22,7 @@
 	n.receiveState(request.GetSender())
 	n.addMembers(request.GetMembers(), n.Now())
 	n.mergeCrashes(request.GetCrashes())
+	n.mergeLimits(request.GetLimits())
 	requester := memberFrom(request.GetSender().GetMember())
 	response := &v1.ExchangeResponse{
 		Responder: n.nextState(),
--- /dev/null
+++ b/internal/throttle/limiter.go
@@ -0,0 +1,151 @@
+package throttle
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/deployment"
+)
+
+// shareInterval is how long a share is used before it is computed again from the
+// known instances.
+const shareInterval = 500 * time.Millisecond
+
+// Limiter holds the limits that targets state and this instance's part of each. It is
+// safe for concurrent use. Set the exported fields before the first use.
+type Limiter struct {
+	// Self is the id of this instance.
+	Self string
+	// Members returns the ids of all known instances, this one included, also of those
+	// that are silent for the moment.
+	Members func() []string
+	// OnChange is called, without the lock, with each statement that says something new.
+	OnChange func(Statement)
+	Now      func() time.Time
+	Log      *zap.Logger
+
+	mu     sync.Mutex
+	limits map[deployment.TargetID]*limit
+}
+
+// limit is the last statement of a target, with this instance's part.
+type limit struct {
+	Statement
+	bucket   bucket
+	sharedAt time.Time
+}
+
+// Observe records what a target stated in a response to this instance: a limit, or with
+// limited unset that it has none.
+func (l *Limiter) Observe(target deployment.Target, limited bool, perSecond float64) {
+	l.apply(Statement{Target: target.ID, Generation: target.Generation, Limited: limited, PerSecond: perSecond, At: l.Now()})
+}
+
+// Merge applies a statement that another instance received.
+func (l *Limiter) Merge(s Statement) { l.apply(s) }
+
+func (l *Limiter) apply(s Statement) {
+	l.mu.Lock()
+	changed := l.set(s)
+	l.mu.Unlock()
+	if changed && l.OnChange != nil {
+		l.OnChange(s)
+	}
+}
+
+// set stores a statement if it is newer than the one before. It reports whether it says
+// something new. The caller holds the lock.
+func (l *Limiter) set(s Statement) bool {
+	known, ok := l.limits[s.Target]
+	switch {
+	case !ok && !s.Limited:
+		return false
+	case !ok:
+		if l.limits == nil {
+			l.limits = map[deployment.TargetID]*limit{}
+		}
+		known = &limit{bucket: bucket{refilledAt: l.Now()}}
+		l.limits[s.Target] = known
+	case !s.Newer(known.Statement):
+		return false
+	}
+	changed := !ok || !s.same(known.Statement) || s.Generation != known.Generation
+	known.Statement = s
+	if changed {
+		known.sharedAt = time.Time{}
+		l.Log.Info("limit of a target changed", zap.String("target", string(s.Target)), zap.Int64("generation", s.Generation),
+			zap.Bool("limited", s.Limited), zap.Float64("requests_per_second", s.PerSecond))
+	}
+	return changed
+}
+
+// current returns the limit of a target with an up-to-date bucket; nil if the target has
+// none. The caller holds the lock.
+func (l *Limiter) current(target deployment.Target) *limit {
+	known, ok := l.limits[target.ID]
+	if !ok || !known.Limited || known.Generation != target.Generation {
+		return nil
+	}
+	now := l.Now()
+	known.bucket.refill(now)
+	if now.Sub(known.sharedAt) >= shareInterval {
+		known.sharedAt = now
+		known.bucket.share = shareOf(target.ID, known.PerSecond, l.Self, l.Members())
+		known.bucket.level = min(known.bucket.level, known.bucket.depth)
+	}
+	return known
+}
+
+// Wait returns the time until this instance may send a request to a target; zero if it
+// may send one now, OthersOnly if it sends none.
+func (l *Limiter) Wait(target deployment.Target) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known := l.current(target); known != nil {
+		return known.bucket.wait()
+	}
+	return 0
+}
+
+// Take counts a request that is about to be sent to a target. It returns false, and
+// counts nothing, if the target's limit does not allow it.
+func (l *Limiter) Take(target deployment.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.current(target)
+	if known == nil {
+		return true
+	}
+	if known.bucket.level < 1 {
+		return false
+	}
+	known.bucket.level--
+	return true
+}
+
+// Known reports whether the limiter holds a statement of a target.
+func (l *Limiter) Known(id deployment.TargetID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.limits[id]
+	return ok
+}
+
+// Retain removes the statements of all targets that have not been listed for
+// unlistedRetention.
+func (l *Limiter) Retain(listed map[deployment.TargetID]deployment.Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	for id, known := range l.limits {
+		if _, ok := listed[id]; !ok && now.Sub(known.At) > unlistedRetention {
+			delete(l.limits, id)
+		}
+	}
+}
+
+// unlistedRetention is how long the statement of a target that is not listed is kept:
+// the entry of a running target can lapse for a while and then return.
+const unlistedRetention = time.Minute
--- a/internal/upstream/availability.go
+++ b/internal/upstream/availability.go
@@ -33,6 +33,9 @@
 type Availability struct {
 	Now func() time.Time
 	Log *zap.Logger
+	// OnLimit is called with the requests a second that a target states to take; may be
+	// nil.
+	OnLimit func(target deployment.Target, perSecond float64)
 
 	mu         sync.Mutex
 	statements map[deployment.TargetID]*statement
@@ -52,11 +55,13 @@
 // Observe records what a target states in the head of a response.
 func (a *Availability) Observe(target deployment.Target, head *ResponseHead) {
 	pause := head.Pause()
-	if head.Limited {
-		a.Log.Debug("target states a limit", zap.String("target", string(target.ID)), zap.Int64("generation", target.Generation),
-			zap.Float64("requests_per_second", head.RequestsPerSecond))
+	if head.TargetID != "" && head.TargetID != target.ID {
+		return
+	}
+	if head.Limited && a.OnLimit != nil {
+		a.OnLimit(target, head.RequestsPerSecond)
 	}
-	if !head.Leaving && pause == 0 || head.TargetID != "" && head.TargetID != target.ID {
+	if !head.Leaving && pause == 0 {
 		return
 	}
 	a.mu.Lock()
