Count what ended here to a crash that another instance reports

An instance whose probe of a target was lost, or whose path to it was cut just then, kept the parts of the request that caused the crash to itself: the report of another instance lacked them. TestLaterEvidenceOfCrash fails without the change.

--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -93,11 +93,14 @@
 		e.parts[part] = max(e.parts[part], i+1)
 	}
 	crashed := e.crashed
-	if !crashed && status == Running {
+	known := d.Ledger.Known(processOf(target))
+	if !crashed && !known && status == Running {
 		d.startProbe(e)
 	}
 	d.mu.Unlock()
 	switch {
+	case !crashed && known:
+		d.confirm(e)
 	case crashed:
 		d.Ledger.RecordCrash(processOf(target), depths(parts))
 	case status == Replaced:
@@ -137,6 +140,18 @@
 	}
 }
 
+// RecordReport records that an instance has reported the crash of a process, which
+// confirms it for the connections that ended here.
+func (d *Detector) RecordReport(p Process) {
+	d.mu.Lock()
+	e, ok := d.endings[p]
+	ok = ok && !e.crashed
+	d.mu.Unlock()
+	if ok {
+		d.confirm(e)
+	}
+}
+
 // RecordTargets confirms the crashes of the targets that have started again.
 func (d *Detector) RecordTargets(listed map[deployment.TargetID]deployment.Target) {
 	var replaced []*ending
--- a/internal/crash/detector_test.go
+++ b/internal/crash/detector_test.go
@@ -62,9 +62,9 @@
 	}
 }
 
-// TestLaterEvidenceOfCrash checks that a refused connection and a new start confirm a
-// crash that the probe could not, and that requests that fail after a crash count to
-// it.
+// TestLaterEvidenceOfCrash checks that a refused connection, the report of another
+// instance and a new start confirm a crash that the probe could not, and that requests
+// that fail after a crash count to it.
 func TestLaterEvidenceOfCrash(t *testing.T) {
 	d, probes := newDetector(context.DeadlineExceeded, crash.Running)
 	target := deployment.Target{ID: "engine", Generation: 1}
@@ -83,11 +83,18 @@
 	if len(reports) != 1 || len(reports[0].Suspects) != 2 {
 		t.Fatalf("reports %+v, want one with two suspects", reports)
 	}
+	cut := deployment.Target{ID: "cut", Generation: 1}
+	d.Crashed(context.Background(), cut, []string{"one"})
+	d.Ledger.Merge(crash.Report{Process: crash.Process{Target: "cut", Generation: 1}, At: time.Now(), RenewedAt: time.Now()})
+	d.RecordReport(crash.Process{Target: "cut", Generation: 1})
+	if reports := d.Ledger.Reports(); len(reports) != 2 || len(reports[0].Suspects) != 1 {
+		t.Fatalf("reports %+v, want the suspects of this instance in that of another one", reports)
+	}
 	restarted := deployment.Target{ID: "restarted", Generation: 1}
 	d.Crashed(context.Background(), restarted, []string{"one"})
 	restarted.Generation = 2
 	d.RecordTargets(map[deployment.TargetID]deployment.Target{"restarted": restarted})
-	if reports := d.Ledger.Reports(); len(reports) != 2 || reports[1].Generation != 1 {
+	if reports := d.Ledger.Reports(); len(reports) != 3 || reports[2].Target != "restarted" || reports[2].Generation != 1 {
 		t.Errorf("reports %+v, want one of each target", reports)
 	}
 }
--- a/internal/gatewayinstance/crashes.go
+++ b/internal/gatewayinstance/crashes.go
@@ -33,6 +33,9 @@
 	i.crashes.OnChange = func(report crash.Report, observed bool) {
 		i.crashesChanged.Store(true)
 		i.network.PublishCrash(report, observed)
+		if !observed {
+			i.crashDetector.RecordReport(report.Process)
+		}
 	}
 	i.crashDetector.Probe = i.client.Probe
 	i.crashDetector.Status = i.processStatus
