Send the records of origins again to busy holders, and ask again for them

Clients that resumed a stream were refused with "unknown which software version began the stream" on an idle machine: a holder that did not take a record within 250 ms never got it, and a look-up gave up while the record was on its way. Records are sent up to three times with a second each; a look-up of a service with several versions asks up to three times.

--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -37,8 +38,47 @@
 // member is an instance of a test fleet.
 type member struct {
 	*peer.Network
-	stop context.CancelFunc
-	done chan struct{}
+	stop     context.CancelFunc
+	done     chan struct{}
+	listener *stallingListener
+}
+
+// stallingListener is a listener whose connections can be stalled for a while, as those
+// of a busy process: what arrives is read later.
+type stallingListener struct {
+	net.Listener
+	mu           sync.Mutex
+	stalledUntil time.Time
+}
+
+func (l *stallingListener) stall(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stalledUntil = time.Now().Add(d)
+}
+
+// Accept returns the next connection.
+func (l *stallingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &stallingConn{Conn: c, listener: l}, nil
+}
+
+type stallingConn struct {
+	net.Conn
+	listener *stallingListener
+}
+
+// Read reads from the connection and returns what it has read once the stall is over.
+func (c *stallingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.listener.mu.Lock()
+	remaining := time.Until(c.listener.stalledUntil)
+	c.listener.mu.Unlock()
+	time.Sleep(remaining)
+	return n, err
 }
 
 // newFleet starts instances in three zones that have the first one as their
@@ -56,9 +96,10 @@
 		if i == 0 {
 			seed = address
 		}
+		listener = &stallingListener{Listener: listener}
 		m := newMember(peer.Member{ID: fmt.Sprintf("instance-%02d", i), Zone: fmt.Sprint("zone-", i%3), Address: address, Capacity: float64(i % 5)}, seed)
 		ctx, cancel := context.WithCancel(context.Background())
-		m.stop, m.done = cancel, make(chan struct{})
+		m.stop, m.done, m.listener = cancel, make(chan struct{}), listener.(*stallingListener)
 		go func() {
 			defer close(m.done)
 			go m.Run(ctx)
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -12,6 +12,7 @@
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
 	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
 	"heatherrelay/internal/origin"
+	"heatherrelay/internal/wait"
 )
 
 const (
@@ -26,8 +27,18 @@
 	originBatchDelay = 10 * time.Millisecond
 	// maxOriginBatch bounds the records in one message.
 	maxOriginBatch = 2000
-	// originCallTimeout bounds the calls that record or look up origins.
-	originCallTimeout = 250 * time.Millisecond
+	// recordTimeout bounds a call that records origins, which is made up to
+	// recordAttempts times: a holder that is busy takes the records late.
+	recordTimeout  = time.Second
+	recordAttempts = 3
+	// lookupTimeout bounds the calls of the first round of a look-up. If the service
+	// has several versions and nobody has the record, which may be on its way, further
+	// rounds follow after lookupPause, up to lookupRounds, each with lookupTimeoutStep
+	// more.
+	lookupTimeout     = 250 * time.Millisecond
+	lookupTimeoutStep = 150 * time.Millisecond
+	lookupPause       = 100 * time.Millisecond
+	lookupRounds      = 3
 )
 
 // RecordOrigin records which software version began a stream. If the service has
@@ -61,8 +72,8 @@
 	n.sendOrigins(context.Background(), pending)
 }
 
-// sendOrigins sends each record to its holders. What a holder does not receive, the
-// others have; a failed call is not repeated.
+// sendOrigins sends each record to its holders, and again to a holder that did not
+// answer.
 func (n *Network) sendOrigins(ctx context.Context, records []origin.Record) {
 	type batch struct {
 		client  heatherrelayv1connect.FleetServiceClient
@@ -84,9 +95,7 @@
 	for id, b := range batches {
 		for origins := range slices.Chunk(b.origins, maxOriginBatch) {
 			group.Go(func() {
-				callCtx, cancel := context.WithTimeout(ctx, originCallTimeout)
-				defer cancel()
-				if _, err := b.client.RecordOrigins(callCtx, &v1.RecordOriginsRequest{Origins: origins}); err != nil {
+				if err := recordAt(ctx, b.client, origins); err != nil {
 					n.Log.Debug("origins of streams not recorded", zap.String("peer", id), zap.Int("records", len(origins)), zap.Error(err))
 				}
 			})
@@ -95,33 +104,63 @@
 	group.Wait()
 }
 
+// recordAt has an instance hold records. It returns the error of the last attempt.
+func recordAt(ctx context.Context, client heatherrelayv1connect.FleetServiceClient, origins []*v1.StreamOrigin) error {
+	var err error
+	for range recordAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, recordTimeout)
+		_, err = client.RecordOrigins(callCtx, &v1.RecordOriginsRequest{Origins: origins})
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
 // LookupOrigin returns the record of the stream that a request began. It asks the
 // holders, also if this instance knows of one version only: it may learn of a second
 // one later than they do. Without a record it reports whether the service has or
 // recently had several versions, as far as this instance and those that answered know.
 func (n *Network) LookupOrigin(ctx context.Context, requestID, service string) (r origin.Record, known, several bool) {
-	if r, known = n.Origins.Get(requestID); known {
-		return r, true, false
-	}
 	several = n.Versions.Several(service)
+	for round := range lookupRounds {
+		if r, known = n.Origins.Get(requestID); known {
+			return r, true, several
+		}
+		var found *v1.StreamOrigin
+		if found, several = n.queryPeers(ctx, requestID, service, several, lookupTimeout+time.Duration(round)*lookupTimeoutStep); found != nil {
+			return originFrom(found, n.Now()), true, several
+		}
+		if !several || round+1 == lookupRounds || wait.Sleep(ctx, lookupPause) != nil {
+			break
+		}
+	}
+	return origin.Record{}, false, several
+}
+
+// queryPeers asks the holders of a record and then further instances, unless it is
+// certain that the service has one version only. several is what this instance knows;
+// the result adds what the others do.
+func (n *Network) queryPeers(ctx context.Context, requestID, service string, several bool, timeout time.Duration) (*v1.StreamOrigin, bool) {
 	peers := n.rankedPeers(requestID, originHolders+maxOriginQueries)
 	holders := min(originHolders, len(peers))
 	for _, group := range [][]remote{peers[:holders], peers[holders:]} {
-		found, severalThere := n.queryOrigin(ctx, group, requestID, service)
+		found, severalThere := n.queryOrigin(ctx, group, requestID, service, timeout)
 		if found != nil {
-			return originFrom(found, n.Now()), true, several
+			return found, several
 		}
 		if several = several || severalThere; !several && n.Versions.Complete() {
 			break
 		}
 	}
-	return origin.Record{}, false, several
+	return nil, several
 }
 
 // queryOrigin asks instances for the record of a stream, all at once. It returns the
 // first record that arrives, or nil once all have answered or failed.
-func (n *Network) queryOrigin(ctx context.Context, peers []remote, requestID, service string) (found *v1.StreamOrigin, several bool) {
-	ctx, cancel := context.WithTimeout(ctx, originCallTimeout)
+func (n *Network) queryOrigin(ctx context.Context, peers []remote, requestID, service string, timeout time.Duration) (found *v1.StreamOrigin, several bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	responses := make(chan *v1.LookupOriginResponse, len(peers))
 	for _, p := range peers {
--- a/internal/peer/origins_test.go
+++ b/internal/peer/origins_test.go
@@ -81,3 +81,25 @@
 		t.Errorf("a stream without a record: known %t, several versions %t", known, several)
 	}
 }
+
+// TestOriginsReachBusyHolders guards against streams that cannot go on because the
+// holders of their records were busy when these were sent: a call that had timed out
+// was not made again.
+func TestOriginsReachBusyHolders(t *testing.T) {
+	fleet := newFleet(t, 4)
+	await(t, "instances know each other", func() bool {
+		return allInstances(fleet, func(m *member) bool { return m.MemberCount() == 4 })
+	})
+	for _, m := range fleet {
+		m.Versions.Observe(versionsOf("v1", "v2"))
+		if m != fleet[0] {
+			m.listener.stall(600 * time.Millisecond)
+		}
+	}
+	fleet[0].RecordOrigin(origin.Record{RequestID: "r", Service: "s", Version: "v2", At: time.Now()})
+	time.Sleep(100 * time.Millisecond)
+	fleet[0].stop()
+	if r, known, _ := fleet[1].LookupOrigin(context.Background(), "r", "s"); !known || r.Version != "v2" {
+		t.Errorf("record %+v, known %t", r, known)
+	}
+}
