--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -52,9 +53,12 @@
 	triggerDelay = 60 * time.Millisecond
 	// useTimeout is how long the last report of requests in flight counts when
 	// no newer one arrives.
-	useTimeout      = 3 * time.Second
-	connectTimeout  = 400 * time.Millisecond
-	idleConnTimeout = 30 * time.Second
+	useTimeout     = 3 * time.Second
+	connectTimeout = 400 * time.Millisecond
+	// minCompressedBytes is the size from which responses are compressed. Smaller ones
+	// save fewer bytes than the compression costs processor time.
+	minCompressedBytes = 1024
+	idleConnTimeout    = 30 * time.Second
 )
 
 // Network is this instance's part in the exchange of state. Set the exported
@@ -139,7 +143,7 @@
 func (n *Network) Handler() http.Handler {
 	n.init()
 	mux := http.NewServeMux()
-	mux.Handle(heatherrelayv1connect.NewFleetServiceHandler(&server{network: n}))
+	mux.Handle(heatherrelayv1connect.NewFleetServiceHandler(&server{network: n}, connect.WithCompressMinBytes(minCompressedBytes)))
 	return mux
 }
 
