Bound what targets send without end

Targets in trouble may send bytes that are no answer until the caller closes. Informational heads were skipped without a count and a line of a trailer had no bound, both until the request's deadline; the body of a refusal was read as long as bytes arrived; responses read into memory had a bound each and none together. Now 16 informational heads, lines as long as the read buffer, 200 ms and 64 KB for the body of a refusal, a second for that of an error that may be retried, and 64 MB for all responses together.

TestEndlessBytesEnd (informational heads, trailer line) and TestEndlessBodyIsDiscardedInTime fail on the code before.

--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -42,7 +42,8 @@
 	switch {
 	case head.NotRun:
 		e.recordStep("send", e.target.ID, "refused "+strconv.Itoa(head.Status))
-		e.discardBody(response)
+		response.SetSilence(0, nil)
+		response.Discard(maxRefusalBodyBytes, refusalBodyTimeout)
 		return e.handleTargetRefusal(head)
 	case head.Success() && (!head.Signed || head.RequestID != e.request.ID):
 		e.recordStep("send", e.target.ID, "unsigned")
@@ -106,17 +107,14 @@
 	return attemptNotRun
 }
 
-// refusalBodyTimeout bounds the wait for the next bytes of the body of a refusal, of
-// which only the head matters.
-const refusalBodyTimeout = 200 * time.Millisecond
+// failureBodyTimeout bounds the reading of an error response that may be retried.
+const failureBodyTimeout = time.Second
 
-// discardBody reads a refusal to its end, so that the connection can be reused.
-func (e *exchange) discardBody(response *upstream.Response) {
-	response.SetSilence(refusalBodyTimeout, response.Close)
-	if _, err := response.ReadAll(); err != nil {
-		response.Close()
-	}
-}
+// The bounds on reading the body of a refusal, of which only the head matters.
+const (
+	refusalBodyTimeout  = 200 * time.Millisecond
+	maxRefusalBodyBytes = 64 << 10
+)
 
 // mayRetryError reports whether a target's error response may be retried on
 // another target.
@@ -129,6 +127,8 @@
 func (e *exchange) saveFailure(response *upstream.Response) attemptResult {
 	e.server.Detector.RecordAnswer(e.target.ID, true)
 	response.SetSilence(e.silenceLimit(), response.Close)
+	timer := time.AfterFunc(failureBodyTimeout, response.Close)
+	defer timer.Stop()
 	body, err := response.ReadAll()
 	if err == nil {
 		e.lastFailure = &bufferedResponse{ResponseHead: response.ResponseHead, body: body}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -45,6 +45,9 @@
 	// Dials counts the connections that were dialed.
 	Dials atomic.Uint64
 
+	// buffered is the number of bytes of the responses that are being read into memory.
+	buffered atomic.Int64
+
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*pool
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -1,13 +1,13 @@
 package upstream
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httputil"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
@@ -21,8 +21,15 @@
 	maxStrayResponses = 2
 	// maxResponseBytes bounds the body of a response that is read into memory.
 	maxResponseBytes = 8 << 20
-	// maxTrailerLines bounds the trailer after a chunked body.
+	// maxBufferedBytes bounds the bytes of all responses that are being read into memory,
+	// in case many targets send without end.
+	maxBufferedBytes = 64 << 20
+	// maxTrailerLines bounds the trailer after a chunked body; a line is at most as long
+	// as the read buffer.
 	maxTrailerLines = 32
+	// maxInformationalHeads is how many informational heads (1xx) are skipped before a
+	// response.
+	maxInformationalHeads = 16
 )
 
 // errTruncated means that a response is not complete.
@@ -74,7 +81,7 @@
 
 // readNextHead reads the next head that is not informational (1xx).
 func (r *Response) readNextHead(decode func(*fasthttp.ResponseHeader) ResponseHead) error {
-	for {
+	for range maxInformationalHeads + 1 {
 		var header fasthttp.ResponseHeader
 		header.DisableNormalizing()
 		header.SetNoDefaultContentType(true)
@@ -88,6 +95,7 @@
 		r.setBodyReader()
 		return nil
 	}
+	return errTruncated.New("more than %d informational heads", maxInformationalHeads)
 }
 
 // setBodyReader sets the reader of the body according to the status and to how the
@@ -141,7 +149,7 @@
 // readTrailer discards the trailer after the last chunk, up to the empty line.
 func (r *Response) readTrailer() error {
 	for range maxTrailerLines {
-		line, err := r.conn.reader.ReadString('\n')
+		line, err := r.conn.reader.ReadSlice('\n')
 		if errors.Is(err, io.EOF) {
 			// Wrapped as it is, io.EOF would mark the response as complete.
 			err = io.ErrUnexpectedEOF
@@ -149,7 +157,7 @@
 		if err != nil {
 			return err
 		}
-		if strings.TrimRight(line, "\r\n") == "" {
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return nil
 		}
 	}
@@ -173,12 +181,42 @@
 
 // ReadAll returns the complete body, or an error of class ErrIncompleteResponse.
 func (r *Response) ReadAll() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(&bufferedReader{Response: r}, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
 		r.Close()
-		return nil, ErrIncompleteResponse.New("response of more than %d bytes", maxResponseBytes)
+		err = ErrIncompleteResponse.New("response of more than %d bytes", maxResponseBytes)
+	}
+	r.client.buffered.Add(-int64(len(body)))
+	if err != nil {
+		return nil, err
+	}
+	return body, nil
+}
+
+// bufferedReader reads a response into memory and counts its bytes among those that the
+// client buffers at present.
+type bufferedReader struct{ *Response }
+
+// Read reads from the body. It fails when all responses together exceed
+// maxBufferedBytes.
+func (b *bufferedReader) Read(p []byte) (int, error) {
+	n, err := b.Response.Read(p)
+	if b.client.buffered.Add(int64(n)) > maxBufferedBytes && err == nil {
+		b.Close()
+		err = ErrIncompleteResponse.New("more than %d bytes of responses in memory", int64(maxBufferedBytes))
+	}
+	return n, err
+}
+
+// Discard reads the rest of the body, up to limit bytes and for at most timeout, so that
+// the connection can be used again. A response with more is closed.
+func (r *Response) Discard(limit int64, timeout time.Duration) {
+	timer := time.AfterFunc(timeout, r.Close)
+	defer timer.Stop()
+	// Any error has closed the response.
+	if n, _ := io.Copy(io.Discard, io.LimitReader(r, limit+1)); n > limit {
+		r.Close()
 	}
-	return body, err
 }
 
 // release returns the connection to the pool after a complete response, or closes
