--- a/internal/crash/ledger.go
+++ b/internal/crash/ledger.go
@@ -65,26 +65,55 @@
 		l.Log.Info("target crashed", zap.String("target", string(p.Target)), zap.Int64("generation", p.Generation),
 			zap.Int("parts", len(parts)), zap.Strings("suspects", slices.Sorted(maps.Keys(r.suspects))))
 	}
-	l.finish(changed || !known, p, true)
+	if !changed && known {
+		l.mu.Unlock()
+		return
+	}
+	l.decide()
+	report := r.report(p)
+	l.mu.Unlock()
+	l.notify(report, true)
+}
+
+// Merge adds reports that another instance made or forwarded. Reports may arrive in any
+// order and more than once.
+func (l *Ledger) Merge(reports ...Report) {
+	for _, report := range l.merge(reports) {
+		l.notify(report, false)
+	}
 }
 
-// Merge adds a report that another instance made or forwarded. Reports may arrive in
-// any order and more than once.
-func (l *Ledger) Merge(report Report) {
+// merge is Merge. It returns the reports that changed.
+func (l *Ledger) merge(reports []Report) []Report {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	now := l.Now()
-	if now.Sub(report.RenewedAt) > retention {
-		l.mu.Unlock()
-		return
+	var changed []Report
+	for _, report := range reports {
+		if now.Sub(report.RenewedAt) > retention {
+			continue
+		}
+		r, known := l.record(report.Process, report.At)
+		if l.mergeRecord(r, report) || !known {
+			changed = append(changed, r.report(report.Process))
+		}
+	}
+	if len(changed) > 0 {
+		l.decide()
 	}
-	r, known := l.record(report.Process, report.At)
+	return changed
+}
+
+// mergeRecord adds a report to a record, without the parts that were answered here. It
+// reports whether the record changed. The caller holds the lock.
+func (l *Ledger) mergeRecord(r *record, report Report) bool {
 	changed := r.merge(report)
 	for part := range r.suspects {
 		if at, ok := l.soundAt[part]; ok && r.at.Sub(at) <= soundLookback {
 			changed = r.clear(part) || changed
 		}
 	}
-	l.finish(changed || !known, report.Process, false)
+	return changed
 }
 
 // RecordSound records that a target answered a request with the given parts.
@@ -156,20 +185,6 @@
 	delete(l.records, oldest)
 }
 
-// finish decides again after a change of a record, releases the lock and reports the
-// change.
-func (l *Ledger) finish(changed bool, p Process, observed bool) {
-	r, ok := l.records[p]
-	if !changed || !ok {
-		l.mu.Unlock()
-		return
-	}
-	l.decide()
-	report := r.report(p)
-	l.mu.Unlock()
-	l.notify(report, observed)
-}
-
 func (l *Ledger) notify(report Report, observed bool) {
 	if l.OnChange != nil {
 		l.OnChange(report, observed)
@@ -241,6 +256,13 @@
 	return len(l.blocked)
 }
 
+// CrashCount returns the number of crashes that count at present.
+func (l *Ledger) CrashCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.records)
+}
+
 // Known reports whether the ledger holds a report on a process.
 func (l *Ledger) Known(p Process) bool {
 	l.mu.Lock()
--- a/internal/crash/stored.go
+++ b/internal/crash/stored.go
@@ -59,6 +59,7 @@
 		return err
 	}
 	now := l.Now()
+	reports := make([]Report, 0, len(stored.Crashes))
 	for _, s := range stored.Crashes {
 		report := Report{
 			Process: Process{Target: s.Target, Generation: s.Generation},
@@ -67,8 +68,9 @@
 		for part, depth := range s.Suspects {
 			report.Suspects = append(report.Suspects, Suspect{Part: part, Depth: depth})
 		}
-		l.Merge(report)
+		reports = append(reports, report)
 	}
+	l.Merge(reports...)
 	if len(stored.ClearedParts) > 0 {
 		l.RecordSound(stored.ClearedParts)
 	}
--- a/internal/gatewayinstance/metrics.go
+++ b/internal/gatewayinstance/metrics.go
@@ -18,6 +18,12 @@
 	registerCounter("heatherrelay_relay_adapter_unloads_total", "Unloads of adapters that engines accepted.", load(&i.holder.Unloads))
 	registerCounter("heatherrelay_relay_engine_reports_total", "Reports asked of engines.", load(&i.holder.Reports))
 	registerCounter("heatherrelay_relay_target_connections_total", "New connections to targets.", load(&i.client.Dials))
+	registerGauge := func(name, help string, value func() int) {
+		i.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
+	}
+	registerGauge("heatherrelay_gateway_target_crashes", "Crashes of targets, seen by any instance, that count at present.", i.crashes.CrashCount)
+	registerGauge("heatherrelay_gateway_blocked_prompt_parts", "Parts of prompts that are refused since they crash targets.", i.crashes.BlockedCount)
+	registerGauge("heatherrelay_gateway_limited_targets", "Targets that state a limit of requests.", i.limits.LimitedCount)
 	if i.Platform.StoreCalls != nil {
 		registerCounter("heatherrelay_relay_store_calls_total", "Calls to the platform's store.", i.Platform.StoreCalls)
 	}
--- a/internal/peer/crashes.go
+++ b/internal/peer/crashes.go
@@ -50,9 +50,11 @@
 
 func (n *Network) mergeCrashes(messages []*v1.TargetCrash) {
 	now := n.Now()
+	reports := make([]crash.Report, 0, len(messages))
 	for _, m := range messages {
-		n.Crashes.Merge(crashFrom(m, now))
+		reports = append(reports, crashFrom(m, now))
 	}
+	n.Crashes.Merge(reports...)
 }
 
 func crashMessage(r crash.Report, now time.Time) *v1.TargetCrash {
--- a/internal/throttle/limiter.go
+++ b/internal/throttle/limiter.go
@@ -125,6 +125,19 @@
 	return true
 }
 
+// LimitedCount returns the number of targets that state a limit.
+func (l *Limiter) LimitedCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for _, known := range l.limits {
+		if known.Limited {
+			count++
+		}
+	}
+	return count
+}
+
 // Known reports whether the limiter holds a statement of a target.
 func (l *Limiter) Known(id deployment.TargetID) bool {
 	l.mu.Lock()
