Soak: prompts that crash engines, and targets that state limits

Beside kills, restarts, an unavailable store, silences and broken answers; checks both bounds for the instances that were undisturbed.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	faultDuration time.Duration
 	planned       bool
 	restores      bool
+	crashes       bool
 	verbose       bool
 }
 
@@ -44,6 +45,7 @@
 	flags.DurationVar(&o.faultDuration, "faulty", 10*time.Second, "how long faults are injected")
 	flags.BoolVar(&o.planned, "planned", false, "inject only planned work and silent targets, and check that no request is lost")
 	flags.BoolVar(&o.restores, "restores", false, "restore the store from older copies too")
+	flags.BoolVar(&o.crashes, "crashes", false, "send prompts that crash engines and have targets state limits, beside fewer other faults")
 	flags.BoolVar(&o.verbose, "verbose", false, "print each fault")
 	if err := command.Execute(); err != nil {
 		os.Exit(1)
@@ -83,7 +85,7 @@
 		fmt.Println(err)
 		return false
 	}
-	cluster := &soak.Cluster{Seed: seed, Binary: binary, Dir: runDir, Instances: o.instances, Clients: o.clients, FaultDuration: o.faultDuration, Planned: o.planned, Restores: o.restores}
+	cluster := &soak.Cluster{Seed: seed, Binary: binary, Dir: runDir, Instances: o.instances, Clients: o.clients, FaultDuration: o.faultDuration, Planned: o.planned, Restores: o.restores, Crashes: o.crashes}
 	cluster.Log = func(text string) {
 		if o.verbose {
 			fmt.Println("  ", text)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -38,7 +38,7 @@
 	byID := c.receivedByID()
 	c.requests.mu.Lock()
 	defer c.requests.mu.Unlock()
-	var violations []string
+	violations := append(c.checkCrashes(byID), c.checkLimits()...)
 	succeeded, total := 0, 0
 	for _, r := range c.requests.all {
 		violations = append(violations, c.checkRequest(r, byID[r.id])...)
@@ -46,7 +46,7 @@
 			violations = append(violations, r.id+" ("+r.route+") lost: "+loss)
 		}
 		delete(byID, r.id)
-		if _, revoked := c.revokedAt[r.key]; r.at.After(recovered) && !revoked {
+		if _, revoked := c.revokedAt[r.key]; r.at.After(recovered) && !revoked && !r.crashing {
 			total++
 			if r.status == http.StatusOK && r.complete {
 				succeeded++
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -27,6 +27,8 @@
 	// err is why there is no response.
 	err  error
 	body string
+	// crashing is set when the prompt has the part that crashes engines.
+	crashing bool
 	// complete is set when the body ended as HTTP prescribes, rather than with its
 	// connection breaking off.
 	complete bool
@@ -107,6 +109,9 @@
 	if r.route == "stream" || r.route == "draft" {
 		request.Header.Set("Model", fmt.Sprintf("%s/a%d", platformtest.Model, 1+c.random.IntN(adapterCount)))
 		request.Header.Set("Token-Count", "100,50")
+		if c.cluster.Crashes {
+			r.crashing = c.cluster.setPrompt(request.Header, c.random, r.id)
+		}
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -60,6 +60,9 @@
 	FaultDuration time.Duration
 	// Restores adds restores of the store from older copies to the faults.
 	Restores bool
+	// Crashes adds requests whose prompts have a part that crashes engines and targets
+	// that state limits, beside fewer other faults.
+	Crashes bool
 	// Log receives a line for each fault and for the result; optional.
 	Log func(string)
 
@@ -74,6 +77,8 @@
 
 	// restoring is held during a restore, since copies must not overlap.
 	restoring sync.Mutex
+	// limitedNow holds the targets that state a limit at present.
+	limitedNow sync.Map
 
 	mu     sync.Mutex
 	config platformtest.Config
@@ -81,6 +86,10 @@
 	revokedAt map[string]time.Time
 	// stops holds the times for which each instance was stopped by SIGTERM.
 	stops map[*Process][]stop
+	// disturbances holds the times for which each instance, and under nil the store, was
+	// disturbed by a fault. limits holds the times in which targets stated limits.
+	disturbances map[*Process][]stop
+	limits       []limited
 }
 
 func (c *Cluster) logf(format string, args ...any) {
@@ -140,6 +149,7 @@
 func (c *Cluster) start() error {
 	c.store = platformtest.NewStore()
 	c.revokedAt, c.stops = map[string]time.Time{}, map[*Process][]stop{}
+	c.disturbances = map[*Process][]stop{}
 	c.config = platformtest.Config{Version: 1, Routes: c.routes(2 * c.deadline()), Rate: 10_000_000, Burst: 10_000_000, Keys: map[string]string{}}
 	for i := range 6 {
 		c.config.Keys[fmt.Sprintf("key-%d", i)] = fmt.Sprintf("team-%d", i%2)
@@ -189,6 +199,9 @@
 	if i < engineCount {
 		t.Service, t.Model, t.AdapterSlots, t.LoadTime = platformtest.ModelService, platformtest.Model, platformtest.AdapterSlots, loadTime
 		t.Events, t.EventGap = eventCount, c.eventGap()
+		if c.Crashes {
+			t.CrashPart, t.Downtime, t.CrashStore, t.AnswerDelay = crashingPart, crashDowntime, c.store, crashAnswerDelay
+		}
 	}
 	t.Start()
 	proxy, err := NewProxy(t.Address())
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -50,13 +50,7 @@
 }
 
 var faults = []fault{
-	{"kill an instance", func(c *Cluster, random *rand.Rand) {
-		p := c.randomProcess(random)
-		p.Signal(syscall.SIGKILL)
-		p.WaitForExit(time.Second)
-		time.Sleep(randomDuration(random) / 2)
-		c.restart(p)
-	}},
+	killFault,
 	stopFault,
 	{"pause an instance", func(c *Cluster, random *rand.Rand) {
 		p := c.randomProcess(random)
@@ -71,24 +65,38 @@
 	{"network fault between instances and a target", func(c *Cluster, random *rand.Rand) {
 		c.injectProxyFault(c.targetProxies[random.IntN(len(c.targetProxies))], random)
 	}},
-	{"the store refuses all calls", func(c *Cluster, random *rand.Rand) {
-		c.store.Fail([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[random.IntN(2)])
-		time.Sleep(randomDuration(random))
-		c.store.Fail(0)
-	}},
+	storeFault,
 	{"responses of the store to writes are lost", func(c *Cluster, random *rand.Rand) { c.store.LoseAnswers(1 + random.IntN(4)) }},
 	{"the store compacts its history", func(c *Cluster, _ *rand.Rand) { c.store.Compact() }},
 	{"a target refuses requests", func(c *Cluster, random *rand.Rand) {
 		c.randomTarget(random).Inject(func(t *platformtest.Target) { t.RefuseNext = 5 })
 	}},
-	{"responses of a target are lost", func(c *Cluster, random *rand.Rand) {
+	loseFault, breakFault, revocationFault,
+}
+
+// The faults that runs of several kinds share.
+var (
+	killFault = fault{"kill an instance", func(c *Cluster, random *rand.Rand) {
+		p := c.randomProcess(random)
+		defer c.disturb(p)()
+		p.Signal(syscall.SIGKILL)
+		p.WaitForExit(time.Second)
+		time.Sleep(randomDuration(random) / 2)
+		c.restart(p)
+	}}
+	storeFault = fault{"the store refuses all calls", func(c *Cluster, random *rand.Rand) {
+		defer c.disturb(nil)()
+		c.store.Fail([]int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[random.IntN(2)])
+		time.Sleep(randomDuration(random))
+		c.store.Fail(0)
+	}}
+	loseFault = fault{"responses of a target are lost", func(c *Cluster, random *rand.Rand) {
 		c.randomTarget(random).Inject(func(t *platformtest.Target) { t.LoseNext = 4 })
-	}},
-	{"an engine breaks a stream off", func(c *Cluster, random *rand.Rand) {
+	}}
+	breakFault = fault{"an engine breaks a stream off", func(c *Cluster, random *rand.Rand) {
 		c.targets[random.IntN(engineCount)].Inject(func(t *platformtest.Target) { t.BreakAfter = 1 + random.IntN(eventCount-1) })
-	}},
-	revocationFault,
-}
+	}}
+)
 
 // The faults that are no reason to lose a request.
 var (
@@ -213,6 +221,7 @@
 // stopAndRestart stops an instance by SIGTERM and starts it again.
 func (c *Cluster) stopAndRestart(p *Process) {
 	from := time.Now()
+	defer c.disturb(p)()
 	p.Signal(syscall.SIGTERM)
 	p.WaitForExit(c.shutdownGrace() + exitTime)
 	c.restart(p)
@@ -224,9 +233,13 @@
 // injectAllFaults injects the faults of the run.
 func (c *Cluster) injectAllFaults() {
 	random := rand.New(rand.NewPCG(c.Seed, 1))
-	if c.Planned {
+	switch {
+	case c.Planned:
 		c.injectFaults(plannedFaults, random)
 		return
+	case c.Crashes:
+		c.injectFaults(crashFaults, random)
+		return
 	}
 	overlaidRandom := rand.New(rand.NewPCG(c.Seed, math.MaxUint64))
 	var group sync.WaitGroup
@@ -248,7 +261,11 @@
 		faultRandom := rand.New(rand.NewPCG(random.Uint64(), 0))
 		c.logf("%s", f.name)
 		group.Go(func() { f.inject(c, faultRandom) })
-		time.Sleep(time.Duration(random.Int64N(int64(2 * meanFaultInterval))))
+		pause := time.Duration(random.Int64N(int64(2 * meanFaultInterval)))
+		if c.Crashes {
+			pause += crashFaultPause
+		}
+		time.Sleep(pause)
 	}
 	group.Wait()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// TestSoakCrashes runs instances as processes with prompts that crash engines and targets
+// that state limits, beside kills, restarts and an unavailable store.
+func TestSoakCrashes(t *testing.T) {
+	binary := buildBinary(t)
+	runSeed(t, &soak.Cluster{Seed: ciSeed, Binary: binary, Dir: t.TempDir(), Instances: 4, Clients: 12, FaultDuration: 12 * time.Second, Crashes: true})
+}
+
 // TestSoakPlanned runs instances as processes beside planned work and silent targets,
 // and checks that no request is lost.
 func TestSoakPlanned(t *testing.T) {
