--- a/internal/gatewayinstance/crashing_prompt_test.go
+++ b/internal/gatewayinstance/crashing_prompt_test.go
@@ -1,6 +1,7 @@
 package gatewayinstance_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +12,11 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"heatherrelay/internal/gatewayinstance"
+	"heatherrelay/internal/platformstore"
+	"heatherrelay/platform"
 	"heatherrelay/platform/platformtest"
 )
 
@@ -244,3 +250,52 @@
 		return got.body == streamBody(eventCount)
 	})
 }
+
+// startIsolatedInstance starts an instance in a zone of its own that never learns of the
+// others, as if it were cut off from them, but reaches the store and the targets.
+func (c *testCluster) startIsolatedInstance() *instance {
+	c.t.Helper()
+	i := &instance{settings: c.newSettings(), done: make(chan error, 1), registry: prometheus.NewRegistry()}
+	i.settings.Zone = fmt.Sprint("zone-", len(c.instances))
+	gateway := &gatewayinstance.Instance{Settings: i.settings, Log: c.log, Registry: i.registry}
+	platform.Connect(gateway)
+	list := gateway.Store.List
+	gateway.Store.List = func(ctx context.Context, kind platformstore.Kind, stale bool) (platformstore.Page, error) {
+		page, err := list(ctx, kind, stale)
+		if kind == "heatherrelay-instances" {
+			page.Objects = nil
+		}
+		return page, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i.stop = cancel
+	go func() { i.done <- gateway.Run(ctx) }()
+	c.addInstance(i)
+	return i
+}
+
+// TestEvidenceReachesInstancesCutOffFromEachOther guards against counts of crashes that
+// end at a zone that is cut off: none of three instances sees enough of them alone.
+func TestEvidenceReachesInstancesCutOffFromEachOther(t *testing.T) {
+	t.Parallel()
+	cluster := newCrashingCluster(t, 0)
+	for range 3 {
+		cluster.startIsolatedInstance()
+	}
+	send := func(n int) string {
+		return cluster.sendThrough(cluster.instances[n%3], http.MethodPost, "/draft/", withParts("first:80,"+crashingPart+":10")).body
+	}
+	for n := 0; len(cluster.crashes()) < boundedCrashes && n < 100 && !strings.Contains(send(n), "prompt_part_blocked"); n++ {
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(crashWindow)
+	before := time.Now()
+	for n := range 12 {
+		if body := send(n); !strings.Contains(body, "prompt_part_blocked") {
+			t.Errorf("instance %d after %d crashes: %s", n%3, len(cluster.crashes()), body)
+		}
+	}
+	if n := cluster.receivedWith(crashingPart, before); n > maxRequestsAfterCrashWindow {
+		t.Errorf("%d requests with the part reached engines", n)
+	}
+}
