--- a/internal/crash/ledger_test.go
+++ b/internal/crash/ledger_test.go
@@ -128,6 +128,10 @@
 		}
 		l.RecordCrash(crash.Process{Target: "engine", Generation: int64(n)}, parts)
 	}
+	value, err := json.Marshal(l.Store(start))
+	if err != nil || len(value) > 1<<20 {
+		t.Errorf("stored in %d bytes, error %v", len(value), err)
+	}
 	reports := l.Reports()
 	if len(reports) > 256 {
 		t.Errorf("%d reports", len(reports))
--- a/internal/crash/stored.go
+++ b/internal/crash/stored.go
@@ -29,28 +29,63 @@
 	Suspects map[string]int `json:"suspects"`
 }
 
-// Store returns the stored form of the ledger's reports. Those without suspects are
-// left out. The times are those of the wall clock, which instances share.
+// The bounds on a stored object, which are below what the store takes as one value.
+const (
+	maxStoredSuspects = 100
+	maxStoredBytes    = 500_000
+	// storedReportBytes and storedSuspectBytes are what a report and a suspect take
+	// besides the names in them.
+	storedReportBytes  = 120
+	storedSuspectBytes = 10
+)
+
+// Store returns the stored form of the ledger's reports, those renewed last first. Reports
+// without suspects are left out, and so is what exceeds the bounds. The times are
+// those of the wall clock, which instances share.
 func (l *Ledger) Store(wallClock time.Time) StoredReports {
 	now := l.Now()
-	stored := StoredReports{Crashes: []StoredReport{}}
-	for _, r := range l.Reports() {
-		suspects := map[string]int{}
-		for _, s := range r.Suspects {
-			if !slices.Contains(r.Cleared, s.Part) {
-				suspects[s.Part] = s.Depth
-			}
+	reports := l.Reports()
+	crashes := map[string]int{}
+	for _, r := range reports {
+		for _, s := range r.openSuspects() {
+			crashes[s.Part]++
+		}
+	}
+	slices.SortStableFunc(reports, func(a, b Report) int { return b.RenewedAt.Compare(a.RenewedAt) })
+	stored, size := StoredReports{Crashes: []StoredReport{}}, 0
+	for _, r := range reports {
+		suspects := r.openSuspects()
+		slices.SortStableFunc(suspects, func(a, b Suspect) int { return crashes[b.Part] - crashes[a.Part] })
+		s := StoredReport{
+			Target: r.Target, Generation: r.Generation, Suspects: map[string]int{},
+			At: wallClock.Add(r.At.Sub(now)).UTC().Truncate(time.Second), RenewedAt: wallClock.Add(r.RenewedAt.Sub(now)).UTC().Truncate(time.Second),
+		}
+		size += storedReportBytes + len(r.Target)
+		for _, suspect := range suspects[:min(len(suspects), maxStoredSuspects)] {
+			s.Suspects[suspect.Part] = suspect.Depth
+			size += storedSuspectBytes + len(suspect.Part)
 		}
-		if len(suspects) > 0 {
-			stored.Crashes = append(stored.Crashes, StoredReport{
-				Target: r.Target, Generation: r.Generation, Suspects: suspects,
-				At: wallClock.Add(r.At.Sub(now)).UTC().Truncate(time.Second), RenewedAt: wallClock.Add(r.RenewedAt.Sub(now)).UTC().Truncate(time.Second),
-			})
+		if size > maxStoredBytes {
+			break
+		}
+		if len(s.Suspects) > 0 {
+			stored.Crashes = append(stored.Crashes, s)
 		}
 	}
 	return stored
 }
 
+// openSuspects returns the suspects that are not cleared.
+func (r Report) openSuspects() []Suspect {
+	var open []Suspect
+	for _, s := range r.Suspects {
+		if !slices.Contains(r.Cleared, s.Part) {
+			open = append(open, s)
+		}
+	}
+	return open
+}
+
 // MergeStored adds the reports of a stored object. It returns an error if the value
 // cannot be decoded.
 func (l *Ledger) MergeStored(value json.RawMessage, wallClock time.Time) error {
