Leave the writing of reports on crashes to the reader of the zone

In a large fleet each instance that got the replica later than 600 ms would have written the same reports, and all of them again and again while the store is away. An instance that hears from the reader of its zone waits 3 s now, and a failed write is made again after a second.

--- a/internal/gatewayinstance/crashes.go
+++ b/internal/gatewayinstance/crashes.go
@@ -22,8 +22,12 @@
 	// report.
 	storeCrashesInterval = 200 * time.Millisecond
 	// otherWriterDelay is how long an instance that does not read the store for its
-	// zone leaves the writing of a report to the one that does.
-	otherWriterDelay = 600 * time.Millisecond
+	// zone leaves the writing of a report to the one that does, if it hears from that
+	// one; silentWriterDelay if it does not.
+	otherWriterDelay  = 3 * time.Second
+	silentWriterDelay = 600 * time.Millisecond
+	// writeRetryDelay is the time from a write that failed to the next one.
+	writeRetryDelay = time.Second
 )
 
 // assembleCrashes creates the components that find parts of prompts that crash targets.
@@ -66,12 +70,13 @@
 
 // storeCrashes writes the reports that the store lacks to the object of this instance's
 // zone until ctx ends. The instance that reads the store for its zone does so at once,
-// any other one when the reports are still missing after otherWriterDelay: it may know
-// better than others who is alive. The comparison with the replica makes a write again
-// that failed, or that a restored store has lost.
+// any other one when the reports are still missing after a while. The comparison with
+// the replica makes a write again that failed, or that a restored store has lost.
 func (i *Instance) storeCrashes(ctx context.Context) {
 	var missingSince time.Time
-	for wait.Sleep(ctx, storeCrashesInterval) == nil {
+	pause := storeCrashesInterval
+	for wait.Sleep(ctx, pause) == nil {
+		pause = storeCrashesInterval
 		if missingSince.IsZero() && !i.crashesChanged.Swap(false) {
 			continue
 		}
@@ -83,15 +88,27 @@
 		if missingSince.IsZero() {
 			missingSince = clock.Now()
 		}
-		if !i.network.ReadsStore() && clock.Since(missingSince) < otherWriterDelay {
+		if clock.Since(missingSince) < i.crashWriteDelay() {
 			continue
 		}
 		if err := i.writeCrashes(ctx, own); err != nil {
 			i.Log.Debug("reports on crashes not stored", zap.Error(err))
+			pause = writeRetryDelay
 		}
 	}
 }
 
+// crashWriteDelay returns how long this instance waits for another one to write a report.
+func (i *Instance) crashWriteDelay() time.Duration {
+	switch {
+	case i.network.ReadsStore():
+		return 0
+	case i.network.HearsReader():
+		return otherWriterDelay
+	}
+	return silentWriterDelay
+}
+
 // compareStoredCrashes returns the object of this instance's zone, and whether the store
 // has all reports of this instance.
 func (i *Instance) compareStoredCrashes() (own platformstore.Object, covered bool) {
--- a/internal/peer/roles.go
+++ b/internal/peer/roles.go
@@ -217,3 +217,19 @@
 	}
 	return n.role == roleRelaying
 }
+
+// HearsReader reports whether another instance that reads the store on behalf of this
+// one's zone has lately sent its state to this instance itself. That it is listed as
+// alive may be no longer true.
+func (n *Network) HearsReader() bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	now := n.Now()
+	readers := n.relays(n.Self.Zone)
+	if n.role == roleMeshed {
+		readers = readers[:min(len(readers), 1)]
+	}
+	return slices.ContainsFunc(readers, func(c relayCandidate) bool {
+		return c.remote != nil && now.Sub(c.remote.lastReceivedAt) <= aliveTimeout
+	})
+}
