--- a/internal/crash/detector_test.go
+++ b/internal/crash/detector_test.go
@@ -55,6 +55,7 @@
 					t.Errorf("crashed %t, want %t", got, c.want)
 				}
 			}
+			time.Sleep(400 * time.Millisecond)
 			if _, got := d.Ledger.Blocked([]string{"bad"}); got != c.want {
 				t.Errorf("blocked %t, want %t", got, c.want)
 			}
--- a/internal/crash/ledger.go
+++ b/internal/crash/ledger.go
@@ -45,7 +45,8 @@
 	records map[Process]*record
 	// soundAt is when a request with a part was last answered.
 	soundAt map[string]time.Time
-	blocked map[string]bool
+	// blocked maps the blocked parts to the time of the last crash that it took.
+	blocked map[string]time.Time
 }
 
 // RecordCrash records that a target crashed while it was processing requests with the
@@ -194,13 +195,14 @@
 // decide replaces the blocked parts. The caller holds the lock.
 func (l *Ledger) decide() {
 	blocked := blockedParts(l.records)
-	for part := range blocked {
-		if !l.blocked[part] {
-			l.Log.Warn("part of prompts blocked, since it crashes targets", zap.String("prompt_part", part), zap.Int("crashes", l.crashes(part)))
+	for part, at := range blocked {
+		if _, known := l.blocked[part]; !known {
+			l.Log.Warn("part of prompts blocked, since it crashes targets", zap.String("prompt_part", part), zap.Int("crashes", l.crashes(part)),
+				zap.Duration("in", max(blockDelay-l.Now().Sub(at), 0)))
 		}
 	}
 	for part := range l.blocked {
-		if !blocked[part] {
+		if _, still := blocked[part]; !still {
 			l.Log.Info("part of prompts no longer blocked", zap.String("prompt_part", part), zap.Int("crashes", l.crashes(part)))
 		}
 	}
@@ -223,8 +225,12 @@
 func (l *Ledger) Blocked(parts []string) (string, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.blocked) == 0 {
+		return "", false
+	}
+	now := l.Now()
 	for _, part := range parts {
-		if l.blocked[part] {
+		if at, ok := l.blocked[part]; ok && now.Sub(at) >= blockDelay {
 			return part, true
 		}
 	}
