Pass on again that the limit of a target has ended

An instance that received an answer with the limit after another one had learned that it ended, and is not among the senders of the target, kept the limit and avoided the target for good: the earlier statement lost against its own, and no further one came. A statement that is confirmed is passed on every 10 s. TestLateAnswerDelaysEndOfLimit fails without the change.

--- a/internal/throttle/limiter.go
+++ b/internal/throttle/limiter.go
@@ -9,9 +9,15 @@
 	"heatherrelay/internal/deployment"
 )
 
-// shareInterval is how long a share is used before it is computed again from the
-// known instances.
-const shareInterval = 500 * time.Millisecond
+const (
+	// shareInterval is how long a share is used before it is computed again from the
+	// known instances.
+	shareInterval = 500 * time.Millisecond
+	// repeatInterval is the time after which a statement that has been confirmed is
+	// passed on again: an instance that sends nothing to the target may hold an older
+	// one.
+	repeatInterval = 10 * time.Second
+)
 
 // Limiter holds the limits that targets state and this instance's part of each. It is
 // safe for concurrent use. Set the exported fields before the first use.
@@ -21,7 +27,8 @@
 	// Members returns the ids of all known instances, this one included, also of those
 	// that are silent for the moment.
 	Members func() []string
-	// OnChange is called, without the lock, with each statement that says something new.
+	// OnChange is called, without the lock, with each statement to pass on: those that say
+	// something new, and one every repeatInterval.
 	OnChange func(Statement)
 	Now      func() time.Time
 	Log      *zap.Logger
@@ -35,6 +42,8 @@
 	Statement
 	bucket   bucket
 	sharedAt time.Time
+	// passedOnAt is the time of the statement that was last passed on.
+	passedOnAt time.Time
 }
 
 // Observe records what a target stated in a response to this instance: a limit, or with
@@ -48,15 +57,15 @@
 
 func (l *Limiter) apply(s Statement) {
 	l.mu.Lock()
-	changed := l.set(s)
+	passOn := l.set(s)
 	l.mu.Unlock()
-	if changed && l.OnChange != nil {
+	if passOn && l.OnChange != nil {
 		l.OnChange(s)
 	}
 }
 
-// set stores a statement if it is newer than the one before. It reports whether it says
-// something new. The caller holds the lock.
+// set stores a statement if it is newer than the one before. It reports whether it is to
+// be passed on. The caller holds the lock.
 func (l *Limiter) set(s Statement) bool {
 	known, ok := l.limits[s.Target]
 	switch {
@@ -78,7 +87,11 @@
 		l.Log.Info("limit of a target changed", zap.String("target", string(s.Target)), zap.Int64("generation", s.Generation),
 			zap.Bool("limited", s.Limited), zap.Float64("requests_per_second", s.PerSecond))
 	}
-	return changed
+	if !changed && s.At.Sub(known.passedOnAt) < repeatInterval {
+		return false
+	}
+	known.passedOnAt = s.At
+	return true
 }
 
 // current returns the limit of a target with an up-to-date bucket; nil if the target has
--- a/internal/throttle/limiter_test.go
+++ b/internal/throttle/limiter_test.go
@@ -142,6 +142,32 @@
 	}
 }
 
+// TestLateAnswerDelaysEndOfLimit guards against an instance that avoids a target for good:
+// an answer that still stated the limit reached it after another instance had learned
+// that the limit had ended, and it sends no further request there.
+func TestLateAnswerDelaysEndOfLimit(t *testing.T) {
+	f := newFleet(2)
+	sender, other := f.limiters[0], f.limiters[1]
+	sender.OnChange = other.Merge
+	f.state(1)
+	f.now = f.now.Add(time.Second)
+	sender.Observe(target, false, 0)
+	f.now = f.now.Add(time.Second)
+	other.Observe(target, true, 1)
+	if other.Wait(target) == 0 {
+		t.Fatal("the later answer was ignored")
+	}
+	for range 30 {
+		f.now = f.now.Add(time.Second)
+		sender.Observe(target, false, 0)
+	}
+	for n := range 20 {
+		if !other.Take(target) {
+			t.Fatalf("request %d refused half a minute after the end of the limit", n)
+		}
+	}
+}
+
 // TestTargetThatTakesNothingIsAskedAgain checks that a limit of zero lets a request
 // pass now and then, since only its answer shows that the limit has ended.
 func TestTargetThatTakesNothingIsAskedAgain(t *testing.T) {
