--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -21,12 +21,12 @@
 	crashDowntime    = time.Second
 	crashAnswerDelay = 30 * time.Millisecond
 	// boundedCrashes is the crash from which maxCrashingRequests bounds the requests
-	// with the part that reach engines later than touchTime after it.
+	// with the part that reach engines later than undisturbedTime after it.
 	boundedCrashes      = 5
 	maxCrashingRequests = 3
-	// touchTime is how long an instance must have been undisturbed to be held to a
+	// undisturbedTime is how long an instance must have been undisturbed to be held to a
 	// bound, and how long it may take to apply one.
-	touchTime = 3 * time.Second
+	undisturbedTime = 3 * time.Second
 	// statedLimit is the limit of a limited target, in requests a second. In any
 	// limitWindow, limitTolerance times as many and limitExtra more may arrive.
 	statedLimit    = 2.0
@@ -77,9 +77,9 @@
 	}
 }
 
-// inTouch reports whether neither an instance nor the store was disturbed between two
+// undisturbed reports whether neither an instance nor the store was disturbed between two
 // moments.
-func (c *Cluster) inTouch(p *Process, from, to time.Time) bool {
+func (c *Cluster) undisturbed(p *Process, from, to time.Time) bool {
 	overlaps := func(s stop) bool { return s.from.Before(to) && s.to.After(from) }
 	return !slices.ContainsFunc(c.disturbances[p], overlaps) && !slices.ContainsFunc(c.disturbances[nil], overlaps)
 }
@@ -107,15 +107,15 @@
 	if len(crashes) < boundedCrashes {
 		return nil
 	}
-	from := crashes[boundedCrashes-1].Add(touchTime)
+	from := crashes[boundedCrashes-1].Add(undisturbedTime)
 	late := 0
 	for _, r := range c.requests.all {
-		if r.crashing && r.at.After(from) && c.inTouch(r.instance, r.at.Add(-touchTime), r.at) {
+		if r.crashing && r.at.After(from) && c.undisturbed(r.instance, r.at.Add(-undisturbedTime), r.at) {
 			late += len(byID[r.id])
 		}
 	}
 	if late > maxCrashingRequests {
-		return []string{fmt.Sprintf("%d requests that crash engines reached them later than %s after crash %d, %d crashes in all", late, touchTime, boundedCrashes, len(crashes))}
+		return []string{fmt.Sprintf("%d requests that crash engines reached them later than %s after crash %d, %d crashes in all", late, undisturbedTime, boundedCrashes, len(crashes))}
 	}
 	return nil
 }
@@ -132,7 +132,7 @@
 		var times []time.Time
 		for _, r := range l.target.ReceivedRequests() {
 			p := instances[r.Header.Get("Request-Id")]
-			if p != nil && r.At.After(l.from.Add(touchTime)) && r.At.Before(l.to) && c.inTouch(p, l.from, r.At) {
+			if p != nil && r.At.After(l.from.Add(undisturbedTime)) && r.At.Before(l.to) && c.undisturbed(p, l.from, r.At) {
 				times = append(times, r.At)
 			}
 		}
