--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -82,7 +82,7 @@
 // complete response.
 func (e *exchange) recordTargetFailure(err error) {
 	e.server.Log.Info("target failed a request", targetField(e.target.ID), zap.Int64("generation", e.target.Generation),
-		zap.String("request_id", e.request.ID), zap.Strings("prompt_parts", e.request.PromptParts),
+		zap.String("request_id", e.request.ID), zap.Strings("prompt_parts", e.request.PromptParts), zap.String("request_digest", e.digest),
 		zap.Duration("after", e.server.Now().Sub(e.sentAt)), zap.Int("in_flight", e.server.Tracker.Target(e.target.ID).Requests), zap.Error(err))
 	if e.server.Detector.RecordFailure(e.target.ID) {
 		e.server.Log.Info("target ejected", targetField(e.target.ID), zap.Error(err))
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/connection"
+	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/quota"
 	"heatherrelay/internal/refusal"
@@ -43,7 +44,9 @@
 	software softwareVersion
 	team     *deployment.Team
 	keyHash  deployment.KeyHash
-	cost     float64
+	// digest identifies the request over its repeats; empty before its team is known.
+	digest string
+	cost   float64
 	// deadline is the client's deadline (the default if the request states none) or
 	// the end of the route's timeout, whichever is earlier.
 	deadline time.Time
@@ -80,9 +83,19 @@
 	if configuration.NeedsKeys() && !route.Anonymous {
 		return e.admitKey(configuration)
 	}
+	e.setDigest()
 	return e.checkPrompt()
 }
 
+// setDigest sets the digest of the request. Its team must be known.
+func (e *exchange) setDigest() {
+	team := ""
+	if e.team != nil {
+		team = e.team.Name
+	}
+	e.digest = crash.RequestDigest(team, e.request.Host, e.request.URI, e.request.Body)
+}
+
 func (e *exchange) setDeadline() {
 	limit := defaultDeadline
 	if e.request.Deadline > 0 {
@@ -115,6 +128,7 @@
 	if refused := e.checkKey(); refused != nil {
 		return refused
 	}
+	e.setDigest()
 	if refused := e.checkPrompt(); refused != nil {
 		return refused
 	}
@@ -233,7 +247,7 @@
 	}
 	if e.request != nil {
 		allFields = append(allFields, zap.String("request_id", e.request.ID), zap.String("model", e.request.Adapter.Model),
-			zap.String("adapter", e.request.Adapter.Adapter), zap.Strings("prompt_parts", e.request.PromptParts))
+			zap.String("adapter", e.request.Adapter.Adapter), zap.Strings("prompt_parts", e.request.PromptParts), zap.String("request_digest", e.digest))
 		if e.request.LastEventID != "" {
 			allFields = append(allFields, zap.String("resumes", e.request.ResumedID))
 		}
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -127,7 +127,7 @@
 func (e *exchange) cloneForHedge() *exchange {
 	clone := &exchange{
 		server: e.server, request: e.request, startedAt: e.startedAt, configuration: e.configuration, route: e.route, service: e.service, software: e.software,
-		team: e.team, keyHash: e.keyHash, deadline: e.deadline,
+		team: e.team, keyHash: e.keyHash, digest: e.digest, deadline: e.deadline,
 	}
 	clone.ctx, clone.cancel = context.WithCancelCause(e.ctx)
 	clone.progress, clone.lastEventID, clone.excluded = e.progress, e.lastEventID, maps.Clone(e.excluded)
