Block a request that crashes targets, on routes of all kinds

Cause: evidence on crashes was collected for parts of prompts only, so a plain request, or one with sound parts, left none, and its repeats under new ids reached target after target at any instance. Class: evidence on the request that no single instance has.

The digest of the request (team, host, path, body) is a suspect beside the parts of its prompt, with the same evidence, verdict, travel and store. Of suspects that explain as many crashes the request is blocked, so the others with its parts go on. A response whose stated length is not reached, and an error response that breaks off, count as evidence too.

--- a/internal/crash/detector.go
+++ b/internal/crash/detector.go
@@ -62,9 +62,9 @@
 type ending struct {
 	target deployment.Target
 	at     time.Time
-	// parts maps the parts of the prompts to their depths.
-	parts   map[string]int
-	crashed bool
+	// suspects maps the names of the suspects to their depths.
+	suspects map[string]int
+	crashed  bool
 	// probing is closed at the end of the latest probe; nil if there was none.
 	probing  chan struct{}
 	probedAt time.Time
@@ -77,20 +77,22 @@
 }
 
 // RecordEnd records that the target's side ended the connection of a request before the
-// answer was complete. The parts are those of the request's prompt that may have
-// caused it. It does not block.
-func (d *Detector) RecordEnd(target deployment.Target, parts []string) { d.recordEnd(target, parts) }
+// answer was complete. The suspects are the digest of the request and the parts of its
+// prompt, if these may have caused it. It does not block.
+func (d *Detector) RecordEnd(target deployment.Target, suspects []string) {
+	d.recordEnd(target, suspects)
+}
 
 // recordEnd is RecordEnd. It returns the ending; nil if the target is leaving.
-func (d *Detector) recordEnd(target deployment.Target, parts []string) *ending {
+func (d *Detector) recordEnd(target deployment.Target, suspects []string) *ending {
 	status := d.Status(target)
 	if status == Leaving {
 		return nil
 	}
 	d.mu.Lock()
 	e := d.ending(target)
-	for i, part := range parts {
-		e.parts[part] = max(e.parts[part], i+1)
+	for name, depth := range depths(suspects) {
+		e.suspects[name] = max(e.suspects[name], depth)
 	}
 	crashed := e.crashed
 	known := d.Ledger.Known(processOf(target))
@@ -102,7 +104,7 @@
 	case !crashed && known:
 		d.confirm(e)
 	case crashed:
-		d.Ledger.RecordCrash(processOf(target), depths(parts))
+		d.Ledger.RecordCrash(processOf(target), depths(suspects))
 	case status == Replaced:
 		d.confirm(e)
 	}
@@ -120,14 +122,6 @@
 	}
 }
 
-func depths(parts []string) map[string]int {
-	result := make(map[string]int, len(parts))
-	for i, part := range parts {
-		result[part] = i + 1
-	}
-	return result
-}
-
 // RecordRefused records that the target's address refused a connection. Together with
 // connections that ended shortly before, that is a crash.
 func (d *Detector) RecordRefused(target deployment.Target) {
@@ -169,8 +163,8 @@
 
 // Crashed records the end of a connection like RecordEnd, waits for the probe and
 // reports whether the target has crashed.
-func (d *Detector) Crashed(ctx context.Context, target deployment.Target, parts []string) bool {
-	e := d.recordEnd(target, parts)
+func (d *Detector) Crashed(ctx context.Context, target deployment.Target, suspects []string) bool {
+	e := d.recordEnd(target, suspects)
 	if e == nil {
 		return false
 	}
@@ -200,7 +194,7 @@
 	p := processOf(target)
 	e, ok := d.endings[p]
 	if !ok {
-		e = &ending{target: target, at: now, parts: map[string]int{}}
+		e = &ending{target: target, at: now, suspects: map[string]int{}}
 		if d.endings == nil {
 			d.endings = map[Process]*ending{}
 		}
@@ -231,9 +225,9 @@
 	d.mu.Lock()
 	already := e.crashed
 	e.crashed = true
-	parts := maps.Clone(e.parts)
+	suspects := maps.Clone(e.suspects)
 	d.mu.Unlock()
 	if !already {
-		d.Ledger.RecordCrash(processOf(e.target), parts)
+		d.Ledger.RecordCrash(processOf(e.target), suspects)
 	}
 }
--- a/internal/crash/digest.go
+++ b/internal/crash/digest.go
@@ -9,6 +9,10 @@
 	"strings"
 )
 
+// requestPrefix begins the digests of requests. The ids of parts of prompts have no
+// colon, so that the two cannot be confused.
+const requestPrefix = "request:"
+
 // digestBytes is the length of a request digest before it is encoded.
 const digestBytes = 12
 
@@ -24,9 +28,12 @@
 		writeField(digest, []byte(field))
 	}
 	writeField(digest, body)
-	return hex.EncodeToString(digest.Sum(nil)[:digestBytes])
+	return requestPrefix + hex.EncodeToString(digest.Sum(nil)[:digestBytes])
 }
 
+// IsRequest reports whether the name of a suspect is the digest of a request.
+func IsRequest(name string) bool { return strings.HasPrefix(name, requestPrefix) }
+
 // writeField adds a field with its length, so that no two lists of fields are alike.
 func writeField(h hash.Hash, field []byte) {
 	var length [8]byte
--- a/internal/crash/ledger.go
+++ b/internal/crash/ledger.go
@@ -17,22 +17,22 @@
 	renewInterval = 10 * time.Minute
 	// maxRecords bounds the crashes of a Ledger; the one renewed longest ago is dropped.
 	maxRecords = 256
-	// maxSuspects bounds the suspected parts of one crash, which may be those of all
-	// requests in a target's batch.
+	// maxSuspects bounds the suspects of one crash, which may be all requests in a
+	// target's batch with their parts.
 	maxSuspects = 512
-	// soundLookback is how long before a crash an answer clears the parts of its
-	// prompt of that crash. Later answers clear them as well.
+	// soundLookback is how long before a crash an answer clears its request, and the
+	// parts of the prompt, of that crash. Later answers clear them as well.
 	soundLookback = 10 * time.Second
-	// maxSoundParts bounds the parts whose last answer is remembered.
-	maxSoundParts = 20_000
+	// maxSound bounds the requests and parts whose last answer is remembered.
+	maxSound = 20_000
 )
 
-// Ledger collects the reports on crashes and the answers that clear parts of prompts,
-// and decides which parts are blocked. The decision is a function of the reports
-// alone, so that instances with the same reports block the same parts. A part stays
-// blocked, without trials, as long as requests for it come; it is released when an
-// answer that was under way clears it, or when another part explains the crashes
-// better. A Ledger is safe for concurrent use. Set the exported fields before the
+// Ledger collects the reports on crashes and the answers that clear suspects, and decides
+// which requests and parts of prompts are blocked. The decision is a function of the
+// reports alone, so that instances with the same reports block the same suspects. A
+// suspect stays blocked, without trials, as long as requests for it come; it is released
+// when an answer that was under way clears it, or when another suspect explains the
+// crashes better. A Ledger is safe for concurrent use. Set the exported fields before the
 // first use.
 type Ledger struct {
 	// OnChange is called, without the lock, with each report that has changed. observed
@@ -43,28 +43,28 @@
 
 	mu      sync.Mutex
 	records map[Process]*record
-	// soundAt is when a request with a part was last answered.
+	// soundAt is when a request, or one with a part, was last answered.
 	soundAt map[string]time.Time
-	// blocked maps the blocked parts to the time of the last crash that it took.
+	// blocked maps the blocked suspects to the time of the last crash that it took.
 	blocked map[string]time.Time
 }
 
-// RecordCrash records that a target crashed while it was processing requests with the
-// given parts, each with its depth in its prompt.
-func (l *Ledger) RecordCrash(p Process, parts map[string]int) {
+// RecordCrash records that a target crashed while it was processing the given suspects,
+// each with its depth.
+func (l *Ledger) RecordCrash(p Process, suspects map[string]int) {
 	l.mu.Lock()
 	now := l.Now()
 	r, known := l.record(p, now)
 	r.renewedAt = now
 	changed := false
-	for part, depth := range parts {
-		if now.Sub(l.soundAt[part]) > soundLookback {
-			changed = r.suspect(Suspect{Part: part, Depth: depth}) || changed
+	for name, depth := range suspects {
+		if now.Sub(l.soundAt[name]) > soundLookback {
+			changed = r.suspect(Suspect{Name: name, Depth: depth}) || changed
 		}
 	}
 	if !known {
 		l.Log.Info("target crashed", zap.String("target", string(p.Target)), zap.Int64("generation", p.Generation),
-			zap.Int("parts", len(parts)), zap.Strings("suspects", slices.Sorted(maps.Keys(r.suspects))))
+			zap.Strings("suspects", slices.Sorted(maps.Keys(r.suspects))))
 	}
 	if !changed && known {
 		l.mu.Unlock()
@@ -105,45 +105,45 @@
 	return changed
 }
 
-// mergeRecord adds a report to a record, without the parts that were answered here. It
+// mergeRecord adds a report to a record, without the suspects that were answered here. It
 // reports whether the record changed. The caller holds the lock.
 func (l *Ledger) mergeRecord(r *record, report Report) bool {
 	changed := r.merge(report)
-	for part := range r.suspects {
-		if at, ok := l.soundAt[part]; ok && r.at.Sub(at) <= soundLookback {
-			changed = r.clear(part) || changed
+	for name := range r.suspects {
+		if at, ok := l.soundAt[name]; ok && r.at.Sub(at) <= soundLookback {
+			changed = r.clear(name) || changed
 		}
 	}
 	return changed
 }
 
-// RecordSound records that a target answered a request with the given parts.
-func (l *Ledger) RecordSound(parts []string) {
-	for _, report := range l.clear(parts) {
+// RecordSound records that a target answered a request with the given digest and parts.
+func (l *Ledger) RecordSound(names []string) {
+	for _, report := range l.clear(names) {
 		l.notify(report, true)
 	}
 }
 
-// clear records an answer to a request with the given parts and clears these of all
-// crashes. It returns the reports that changed.
-func (l *Ledger) clear(parts []string) []Report {
+// clear records an answer to a request and clears its names of all crashes. It returns the
+// reports that changed.
+func (l *Ledger) clear(names []string) []Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.soundAt == nil {
 		l.soundAt = map[string]time.Time{}
 	}
 	now := l.Now()
-	for _, part := range parts {
-		if _, ok := l.soundAt[part]; !ok && len(l.soundAt) >= maxSoundParts {
+	for _, name := range names {
+		if _, ok := l.soundAt[name]; !ok && len(l.soundAt) >= maxSound {
 			continue
 		}
-		l.soundAt[part] = now
+		l.soundAt[name] = now
 	}
 	var changed []Report
 	for p, r := range l.records {
 		cleared := false
-		for _, part := range parts {
-			cleared = r.clear(part) || cleared
+		for _, name := range names {
+			cleared = r.clear(name) || cleared
 		}
 		if cleared {
 			changed = append(changed, r.report(p))
@@ -192,59 +192,67 @@
 	}
 }
 
-// decide replaces the blocked parts. The caller holds the lock.
+// decide replaces the blocked suspects. The caller holds the lock.
 func (l *Ledger) decide() {
-	blocked := blockedParts(l.records)
-	for part, at := range blocked {
-		if _, known := l.blocked[part]; !known {
-			l.Log.Warn("part of prompts blocked, since it crashes targets", zap.String("prompt_part", part), zap.Int("crashes", l.crashes(part)),
+	blocked := blockedSuspects(l.records)
+	for name, at := range blocked {
+		if _, known := l.blocked[name]; !known {
+			l.Log.Warn("blocked, since it crashes targets", suspectField(name), zap.Int("crashes", l.crashes(name)),
 				zap.Duration("in", max(blockDelay-l.Now().Sub(at), 0)))
 		}
 	}
-	for part := range l.blocked {
-		if _, still := blocked[part]; !still {
-			l.Log.Info("part of prompts no longer blocked", zap.String("prompt_part", part), zap.Int("crashes", l.crashes(part)))
+	for name := range l.blocked {
+		if _, still := blocked[name]; !still {
+			l.Log.Info("no longer blocked", suspectField(name), zap.Int("crashes", l.crashes(name)))
 		}
 	}
 	l.blocked = blocked
 }
 
-// crashes returns the number of crashes that a part is suspected of. The caller holds
+// suspectField returns the log field of a suspect.
+func suspectField(name string) zap.Field {
+	if IsRequest(name) {
+		return zap.String("request_digest", name)
+	}
+	return zap.String("prompt_part", name)
+}
+
+// crashes returns the number of crashes that a name is suspected of. The caller holds
 // the lock.
-func (l *Ledger) crashes(part string) int {
+func (l *Ledger) crashes(name string) int {
 	n := 0
 	for _, r := range l.records {
-		if r.suspected(part) {
+		if r.suspected(name) {
 			n++
 		}
 	}
 	return n
 }
 
-// Blocked returns the first of the given parts that is blocked, and false if none is.
-func (l *Ledger) Blocked(parts []string) (string, bool) {
+// Blocked returns the first of the given names that is blocked, and false if none is.
+func (l *Ledger) Blocked(names []string) (string, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.blocked) == 0 {
 		return "", false
 	}
 	now := l.Now()
-	for _, part := range parts {
-		if at, ok := l.blocked[part]; ok && now.Sub(at) >= blockDelay {
-			return part, true
+	for _, name := range names {
+		if at, ok := l.blocked[name]; ok && now.Sub(at) >= blockDelay {
+			return name, true
 		}
 	}
 	return "", false
 }
 
-// RecordRefusal records that a request was refused because of a blocked part, which
+// RecordRefusal records that a request was refused because of a blocked suspect, which
 // keeps it blocked.
-func (l *Ledger) RecordRefusal(part string) {
+func (l *Ledger) RecordRefusal(name string) {
 	l.mu.Lock()
 	now := l.Now()
 	var renewed []Report
 	for p, r := range l.records {
-		if r.suspected(part) && now.Sub(r.renewedAt) > renewInterval {
+		if r.suspected(name) && now.Sub(r.renewedAt) > renewInterval {
 			r.renewedAt = now
 			renewed = append(renewed, r.report(p))
 		}
@@ -255,7 +263,7 @@
 	}
 }
 
-// BlockedCount returns the number of blocked parts.
+// BlockedCount returns the number of blocked requests and parts of prompts.
 func (l *Ledger) BlockedCount() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/crash/ledger_test.go
+++ b/internal/crash/ledger_test.go
@@ -1,10 +1,13 @@
 package crash_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,7 +115,7 @@
 		l.now = l.now.Add(50 * time.Millisecond)
 	}
 	for n := range 3 {
-		l.Merge(crash.Report{Process: process(n), At: l.now, RenewedAt: l.now, Suspects: []crash.Suspect{{Part: "part", Depth: 1}}, Cleared: []string{"part"}})
+		l.Merge(crash.Report{Process: process(n), At: l.now, RenewedAt: l.now, Suspects: []crash.Suspect{{Name: "part", Depth: 1}}, Cleared: []string{"part"}})
 	}
 	if blocked(l, "part") {
 		t.Error("blocked although it was cleared")
@@ -241,3 +244,40 @@
 		t.Error("no error")
 	}
 }
+
+// TestRepeatedRequestIsBlockedAlone guards against blocking a part that a request which
+// crashes targets shares with sound ones, and against missing a part that crashes targets
+// in requests that are all different.
+func TestRepeatedRequestIsBlockedAlone(t *testing.T) {
+	repeated := crash.RequestDigest("roads", "depot.example", "/rounds/", []byte("mow"))
+	for name, c := range map[string]struct {
+		digest  func(n int) string
+		blocked string
+		free    string
+	}{
+		"one request":         {digest: func(int) string { return repeated }, blocked: repeated, free: "part"},
+		"different requests":  {digest: func(n int) string { return crash.RequestDigest("roads", "", "", []byte{byte(n)}) }, blocked: "part", free: repeated},
+		"mostly one request":  {digest: func(n int) string { return crash.RequestDigest("roads", "", "", []byte{byte(n / 3)}) }, blocked: "part", free: repeated},
+		"a plain request":     {digest: func(int) string { return repeated }, blocked: repeated, free: "other"},
+		"part beside another": {digest: func(int) string { return repeated }, blocked: repeated, free: "part3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLedger()
+			d := &crash.Detector{
+				Ledger: l.Ledger, Now: l.Now,
+				Probe:  func(context.Context, netip.AddrPort) error { return syscall.ECONNREFUSED },
+				Status: func(deployment.Target) crash.Status { return crash.Replaced },
+			}
+			for n := range 4 {
+				suspects := []string{"first", "part", fmt.Sprint("part", n), c.digest(n)}
+				if name == "a plain request" {
+					suspects = suspects[3:]
+				}
+				d.RecordEnd(deployment.Target{ID: process(n).Target, Generation: process(n).Generation}, suspects)
+			}
+			if !blocked(l, c.blocked) || blocked(l, c.free) {
+				t.Errorf("blocked: %t, free one blocked: %t", blocked(l, c.blocked), blocked(l, c.free))
+			}
+		})
+	}
+}
--- a/internal/crash/report.go
+++ b/internal/crash/report.go
@@ -1,10 +1,10 @@
-// Package crash finds the parts of prompts that crash targets. A part that does crashes
-// every target that begins to answer a request with it, whatever else the request
-// holds, so a fleet that sends such requests on loses target after target.
+// Package crash finds the requests, and the parts of prompts, that crash targets. One that
+// does crashes every target that begins to run it, so a fleet that sends it on, or other
+// requests with the part, loses target after target.
 //
 // A Detector tells the crash of a target from other ends of its connections. A Ledger
-// collects, for each crash that any instance observed, the parts that may have caused
-// it, and concludes which parts must not be sent to targets any more.
+// collects, for each crash that any instance observed, the requests and the parts that
+// may have caused it, and concludes which of them must not be sent to targets any more.
 package crash
 
 import (
@@ -27,15 +27,33 @@
 	return cmp.Or(cmp.Compare(p.Target, other.Target), cmp.Compare(p.Generation, other.Generation))
 }
 
-// Suspect is a part of a prompt that may have caused a crash.
+// Suspect is what may have caused a crash: a part of a prompt, named by its id, or a whole
+// request, named by its RequestDigest.
 type Suspect struct {
-	Part string
-	// Depth is the position of the part in its prompt, from 1.
+	Name string
+	// Depth is the position of a part in its prompt, from 1, or requestDepth.
 	Depth int
 }
 
+// requestDepth is the depth of a whole request, which is greater than that of any part of
+// its prompt: of all suspects the fewest other requests share it.
+const requestDepth = 1_000
+
+// depths returns the suspects with their depths. The parts of a prompt are in their
+// order.
+func depths(suspects []string) map[string]int {
+	result := make(map[string]int, len(suspects))
+	for i, name := range suspects {
+		result[name] = i + 1
+		if IsRequest(name) {
+			result[name] = requestDepth
+		}
+	}
+	return result
+}
+
 // Report is what is known of a crash. Reports of the same crash are merged: the result
-// holds the suspects and the cleared parts of both, so it depends neither on the
+// holds the suspects and the cleared ones of both, so it depends neither on the
 // order of the reports nor on how often each arrives.
 type Report struct {
 	Process
@@ -44,17 +62,18 @@
 	// RenewedAt is when the crash was last observed, or when a request was last refused
 	// because of it.
 	RenewedAt time.Time
-	// Suspects are the parts of the prompts that the target was processing and had
-	// not been answering for long, in the order of their names.
+	// Suspects are the requests that the target was processing and had not been
+	// answering for long, and the parts of their prompts, in the order of their names.
 	Suspects []Suspect
-	// Cleared are the suspects with which other requests were answered.
+	// Cleared are the requests among them that were answered at another time, and the
+	// parts with which requests were answered.
 	Cleared []string
 }
 
 // record is the state of a crash in a Ledger.
 type record struct {
 	at, renewedAt time.Time
-	// suspects maps each suspected part to its depth.
+	// suspects maps the name of each suspect to its depth.
 	suspects map[string]int
 	cleared  map[string]bool
 }
@@ -63,30 +82,30 @@
 	return &record{at: at, renewedAt: at, suspects: map[string]int{}, cleared: map[string]bool{}}
 }
 
-// suspect adds a suspected part, unless the record has maxSuspects. It reports whether
+// suspect adds a suspect, unless the record has maxSuspects. It reports whether
 // the record changed.
 func (r *record) suspect(s Suspect) bool {
-	depth, known := r.suspects[s.Part]
+	depth, known := r.suspects[s.Name]
 	if known && depth >= s.Depth || !known && len(r.suspects) >= maxSuspects {
 		return false
 	}
-	r.suspects[s.Part] = s.Depth
+	r.suspects[s.Name] = s.Depth
 	return true
 }
 
-// clear removes the suspicion of a part. It reports whether the record changed.
-func (r *record) clear(part string) bool {
-	if _, ok := r.suspects[part]; !ok || r.cleared[part] {
+// clear removes the suspicion of a suspect. It reports whether the record changed.
+func (r *record) clear(name string) bool {
+	if _, ok := r.suspects[name]; !ok || r.cleared[name] {
 		return false
 	}
-	r.cleared[part] = true
+	r.cleared[name] = true
 	return true
 }
 
-// suspected reports whether a part is suspected and not cleared.
-func (r *record) suspected(part string) bool {
-	_, ok := r.suspects[part]
-	return ok && !r.cleared[part]
+// suspected reports whether a name is that of a suspect that is not cleared.
+func (r *record) suspected(name string) bool {
+	_, ok := r.suspects[name]
+	return ok && !r.cleared[name]
 }
 
 // merge adds what a report knows. It reports whether the record changed by more than
@@ -96,8 +115,8 @@
 	for _, s := range report.Suspects {
 		changed = r.suspect(s) || changed
 	}
-	for _, part := range report.Cleared {
-		changed = r.clear(part) || changed
+	for _, name := range report.Cleared {
+		changed = r.clear(name) || changed
 	}
 	if report.At.Before(r.at) {
 		r.at = report.At
@@ -113,9 +132,9 @@
 
 func (r *record) report(p Process) Report {
 	report := Report{Process: p, At: r.at, RenewedAt: r.renewedAt, Cleared: slices.Sorted(maps.Keys(r.cleared))}
-	for part, depth := range r.suspects {
-		report.Suspects = append(report.Suspects, Suspect{Part: part, Depth: depth})
+	for name, depth := range r.suspects {
+		report.Suspects = append(report.Suspects, Suspect{Name: name, Depth: depth})
 	}
-	slices.SortFunc(report.Suspects, func(a, b Suspect) int { return strings.Compare(a.Part, b.Part) })
+	slices.SortFunc(report.Suspects, func(a, b Suspect) int { return strings.Compare(a.Name, b.Name) })
 	return report
 }
--- a/internal/crash/stored.go
+++ b/internal/crash/stored.go
@@ -14,8 +14,8 @@
 // others.
 type StoredReports struct {
 	Crashes []StoredReport `json:"crashes"`
-	// ClearedParts are parts of prompts that the operators declare to be sound. An
-	// object that operators write may have no other field.
+	// ClearedParts are parts of prompts, and digests of requests, that the operators
+	// declare to be sound. An object that operators write may have no other field.
 	ClearedParts []string `json:"cleared_parts,omitempty"`
 }
 
@@ -25,7 +25,7 @@
 	Generation int64               `json:"generation"`
 	At         time.Time           `json:"at"`
 	RenewedAt  time.Time           `json:"renewed_at"`
-	// Suspects maps each suspected part to its depth.
+	// Suspects maps the name of each suspect to its depth.
 	Suspects map[string]int `json:"suspects"`
 }
 
@@ -48,22 +48,22 @@
 	crashes := map[string]int{}
 	for _, r := range reports {
 		for _, s := range r.openSuspects() {
-			crashes[s.Part]++
+			crashes[s.Name]++
 		}
 	}
 	slices.SortStableFunc(reports, func(a, b Report) int { return b.RenewedAt.Compare(a.RenewedAt) })
 	stored, size := StoredReports{Crashes: []StoredReport{}}, 0
 	for _, r := range reports {
 		suspects := r.openSuspects()
-		slices.SortStableFunc(suspects, func(a, b Suspect) int { return crashes[b.Part] - crashes[a.Part] })
+		slices.SortStableFunc(suspects, func(a, b Suspect) int { return crashes[b.Name] - crashes[a.Name] })
 		s := StoredReport{
 			Target: r.Target, Generation: r.Generation, Suspects: map[string]int{},
 			At: wallClock.Add(r.At.Sub(now)).UTC().Truncate(time.Second), RenewedAt: wallClock.Add(r.RenewedAt.Sub(now)).UTC().Truncate(time.Second),
 		}
 		size += storedReportBytes + len(r.Target)
 		for _, suspect := range suspects[:min(len(suspects), maxStoredSuspects)] {
-			s.Suspects[suspect.Part] = suspect.Depth
-			size += storedSuspectBytes + len(suspect.Part)
+			s.Suspects[suspect.Name] = suspect.Depth
+			size += storedSuspectBytes + len(suspect.Name)
 		}
 		if size > maxStoredBytes {
 			break
@@ -79,7 +79,7 @@
 func (r Report) openSuspects() []Suspect {
 	var open []Suspect
 	for _, s := range r.Suspects {
-		if !slices.Contains(r.Cleared, s.Part) {
+		if !slices.Contains(r.Cleared, s.Name) {
 			open = append(open, s)
 		}
 	}
@@ -100,8 +100,8 @@
 			Process: Process{Target: s.Target, Generation: s.Generation},
 			At:      now.Add(-max(wallClock.Sub(s.At), 0)), RenewedAt: now.Add(-max(wallClock.Sub(s.RenewedAt), 0)),
 		}
-		for part, depth := range s.Suspects {
-			report.Suspects = append(report.Suspects, Suspect{Part: part, Depth: depth})
+		for name, depth := range s.Suspects {
+			report.Suspects = append(report.Suspects, Suspect{Name: name, Depth: depth})
 		}
 		reports = append(reports, report)
 	}
@@ -117,13 +117,13 @@
 func Covers(objects []StoredReports, s StoredReports) bool {
 	type key struct {
 		Process
-		part string
+		suspect string
 	}
 	renewed := map[key]time.Time{}
 	for _, o := range objects {
 		for _, r := range o.Crashes {
-			for part := range r.Suspects {
-				k := key{Process{r.Target, r.Generation}, part}
+			for name := range r.Suspects {
+				k := key{Process{r.Target, r.Generation}, name}
 				if r.RenewedAt.After(renewed[k]) {
 					renewed[k] = r.RenewedAt
 				}
@@ -131,8 +131,8 @@
 		}
 	}
 	for _, r := range s.Crashes {
-		for part := range maps.Keys(r.Suspects) {
-			at, ok := renewed[key{Process{r.Target, r.Generation}, part}]
+		for name := range maps.Keys(r.Suspects) {
+			at, ok := renewed[key{Process{r.Target, r.Generation}, name}]
 			if !ok || r.RenewedAt.Sub(at) > renewInterval {
 				return false
 			}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -75,8 +75,8 @@
 	response *upstream.Response
 	// firstEventAt is when the current target sent its first event; zero before that.
 	firstEventAt time.Time
-	// soundRecorded is set when the current target's answer has cleared the parts of
-	// the prompt.
+	// soundRecorded is set when the current target's answer has cleared the request
+	// and the parts of its prompt.
 	soundRecorded bool
 	// cancelAttempt ends the current attempt and its response.
 	cancelAttempt context.CancelCauseFunc
@@ -197,8 +197,8 @@
 	switch cause := context.Cause(e.ctx); {
 	case errors.Is(cause, errClientGone):
 		return e.downgradeNotRun(refusal.NotRun(refusal.CodeCallerGone, "client gone").WithCause(cause))
-	case errors.Is(cause, errPromptBlocked):
-		return e.downgradeNotRun(refusal.NotRun(refusal.CodePromptPartBlocked, "%s", cause).WithRetryAfter(blockedRetryAfter))
+	case errors.Is(cause, errBlocked):
+		return e.downgradeNotRun(refusal.NotRun(refusal.CodeRequestBlocked, "%s", cause).WithRetryAfter(blockedRetryAfter))
 	case cause != nil || e.remaining() < minRemainingTime:
 		if e.mayHaveRun() {
 			return refusal.MayHaveRun(refusal.CodeDeadlineExceeded, "no time left")
@@ -209,16 +209,15 @@
 }
 
 // authorizeAttempt checks, right before an attempt, that the request may still be
-// sent: the key may have been withdrawn or a part of the prompt blocked while the
-// request waited, and the retry budget, which bounds retries over all instances, may
-// be used up.
+// sent: the key may have been withdrawn or the request blocked while it waited, and the
+// retry budget, which bounds retries over all instances, may be used up.
 func (e *exchange) authorizeAttempt() *refusal.Error {
 	if refused := e.checkKey(); refused != nil {
 		e.recordStep("key", e.target.ID, string(refused.Code))
 		return refused
 	}
-	if refused := e.checkPrompt(); refused != nil {
-		e.recordStep("prompt", e.target.ID, string(refused.Code))
+	if refused := e.checkBlocked(); refused != nil {
+		e.recordStep("blocked", e.target.ID, string(refused.Code))
 		return refused
 	}
 	if attempts, _ := e.counts(); attempts > 0 && !e.server.Budget.TryWithdraw(e.service) {
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -130,8 +130,10 @@
 	timer := time.AfterFunc(failureBodyTimeout, response.Close)
 	defer timer.Stop()
 	body, err := response.ReadAll()
-	if err == nil {
-		e.lastFailure = &bufferedResponse{ResponseHead: response.ResponseHead, body: body}
+	if err != nil {
+		e.observeEnd(err)
+		return attemptAmbiguous
 	}
+	e.lastFailure = &bufferedResponse{ResponseHead: response.ResponseHead, body: body}
 	return attemptAmbiguous
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"syscall"
 	"time"
 
@@ -15,36 +16,48 @@
 
 const (
 	// soundAnswerTime is how long a target must have been sending events of an answer
-	// for the parts of its prompt to count as sound: a part that crashes targets does
-	// so when they begin to answer.
+	// for the request and the parts of its prompt to count as sound: those that crash
+	// targets do so when they begin to answer.
 	soundAnswerTime = time.Second
-	// blockedRetryAfter is when a client may ask again whether a part of its prompt is
-	// still blocked. Parts are released by evidence or by operators, not by time.
+	// blockedRetryAfter is when a client may ask again whether its request, or a part of
+	// its prompt, is still blocked. It is released by evidence or by operators, not by
+	// time.
 	blockedRetryAfter = time.Minute
 )
 
-// errPromptBlocked is the cause with which an exchange is cancelled whose prompt has a
-// part that was found to crash targets.
-var errPromptBlocked = errors.New("a part of the prompt crashes targets")
+// errBlocked is the cause with which an exchange is cancelled that was found to crash
+// targets, by itself or by a part of its prompt.
+var errBlocked = errors.New("the request or a part of its prompt crashes targets")
 
-// checkPrompt refuses a request with a part of its prompt that crashes targets. It runs
-// right before each attempt, as other instances may have found out meanwhile.
-func (e *exchange) checkPrompt() *refusal.Error {
-	part, blocked := e.server.Crashes.Blocked(e.request.SharedPromptParts())
+// possibleCauses returns what may be the cause if a target crashes that runs the request:
+// the parts of its prompt that other requests may have too, in their order, and the
+// request as a whole.
+func (e *exchange) possibleCauses() []string {
+	return append(slices.Clone(e.request.SharedPromptParts()), e.digest)
+}
+
+// checkBlocked refuses a request that crashes targets, by itself or by a part of its
+// prompt. It runs right before each attempt, as other instances may have found out
+// meanwhile.
+func (e *exchange) checkBlocked() *refusal.Error {
+	cause, blocked := e.server.Crashes.Blocked(e.possibleCauses())
 	if !blocked {
 		return nil
 	}
-	e.server.Crashes.RecordRefusal(part)
-	return refusal.NotRun(refusal.CodePromptPartBlocked, "part %s of the prompt crashes targets", part).WithRetryAfter(blockedRetryAfter)
+	e.server.Crashes.RecordRefusal(cause)
+	refused := refusal.NotRun(refusal.CodePromptPartBlocked, "part %s of the prompt crashes targets", cause)
+	if crash.IsRequest(cause) {
+		refused = refusal.NotRun(refusal.CodeRequestBlocked, "the request crashes targets")
+	}
+	return refused.WithRetryAfter(blockedRetryAfter)
 }
 
-// promptBlocked reports whether a request that no target has begun to answer has a part
-// of its prompt that crashes targets.
-func (e *exchange) promptBlocked() bool {
+// becameBlocked reports whether a request that no target has begun to answer is blocked.
+func (e *exchange) becameBlocked() bool {
 	if e.answering.Load() {
 		return false
 	}
-	_, blocked := e.server.Crashes.Blocked(e.request.SharedPromptParts())
+	_, blocked := e.server.Crashes.Blocked(e.possibleCauses())
 	return blocked
 }
 
@@ -60,30 +73,29 @@
 // recordSound records that the current target answers the request, once for each
 // attempt.
 func (e *exchange) recordSound() {
-	if parts := e.request.SharedPromptParts(); !e.soundRecorded && len(parts) > 0 {
+	if !e.soundRecorded {
 		e.soundRecorded = true
-		e.server.Crashes.RecordSound(parts)
+		e.server.Crashes.RecordSound(e.possibleCauses())
 	}
 }
 
-// suspects returns the parts of the prompt that may have crashed the current target;
-// none if it has been answering for a while, which the call records.
+// suspects returns the possible causes of a crash of the current target; none if it has
+// been answering for a while, which the call records.
 func (e *exchange) suspects() []string {
 	if e.answeringFor() >= soundAnswerTime {
 		e.recordSound()
 		return nil
 	}
-	return e.request.SharedPromptParts()
+	return e.possibleCauses()
 }
 
 // observeEnd tells the detector of crashes about a connection that the target's side
 // ended before the answer was complete.
 func (e *exchange) observeEnd(err error) {
 	truncated := eventstream.ErrTruncated.Has(err) && e.response.Length == upstream.LengthUntilClose
-	if len(e.request.SharedPromptParts()) == 0 || !truncated && !crash.EndedByTarget(err) {
-		return
+	if truncated || crash.EndedByTarget(err) {
+		e.server.CrashDetector.RecordEnd(e.target, e.suspects())
 	}
-	e.server.CrashDetector.RecordEnd(e.target, e.suspects())
 }
 
 // observeRefused tells the detector of crashes about a connection that the target's
@@ -109,7 +121,7 @@
 			e.recordSound()
 		}
 		return err
-	case len(e.request.SharedPromptParts()) > 0 && e.server.CrashDetector.Crashed(ctx, e.target, e.suspects()):
+	case e.server.CrashDetector.Crashed(ctx, e.target, e.suspects()):
 		return upstream.ErrIncompleteResponse.New("the target crashed")
 	case e.firstEventAt.IsZero() && e.lastEventID == "":
 		return upstream.ErrIncompleteResponse.New("the connection ended before the first event")
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -63,8 +63,8 @@
 	delivery
 }
 
-// admit finds the route, and checks the body size, the key, the parts of the prompt and
-// the team's allowance. It returns a refusal if the request is not admitted.
+// admit finds the route, and checks the body size, the key, whether the request crashes
+// targets, and the team's allowance. It returns a refusal if the request is not admitted.
 func (e *exchange) admit() *refusal.Error {
 	configuration := e.server.Catalog.Configuration()
 	if configuration == nil {
@@ -84,7 +84,7 @@
 		return e.admitKey(configuration)
 	}
 	e.setDigest()
-	return e.checkPrompt()
+	return e.checkBlocked()
 }
 
 // setDigest sets the digest of the request. Its team must be known.
@@ -129,7 +129,7 @@
 		return refused
 	}
 	e.setDigest()
-	if refused := e.checkPrompt(); refused != nil {
+	if refused := e.checkBlocked(); refused != nil {
 		return refused
 	}
 	cost := quota.Cost(team, e.request.HasTokenCounts, e.request.PromptTokens, e.request.OutputTokens)
@@ -162,7 +162,7 @@
 func (e *exchange) remaining() time.Duration { return e.deadline.Sub(e.server.Now()) }
 
 // watchClient starts a goroutine that cancels the exchange when the client closes
-// its connection, the deadline passes, or the prompt turns out to crash targets before
+// its connection, the deadline passes, or the request turns out to crash targets before
 // one has begun to answer.
 func (e *exchange) watchClient() {
 	ctx, cancel := context.WithCancelCause(context.Background())
@@ -185,8 +185,8 @@
 					cancel(errClientGone)
 					return
 				}
-				if e.promptBlocked() {
-					cancel(errPromptBlocked)
+				if e.becameBlocked() {
+					cancel(errBlocked)
 					return
 				}
 			}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -51,8 +51,8 @@
 	Meter    *quota.Meter
 	Budget   *retry.Budget
 	Detector *outlier.Detector
-	// Crashes knows the parts of prompts that crash targets, CrashDetector finds the
-	// crashes.
+	// Crashes knows the requests and parts of prompts that crash targets, CrashDetector
+	// finds the crashes.
 	Crashes       *crash.Ledger
 	CrashDetector *crash.Detector
 	// Limits holds the limits that targets state.
--- a/internal/gatewayinstance/crashes.go
+++ b/internal/gatewayinstance/crashes.go
@@ -30,7 +30,8 @@
 	writeRetryDelay = time.Second
 )
 
-// assembleCrashes creates the components that find parts of prompts that crash targets.
+// assembleCrashes creates the components that find requests and parts of prompts that crash
+// targets.
 // The network and the catalog must exist.
 func (i *Instance) assembleCrashes() {
 	i.network.Crashes = i.crashes
--- a/internal/gatewayinstance/metrics.go
+++ b/internal/gatewayinstance/metrics.go
@@ -22,7 +22,7 @@
 		i.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
 	}
 	registerGauge("heatherrelay_gateway_target_crashes", "Crashes of targets, seen by any instance, that count at present.", i.crashes.CrashCount)
-	registerGauge("heatherrelay_gateway_blocked_prompt_parts", "Parts of prompts that are refused since they crash targets.", i.crashes.BlockedCount)
+	registerGauge("heatherrelay_gateway_blocked_prompt_parts", "Requests and parts of prompts that are refused since they crash targets.", i.crashes.BlockedCount)
 	registerGauge("heatherrelay_gateway_limited_targets", "Targets that state a limit of requests.", i.limits.LimitedCount)
 	if i.Platform.StoreCalls != nil {
 		registerCounter("heatherrelay_relay_store_calls_total", "Calls to the platform's store.", i.Platform.StoreCalls)
--- a/internal/peer/crashes.go
+++ b/internal/peer/crashes.go
@@ -63,7 +63,7 @@
 		AgeMs: max(now.Sub(r.At).Milliseconds(), 0), RenewedAgeMs: max(now.Sub(r.RenewedAt).Milliseconds(), 0),
 	}
 	for _, s := range r.Suspects {
-		m.Suspects = append(m.Suspects, &v1.CrashSuspect{Part: s.Part, Depth: int64(s.Depth)})
+		m.Suspects = append(m.Suspects, &v1.CrashSuspect{Part: s.Name, Depth: int64(s.Depth)})
 	}
 	return m
 }
@@ -76,7 +76,7 @@
 		Cleared:   m.GetClearedParts(),
 	}
 	for _, s := range m.GetSuspects() {
-		r.Suspects = append(r.Suspects, crash.Suspect{Part: s.GetPart(), Depth: int(s.GetDepth())})
+		r.Suspects = append(r.Suspects, crash.Suspect{Name: s.GetPart(), Depth: int(s.GetDepth())})
 	}
 	return r
 }
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -41,6 +41,7 @@
 	CodeNotReady             Code = "not_ready"
 	CodeCallerGone           Code = "caller_gone"
 	CodePromptPartBlocked    Code = "prompt_part_blocked"
+	CodeRequestBlocked       Code = "request_blocked"
 	CodeInternal             Code = "internal"
 )
 
@@ -70,6 +71,7 @@
 	CodeTargetUnreachable:    http.StatusServiceUnavailable,
 	CodeNotReady:             http.StatusServiceUnavailable,
 	CodePromptPartBlocked:    http.StatusServiceUnavailable,
+	CodeRequestBlocked:       http.StatusServiceUnavailable,
 	CodeCallerGone:           499,
 	CodeInternal:             http.StatusInternalServerError,
 }
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -135,7 +135,7 @@
 	}
 	switch {
 	case r.Length >= 0 && r.remaining > 0:
-		return n, errTruncated.New("%d bytes missing", r.remaining)
+		return n, errTruncated.New("%d bytes missing: %w", r.remaining, io.ErrUnexpectedEOF)
 	case r.chunked:
 		if err := r.readTrailer(); err != nil {
 			return n, errTruncated.Wrap(err)
