--- a/internal/gatewayinstance/cluster_test.go
+++ b/internal/gatewayinstance/cluster_test.go
@@ -41,6 +41,8 @@
 	engine1 *platformtest.Target
 	engine2 *platformtest.Target
 	plain   *platformtest.Target
+	// targets are all targets that startTarget started.
+	targets []*platformtest.Target
 	// engines are the engines of a cluster with several software versions.
 	engines   []*platformtest.Target
 	instances []*instance
@@ -110,6 +112,7 @@
 	target.Start()
 	c.t.Cleanup(target.Close)
 	target.Register(c.store, "ready")
+	c.targets = append(c.targets, target)
 	return target
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -42,6 +43,9 @@
 	Encode func(dst []byte, request *Request, attempt *Attempt) []byte
 	// Decode parses the head of a response.
 	Decode func(header *fasthttp.ResponseHeader) ResponseHead
+	// Dial opens a connection to an address. If nil, connections are opened by TCP, with
+	// this package's limits on the time until they open and bytes are acknowledged.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Dials counts the connections that were dialed.
 	Dials atomic.Uint64
 
@@ -99,14 +103,24 @@
 
 func (c *Client) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
 	c.Dials.Add(1)
-	dialer := connection.Dialer{ConnectTimeout: connectTimeout, AckTimeout: ackTimeout, KeepAlive: true}
-	raw, err := dialer.DialContext(ctx, "tcp", address.String())
+	dial := c.Dial
+	if dial == nil {
+		dial = DialTCP
+	}
+	raw, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return newConn(raw), nil
 }
 
+// DialTCP opens a TCP connection to a target that fails if the target's machine stops
+// responding.
+func DialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	dialer := connection.Dialer{ConnectTimeout: connectTimeout, AckTimeout: ackTimeout, KeepAlive: true}
+	return dialer.DialContext(ctx, "tcp", address.String())
+}
+
 // Probe opens a connection to an address, which shows whether a process listens there,
 // and keeps it for a later request.
 func (c *Client) Probe(ctx context.Context, address netip.AddrPort) error {
