Send attempts through a peer while the path to a target is cut

Class: what one instance cannot reach taken for what nobody reaches.

The path to a target is cut if it accepts no connection from here but one from a peer. The lease is given up, and refusals count as crashes only if peers are refused too.

--- /dev/null
+++ b/internal/forwarding/server.go
@@ -0,0 +1,159 @@
+// Package forwarding has a peer carry out the attempts of an instance at targets that it
+// does not reach itself. The instance decides everything about a request as ever; the peer sends
+// one attempt to the target that the instance has chosen, over its own connections, and
+// returns what the target answers. A peer never passes an attempt on.
+package forwarding
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/crash"
+	"heatherrelay/internal/deployment"
+	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+	"heatherrelay/internal/upstream"
+)
+
+const (
+	// maxForwarded bounds the attempts that an instance carries out for its peers at the
+	// same time, maxForwardedBytes the bodies of their requests.
+	maxForwarded      = 256
+	maxForwardedBytes = 16 << 20
+	// bodyChunkBytes is the most of a body that one message holds.
+	bodyChunkBytes = 16 << 10
+	// probeTimeout bounds the connection attempt of a probe.
+	probeTimeout = 400 * time.Millisecond
+)
+
+// Server carries out attempts for peers. Set the exported fields before the first call.
+type Server struct {
+	// Upstream sends the attempts.
+	Upstream *upstream.Client
+	// Target returns a listed target, and false if it is not listed.
+	Target func(id deployment.TargetID) (deployment.Target, bool)
+	// Availability is told what targets state, and knows which take no requests.
+	Availability *upstream.Availability
+	// Blocked reports whether a request with the given possible causes is blocked since it
+	// crashes targets.
+	Blocked func(possibleCauses []string) bool
+	// Unable returns why this instance carries out no attempts at present; empty if it
+	// does.
+	Unable func() string
+	// Cut reports whether the path from this instance to a target is cut.
+	Cut func(deployment.Target) bool
+	Log *zap.Logger
+
+	inFlight, bodyBytes atomic.Int64
+}
+
+// InFlight returns the number of attempts that are being carried out.
+func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+
+// Forward carries out one attempt and streams the response.
+func (s *Server) Forward(ctx context.Context, m *v1.ForwardRequest, stream *connect.ServerStream[v1.ForwardResponse]) error {
+	size := int64(len(m.GetBody()))
+	defer s.inFlight.Add(-1)
+	defer s.bodyBytes.Add(-size)
+	busy := s.inFlight.Add(1) > maxForwarded
+	if busy = s.bodyBytes.Add(size) > maxForwardedBytes || busy; busy {
+		return sendEnd(stream, v1.ForwardEnd_RESULT_DECLINED, "busy")
+	}
+	target, reason := s.check(m)
+	if reason != "" {
+		return sendEnd(stream, v1.ForwardEnd_RESULT_DECLINED, reason)
+	}
+	request, attempt := attemptFrom(m)
+	// The bound ends an attempt whose instance is suspended.
+	ctx, cancel := context.WithTimeout(ctx, attempt.Deadline)
+	defer cancel()
+	response, err := s.Upstream.Do(ctx, target.Address, request, attempt)
+	if err != nil {
+		return s.sendError(stream, target, err)
+	}
+	defer response.Close()
+	s.Availability.Observe(target, &response.ResponseHead)
+	if err := stream.Send(&v1.ForwardResponse{Event: &v1.ForwardResponse_Head{Head: headMessage(&response.ResponseHead)}}); err != nil {
+		return err
+	}
+	return s.sendBody(stream, response)
+}
+
+// check returns the target of an attempt, or why the attempt is not made.
+func (s *Server) check(m *v1.ForwardRequest) (deployment.Target, string) {
+	if reason := s.Unable(); reason != "" {
+		return deployment.Target{}, reason
+	}
+	target, ok := s.Target(deployment.TargetID(m.GetTargetId()))
+	switch {
+	case !ok || target.Generation != m.GetGeneration():
+		return target, "target not listed"
+	case target.Draining || !s.Availability.Available(target):
+		return target, "target takes no requests"
+	case s.Cut(target):
+		return target, "cut off"
+	case s.Blocked(m.GetPossibleCauses()):
+		return target, "request crashes targets"
+	}
+	return target, ""
+}
+
+// sendError reports an attempt without a response.
+func (s *Server) sendError(stream *connect.ServerStream[v1.ForwardResponse], target deployment.Target, err error) error {
+	s.Log.Debug("forwarded attempt failed", zap.String("target", string(target.ID)), zap.Error(err))
+	switch {
+	case !upstream.ErrNotSent.Has(err):
+		return sendEnd(stream, incompleteResult(err), err.Error())
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return sendEnd(stream, v1.ForwardEnd_RESULT_REFUSED, err.Error())
+	}
+	return sendEnd(stream, v1.ForwardEnd_RESULT_NOT_SENT, err.Error())
+}
+
+func incompleteResult(err error) v1.ForwardEnd_Result {
+	if crash.EndedByTarget(err) {
+		return v1.ForwardEnd_RESULT_ENDED_BY_TARGET
+	}
+	return v1.ForwardEnd_RESULT_INCOMPLETE
+}
+
+// sendBody streams the body as it arrives, and how it ended.
+func (s *Server) sendBody(stream *connect.ServerStream[v1.ForwardResponse], response *upstream.Response) error {
+	buffer := make([]byte, bodyChunkBytes)
+	for {
+		n, err := response.Read(buffer)
+		if n > 0 {
+			if err := stream.Send(&v1.ForwardResponse{Event: &v1.ForwardResponse_Body{Body: buffer[:n]}}); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, io.EOF):
+			return sendEnd(stream, v1.ForwardEnd_RESULT_COMPLETE, "")
+		default:
+			return sendEnd(stream, incompleteResult(err), err.Error())
+		}
+	}
+}
+
+func sendEnd(stream *connect.ServerStream[v1.ForwardResponse], result v1.ForwardEnd_Result, reason string) error {
+	return stream.Send(&v1.ForwardResponse{Event: &v1.ForwardResponse_End{End: &v1.ForwardEnd{Result: result, Reason: reason}}})
+}
+
+// ProbeTarget opens a connection to a target.
+func (s *Server) ProbeTarget(ctx context.Context, m *v1.ProbeTargetRequest) (*v1.ProbeTargetResponse, error) {
+	target, ok := s.Target(deployment.TargetID(m.GetTargetId()))
+	if !ok {
+		return &v1.ProbeTargetResponse{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	return &v1.ProbeTargetResponse{Connected: s.Upstream.Probe(ctx, target.Address) == nil}, nil
+}
--- /dev/null
+++ b/internal/forwarding/stream.go
@@ -0,0 +1,132 @@
+package forwarding
+
+import (
+	"cmp"
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+	"heatherrelay/internal/upstream"
+)
+
+// stream is the response of a target as a peer sends it. While no message arrives, it
+// calls onSilence after each silence, like a connection to a target. Reads are made by one
+// goroutine at a time.
+type stream struct {
+	ctx      context.Context
+	cancel   context.CancelFunc
+	messages <-chan received
+	// done is closed by Close.
+	done    chan struct{}
+	onClose func(failed bool)
+	endOnce sync.Once
+	// ended is set once the end of the attempt has arrived, failed if the link ended
+	// before, unless this side ended it.
+	ended, failed bool
+	// pending is what Read has not returned yet of a message, err what it returns after
+	// that.
+	pending []byte
+	err     error
+
+	silence   time.Duration
+	onSilence func()
+}
+
+// received is a message of a peer, or the error that ended the link.
+type received struct {
+	message *v1.ForwardResponse
+	err     error
+}
+
+// newStream returns the stream of a peer's messages. The cancel function ends the link and
+// its context.
+func newStream(ctx context.Context, cancel context.CancelFunc, messages *connect.ServerStreamForClient[v1.ForwardResponse]) *stream {
+	arrived, done := make(chan received), make(chan struct{})
+	go func() {
+		defer cancel()
+		// The link is closed already if this fails.
+		defer func() { _ = messages.Close() }()
+		for messages.Receive() {
+			select {
+			case arrived <- received{message: messages.Msg()}:
+			case <-done:
+			}
+		}
+		select {
+		case arrived <- received{err: cmp.Or(messages.Err(), errNoEnd)}:
+		case <-done:
+		}
+	}()
+	return &stream{ctx: ctx, cancel: cancel, messages: arrived, done: done}
+}
+
+// SetSilence sets after how long without a message onSilence is called; zero means never.
+func (s *stream) SetSilence(silence time.Duration, onSilence func()) {
+	s.silence, s.onSilence = silence, onSilence
+}
+
+// next returns the next message. Its errors are those of the attempt; io.EOF means that
+// the response is complete.
+func (s *stream) next() (*v1.ForwardResponse, error) {
+	for {
+		var silent <-chan time.Time
+		if s.silence > 0 {
+			silent = time.After(s.silence)
+		}
+		select {
+		case r := <-s.messages:
+			switch {
+			case r.err != nil:
+				s.failed = s.ctx.Err() == nil
+				return nil, linkError(r.err)
+			case r.message.GetEnd() != nil:
+				s.ended = true
+				return nil, endError(r.message.GetEnd())
+			}
+			return r.message, nil
+		case <-silent:
+			s.onSilence()
+		}
+	}
+}
+
+// readHead returns the head of the response.
+func (s *stream) readHead() (*v1.ForwardedHead, error) {
+	message, err := s.next()
+	if err != nil {
+		return nil, err
+	}
+	if message.GetHead() == nil {
+		return nil, upstream.ErrIncompleteResponse.Wrap(ErrPeer.New("body without a head"))
+	}
+	return message.GetHead(), nil
+}
+
+// Read reads from the body. It returns io.EOF only after the complete body.
+func (s *stream) Read(p []byte) (int, error) {
+	for len(s.pending) == 0 {
+		if s.err != nil {
+			return 0, s.err
+		}
+		message, err := s.next()
+		s.pending, s.err = message.GetBody(), err
+	}
+	n := copy(p, s.pending)
+	s.pending = s.pending[n:]
+	return n, nil
+}
+
+// Close ends the link, and with it the attempt at the target. After the end of the attempt
+// the link stays open for another one.
+func (s *stream) Close() {
+	s.endOnce.Do(func() {
+		close(s.done)
+		if !s.ended {
+			s.cancel()
+		}
+		s.onClose(s.failed)
+	})
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -239,7 +239,7 @@
 	var ctx context.Context
 	ctx, e.cancelAttempt = context.WithCancelCause(e.ctx)
 	e.uncounted, e.sentAt, e.firstEventAt, e.soundRecorded = true, s.Now(), time.Time{}, false
-	response, err := s.Upstream.Do(ctx, e.target.Address, e.request, attempt)
+	response, err := s.Send(ctx, e.target, e.request, attempt)
 	result := e.classify(response, err)
 	if h := e.settleHedge(result == attemptAnswered); h != nil {
 		if response != nil {
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"heatherrelay/internal/forwarding"
 	"heatherrelay/internal/upstream"
 )
 
@@ -79,8 +80,13 @@
 }
 
 // recordTargetFailure records that the target could not be reached or gave no
-// complete response.
+// complete response. The failure of a peer that forwards the request says nothing about
+// the target.
 func (e *exchange) recordTargetFailure(err error) {
+	if forwarding.ErrPeer.Has(err) {
+		return
+	}
+	e.server.OnFailure(e.target)
 	e.server.Log.Info("target failed a request", targetField(e.target.ID), zap.Int64("generation", e.target.Generation),
 		zap.String("request_id", e.request.ID), zap.Strings("prompt_parts", e.request.PromptParts), zap.String("request_digest", e.digest),
 		zap.Duration("after", e.server.Now().Sub(e.sentAt)), zap.Int("in_flight", e.server.Tracker.Target(e.target.ID).Requests), zap.Error(err))
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -58,6 +58,7 @@
 		},
 		EncodeRefusal: func(*fasthttp.ResponseHeader, string, time.Duration) {},
 		Leaving:       func() (time.Duration, bool) { return 0, false },
+		Forwarded:     func() int { return 0 },
 		Metrics:       gateway.NewMetrics(prometheus.NewRegistry()),
 		Now:           time.Now,
 		Log:           zap.NewNop(),
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -91,6 +91,7 @@
 	h := &hedge{exchange: e.cloneForHedge(), done: make(chan struct{})}
 	e.hedge = h
 	e.recordStep("hedge", e.target.ID, "started")
+	e.server.OnFailure(e.target)
 	go h.run(e.cancelAttempt)
 }
 
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -44,6 +44,8 @@
 		Deadline:    e.remaining(),
 		Priority:    e.route.Priority,
 		LastEventID: e.lastEventID,
+
+		PossibleCauses: e.possibleCauses(),
 	}
 	if e.team != nil {
 		attempt.Team = e.team.Name
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -64,6 +64,13 @@
 	// if many did, prompts are paced.
 	StreamPauses placement.PauseMonitor
 	Upstream     *upstream.Client
+	// Send sends a request to a target once, and returns the response once its head has
+	// arrived.
+	Send func(ctx context.Context, target deployment.Target, request *upstream.Request, attempt *upstream.Attempt) (*upstream.Response, error)
+	// Forwarded returns the number of attempts that this instance carries out for peers.
+	Forwarded func() int
+	// OnFailure is called when a target was silent or gave no complete response.
+	OnFailure func(deployment.Target)
 	// Availability records whether targets state that they take requests. The calls to
 	// engines share it.
 	Availability *upstream.Availability
@@ -108,8 +115,8 @@
 func (discardLogger) Printf(string, ...any) {}
 
 // InFlight returns the number of requests whose responses are not completely written
-// to their clients.
-func (s *Server) InFlight() int { return s.connections.count() }
+// to their clients, and of attempts of peers.
+func (s *Server) InFlight() int { return s.connections.count() + s.Forwarded() }
 
 // Drain waits until the responses of all requests are written or ctx ends.
 func (s *Server) Drain(ctx context.Context) {
--- a/internal/gatewayinstance/crashes.go
+++ b/internal/gatewayinstance/crashes.go
@@ -42,7 +42,6 @@
 			i.crashDetector.RecordReport(report.Process)
 		}
 	}
-	i.crashDetector.Probe = i.client.Probe
 	i.crashDetector.Status = i.processStatus
 }
 
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -22,6 +22,7 @@
 	"heatherrelay/internal/clock"
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/forwarding"
 	"heatherrelay/internal/gateway"
 	"heatherrelay/internal/inflight"
 	"heatherrelay/internal/origin"
@@ -30,6 +31,7 @@
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/platformstore"
 	"heatherrelay/internal/quota"
+	"heatherrelay/internal/reach"
 	"heatherrelay/internal/retry"
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
@@ -86,10 +88,18 @@
 	// crashDetector finds crashed targets.
 	crashDetector *crash.Detector
 	limits        *throttle.Limiter
-	meter         *quota.Meter
-	budget        *retry.Budget
-	client        *upstream.Client
-	server        *gateway.Server
+	// reach knows the targets that this instance reaches only through peers.
+	// forwardClient has peers carry out attempts at these, forwardServer carries out
+	// those of peers.
+	reach         *reach.Monitor
+	forwardClient *forwarding.Client
+	forwardServer *forwarding.Server
+	// cutOffServices are the services that this instance was last found to be cut off from.
+	cutOffServices atomic.Pointer[[]string]
+	meter          *quota.Meter
+	budget         *retry.Budget
+	client         *upstream.Client
+	server         *gateway.Server
 }
 
 // Platform holds the parts of an instance that depend on the platform's protocols.
@@ -143,6 +153,7 @@
 	group.Go(func() { i.holder.Run(leaseCtx) })
 	group.Go(func() { i.register(runCtx) })
 	group.Go(func() { i.storeCrashes(runCtx) })
+	group.Go(func() { i.reach.Run(runCtx) })
 	group.Go(func() { i.runMaintenance(runCtx) })
 	group.Go(func() { i.serveHTTP(runCtx, "ready", listeners.ready, http.HandlerFunc(i.handleReady)) })
 	if listeners.metrics != nil {
@@ -226,6 +237,7 @@
 	i.server.Crashes, i.server.CrashDetector = i.crashes, i.crashDetector
 	i.assembleCrashes()
 	i.assembleLimits()
+	i.assembleForwarding()
 	i.registerMetrics()
 }
 
@@ -391,6 +403,7 @@
 		i.crashes.RemoveExpired()
 		i.network.RetainCrashes()
 		i.network.RetainLimits()
+		i.forwardClient.Retain(i.network.MemberIDs())
 		if configuration := i.catalog.Configuration(); configuration != nil {
 			i.meter.Prepare(configuration.Teams)
 		}
--- a/internal/outlier/detector.go
+++ b/internal/outlier/detector.go
@@ -151,6 +151,13 @@
 	return 0
 }
 
+// Reset forgets the failures and the ejection of a target, which were about the path to it.
+func (d *Detector) Reset(id deployment.TargetID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.records, id)
+}
+
 // Retain removes the records of all targets except the given ones.
 func (d *Detector) Retain(targets map[deployment.TargetID]deployment.Target) {
 	d.mu.Lock()
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -112,7 +112,7 @@
 		m := memberMessage(r.Member)
 		// Rounded up, so that the age is never understated.
 		m.AgeMs = now.Sub(r.lastSeenAt).Milliseconds() + 1
-		m.Leaving, m.HoldsOrders, m.WaitingLoads = r.leaving, r.holdsLease, int64(r.waitingLoads)
+		m.Leaving, m.CutOffServices, m.HoldsOrders, m.WaitingLoads = r.leaving, r.cutOff, r.holdsLease, int64(r.waitingLoads)
 		members = append(members, m)
 	}
 	return members
@@ -120,7 +120,7 @@
 
 func (n *Network) selfMessage() *v1.Member {
 	m := memberMessage(n.Self)
-	m.Leaving, m.HoldsOrders, m.WaitingLoads = n.Leaving(), n.Holder.Holds(), int64(n.Holder.WaitingLoads())
+	m.Leaving, m.CutOffServices, m.HoldsOrders, m.WaitingLoads = n.Leaving(), n.cutOff(), n.Holder.Holds(), int64(n.Holder.WaitingLoads())
 	return m
 }
 
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -40,6 +40,7 @@
 	incarnation  string
 	sequence     uint64
 	leaving      bool
+	cutOff       []string
 	holdsLease   bool
 	waitingLoads int
 	// lastSeenAt is when the instance was added, when it last published its
@@ -86,7 +87,7 @@
 }
 
 func (r *remote) setStatus(m *v1.Member) {
-	r.leaving, r.holdsLease, r.waitingLoads = m.GetLeaving(), m.GetHoldsOrders(), int(m.GetWaitingLoads())
+	r.leaving, r.cutOff, r.holdsLease, r.waitingLoads = m.GetLeaving(), m.GetCutOffServices(), m.GetHoldsOrders(), int(m.GetWaitingLoads())
 }
 
 // AddMember adds an instance to the known members. It ignores one that is known
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -85,8 +85,14 @@
 	Limits *throttle.Limiter
 	// Leaving reports whether this instance is shutting down.
 	Leaving func() bool
-	Now     func() time.Time
-	Log     *zap.Logger
+	// Forwarding carries out the attempts of instances that are cut off; nil if this
+	// instance offers none.
+	Forwarding heatherrelayv1connect.ForwardServiceHandler
+	// CutOff returns the services whose targets this instance does not reach; nil means
+	// that there are none.
+	CutOff func() []string
+	Now    func() time.Time
+	Log    *zap.Logger
 
 	initOnce   sync.Once
 	trigger    chan struct{}
@@ -144,6 +150,9 @@
 	n.init()
 	mux := http.NewServeMux()
 	mux.Handle(heatherrelayv1connect.NewFleetServiceHandler(&server{network: n}, connect.WithCompressMinBytes(minCompressedBytes)))
+	if n.Forwarding != nil {
+		mux.Handle(heatherrelayv1connect.NewForwardServiceHandler(n.Forwarding))
+	}
 	return mux
 }
 
--- a/internal/peer/queries.go
+++ b/internal/peer/queries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -88,15 +89,53 @@
 
 // MayAcquireLease reports whether this instance should try to acquire its zone's
 // lease: no holder can be called, and this instance is among the first relay
-// candidates.
+// candidates that reach engines.
 func (n *Network) MayAcquireLease() bool {
-	if _, ok := n.leaseHolder(n.Self.Zone); ok {
+	if _, ok := n.leaseHolder(n.Self.Zone); ok || !n.ReachesEngines() {
 		return false
 	}
-	rank := n.Rank()
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	able := slices.DeleteFunc(n.relayCandidates(n.Self.Zone), func(c relayCandidate) bool { return c.remote != nil && n.anyEngines(c.remote.cutOff) })
+	rank := slices.IndexFunc(able, func(c relayCandidate) bool { return c.remote == nil })
 	return rank >= 0 && rank < relaysPerZone
 }
 
+// ReachesEngines reports whether this instance reaches the engines of all services.
+func (n *Network) ReachesEngines() bool { return !n.anyEngines(n.cutOff()) }
+
+// anyEngines reports whether one of the services has engines.
+func (n *Network) anyEngines(services []string) bool {
+	configuration := n.Catalog.Configuration()
+	return configuration != nil && slices.ContainsFunc(services, func(name string) bool {
+		s := configuration.Services[name]
+		return s != nil && s.Engine != nil
+	})
+}
+
+// cutOff returns the services whose targets this instance does not reach.
+func (n *Network) cutOff() []string {
+	if n.CutOff == nil {
+		return nil
+	}
+	return n.CutOff()
+}
+
+// ReachingService returns the other instances that reach the targets of a service, as far
+// as they have said: those that are alive and neither leaving nor cut off from it.
+func (n *Network) ReachingService(service string) []Member {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	now := n.Now()
+	var members []Member
+	for _, r := range n.remotes {
+		if r.alive(now) && !r.leaving && !slices.Contains(r.cutOff, service) {
+			members = append(members, r.Member)
+		}
+	}
+	return members
+}
+
 // leaseHolder returns the other instance that holds the lease for a zone's
 // engines; false if none is alive or a load request to it failed within
 // failureBackoff.
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -54,8 +54,11 @@
 	// Order sends an order to an engine, Report reads an engine's report.
 	Order  func(ctx context.Context, target deployment.Target, order Order) (Outcome, error)
 	Report func(ctx context.Context, target deployment.Target) (Report, error)
-	Now    func() time.Time
-	Log    *zap.Logger
+	// OnUnanswered is called when an engine did not answer an order or a request for a
+	// report; may be nil. It must not block.
+	OnUnanswered func(deployment.Target)
+	Now          func() time.Time
+	Log          *zap.Logger
 
 	// LoadLimiter limits the adapters loading from the weight store.
 	LoadLimiter LoadLimiter
@@ -226,6 +229,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err != nil {
+		h.unanswered(t)
 		e.unansweredAt = h.Now()
 		h.Log.Debug("engine report failed", zap.String("target", string(t.ID)), zap.Error(err))
 		return false
@@ -308,6 +312,9 @@
 	h.Log.Info("order sent", zap.String("target", string(t.ID)), zap.String("operation", string(order.Operation)),
 		zap.String("model", order.Model), zap.String("adapter", order.Adapter), zap.Uint64("version", order.Version),
 		zap.Uint64("sequence", order.Sequence), zap.Uint64("fencing_number", fencing), zap.Stringer("outcome", outcome), zap.Error(err))
+	if outcome == Unanswered {
+		h.unanswered(t)
+	}
 	if outcome != Started && outcome != Done {
 		e.mu.Lock()
 		e.state.MarkStale()
@@ -319,6 +326,12 @@
 	return outcome
 }
 
+func (h *Holder) unanswered(t deployment.Target) {
+	if h.OnUnanswered != nil {
+		h.OnUnanswered(t)
+	}
+}
+
 // RecordUse records that requests use an adapter on an engine. Their number may be
 // fractional.
 func (h *Holder) RecordUse(id deployment.TargetID, name deployment.AdapterName, requests float64) {
--- a/internal/placement/lease.go
+++ b/internal/placement/lease.go
@@ -62,6 +62,9 @@
 	// Wanted reports whether this instance should hold the lease. If nil, it always
 	// should.
 	Wanted func() bool
+	// Usable reports whether this instance can send orders. While it cannot, it holds no
+	// lease. If nil, it always can.
+	Usable func() bool
 	Now    func() time.Time
 	Log    *zap.Logger
 
@@ -111,7 +114,13 @@
 	l.mu.Lock()
 	holds, generation := l.revision > 0, l.generation
 	l.mu.Unlock()
+	usable := l.Usable == nil || l.Usable()
 	switch {
+	case holds && !usable:
+		l.release()
+		return wantedPollInterval
+	case !usable:
+		return wantedPollInterval
 	case holds && l.Store.Generation() > generation:
 		return l.regain(ctx)
 	case holds:
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -46,6 +46,8 @@
 	// Dial opens a connection to an address. If nil, connections are opened by TCP, with
 	// this package's limits on the time until they open and bytes are acknowledged.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// OnConnect is called when an address has accepted a connection; may be nil.
+	OnConnect func(address netip.AddrPort)
 	// Dials counts the connections that were dialed.
 	Dials atomic.Uint64
 
@@ -111,6 +113,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.OnConnect != nil {
+		c.OnConnect(address)
+	}
 	return newConn(raw), nil
 }
 
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -71,6 +71,9 @@
 	// LastEventID is the id of the event after which the stream resumes; empty if
 	// it starts from the beginning.
 	LastEventID string
+	// PossibleCauses are what is to blame if the target crashes: the digest of the request
+	// and the shared parts of its prompt. They are not sent to the target.
+	PossibleCauses []string
 	// Silence is how long the target may send nothing before OnSilence is called, and
 	// is called again after each further Silence. Zero means that it is never called.
 	Silence time.Duration
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -42,7 +42,9 @@
 
 	client  *Client
 	address netip.AddrPort
-	conn    *conn
+	// conn is the connection to the target; nil if source brings the response.
+	conn   *conn
+	source *Source
 	// stopAbort unregisters the abort of the connection at the end of the context.
 	// It returns false if that has already started.
 	stopAbort func() bool
@@ -140,7 +142,7 @@
 		if err := r.readTrailer(); err != nil {
 			return n, errTruncated.Wrap(err)
 		}
-	case r.Length == LengthUntilClose && r.conn.aborted.Load():
+	case r.Length == LengthUntilClose && r.conn != nil && r.conn.aborted.Load():
 		return n, errTruncated.New("connection aborted")
 	}
 	return n, io.EOF
@@ -225,6 +227,10 @@
 func (r *Response) release() {
 	r.endOnce.Do(func() {
 		r.ended = true
+		if r.source != nil {
+			r.source.Close()
+			return
+		}
 		r.conn.silence, r.conn.onSilence = 0, nil
 		unusable := r.ResponseHead.Close || r.Length == LengthUntilClose || r.conn.reader.Buffered() > 0 || !r.conn.requestWritten()
 		if !r.stopAbort() || unusable {
@@ -240,7 +246,7 @@
 // connection that the target closed or reset gives no reason for that.
 func (r *Response) fail(err error) {
 	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	if r.source == nil && errors.As(err, &netErr) && netErr.Timeout() {
 		r.client.CloseIdleTo(r.address)
 	}
 	r.Close()
@@ -253,6 +259,10 @@
 	if r.ended {
 		return
 	}
+	if r.source != nil {
+		r.source.SetSilence(silence, onSilence)
+		return
+	}
 	r.conn.silence, r.conn.onSilence = silence, onSilence
 }
 
@@ -261,6 +271,10 @@
 func (r *Response) Close() {
 	r.endOnce.Do(func() {
 		r.ended = true
+		if r.source != nil {
+			r.source.Close()
+			return
+		}
 		r.stopAbort()
 		r.conn.abort()
 	})
