End attempts at targets when their instance ends, hedge silent ones through peers

Tests of the forwarding of attempts, which failed at first: a peer did not notice that an instance had ended an attempt before the target answered, as it had not read the request to its end, so the target worked on; silence was not reported before the head of an answer; and the refusal or the end of a link to a peer looked like that of the target, which would have been evidence of a crash.

--- a/internal/forwarding/client.go
+++ b/internal/forwarding/client.go
@@ -196,13 +196,7 @@
 func (c *Client) ask(ctx context.Context, p Peer, m *v1.ForwardRequest, attempt *upstream.Attempt) (*upstream.Response, error) {
 	l := c.open(p)
 	ctx, cancel := context.WithCancel(ctx)
-	messages, err := l.client.Forward(ctx, m)
-	if err != nil {
-		c.close(l, ctx.Err() == nil)
-		cancel()
-		return nil, linkError(err)
-	}
-	s := newStream(ctx, cancel, messages)
+	s := newStream(ctx, cancel, func() (*connect.ServerStreamForClient[v1.ForwardResponse], error) { return l.client.Forward(ctx, m) })
 	s.onClose = func(failed bool) { c.close(l, failed) }
 	s.SetSilence(attempt.Silence, attempt.OnSilence)
 	head, err := s.readHead()
@@ -214,12 +208,13 @@
 }
 
 // linkError returns the error of an attempt whose link failed. Without a connection nothing
-// was sent to the peer.
+// was sent to the peer. The cause is not wrapped: that the peer refused or ended a
+// connection must not be taken for the target's doing.
 func linkError(err error) error {
 	if connection.ErrDial.Has(err) || connect.CodeOf(err) == connect.CodeUnimplemented {
-		return errDeclined.Wrap(err)
+		return errDeclined.New("%v", err)
 	}
-	return upstream.ErrIncompleteResponse.Wrap(ErrPeer.Wrap(err))
+	return upstream.ErrIncompleteResponse.Wrap(ErrPeer.New("%v", err))
 }
 
 // Probe has peers open a connection to a target, all at once. It returns nil as soon as one
@@ -252,7 +247,7 @@
 	answer, err := l.client.ProbeTarget(ctx, &v1.ProbeTargetRequest{TargetId: string(target.ID)})
 	c.close(l, err != nil && ctx.Err() == nil)
 	if err != nil {
-		return ErrPeer.Wrap(err)
+		return ErrPeer.New("%v", err)
 	}
 	if !answer.GetConnected() {
 		return ErrPeer.New("the peer does not reach the target")
--- /dev/null
+++ b/internal/forwarding/forwarding_test.go
@@ -0,0 +1,266 @@
+package forwarding_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"heatherrelay/internal/crash"
+	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/forwarding"
+	"heatherrelay/internal/upstream"
+	"heatherrelay/platform"
+)
+
+// testPeer is an instance that carries out attempts, served on a loopback address.
+type testPeer struct {
+	*forwarding.Server
+	http *httptest.Server
+}
+
+const testTarget = deployment.TargetID("plain-1")
+
+// newPeer starts a peer that sends to a target at the given address.
+func newPeer(t *testing.T, target netip.AddrPort) *testPeer {
+	t.Helper()
+	p := &testPeer{Server: &forwarding.Server{
+		Upstream: &upstream.Client{Encode: platform.EncodeRequest, Decode: platform.DecodeResponse},
+		Target: func(id deployment.TargetID) (deployment.Target, bool) {
+			return deployment.Target{ID: id, Address: target, Generation: 1}, id == testTarget
+		},
+		Availability: &upstream.Availability{Now: time.Now, Log: zap.NewNop()},
+		Blocked:      func([]string) bool { return false },
+		Unable:       func() string { return "" },
+		Cut:          func(deployment.Target) bool { return false },
+		Log:          zap.NewNop(),
+	}}
+	mux := http.NewServeMux()
+	mux.Handle(p.Handler())
+	p.http = httptest.NewServer(mux)
+	t.Cleanup(p.http.Close)
+	return p
+}
+
+func addressOf(s *httptest.Server) netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+}
+
+// newClient returns a client that asks the given peers.
+func newClient(peers ...*testPeer) *forwarding.Client {
+	var known []forwarding.Peer
+	for n, p := range peers {
+		known = append(known, forwarding.Peer{ID: fmt.Sprint("instance-", n), Address: addressOf(p.http), SameZone: n == 0})
+	}
+	return &forwarding.Client{Peers: func(string) []forwarding.Peer { return known }, Upstream: &upstream.Client{}, Now: time.Now, Log: zap.NewNop()}
+}
+
+// newTarget starts a target with a handler.
+func newTarget(t *testing.T, handler http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	s := httptest.NewServer(handler)
+	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return s
+}
+
+func answer(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Response-Seal", "seal")
+	_, _ = fmt.Fprintf(w, "%s %s %s team=%s version=%s last=%s key=%q", r.Method, r.RequestURI, body, r.Header.Get("Tenant"), r.Header.Get("Expect-Version"), r.Header.Get("Last-Event-Id"), r.Header.Get("Key"))
+}
+
+var target = deployment.Target{ID: testTarget, Generation: 1, Service: "ledger"}
+
+func request(body string) (*upstream.Request, *upstream.Attempt) {
+	return &upstream.Request{ID: "r1", Method: http.MethodPost, URI: "/post/1?a=b", Host: "front.example", Key: "secret", Body: []byte(body), Headers: []upstream.HeaderField{{Name: "Request-Id", Value: "r1"}}},
+		&upstream.Attempt{Target: testTarget, Team: "roads", Deadline: 3 * time.Second, AdapterVersion: 7, LastEventID: "4"}
+}
+
+// TestAttemptArrivesUnchanged checks that a target receives from the peer what the instance
+// would have sent, without the caller's key, and that the answer returns whole.
+func TestAttemptArrivesUnchanged(t *testing.T) {
+	c := newClient(newPeer(t, addressOf(newTarget(t, answer))))
+	for range 3 {
+		r, a := request("mow")
+		response, err := c.Do(context.Background(), target, r, a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := response.ReadAll()
+		if want := `POST /post/1?a=b mow team=roads version=7 last=4 key=""`; string(body) != want || err != nil || !response.Signed || response.RequestID != "r1" {
+			t.Errorf("body %q, error %v, head %+v", body, err, response.ResponseHead)
+		}
+	}
+}
+
+// TestUnsentAttemptIsSaidToBeUnsent guards against a refusal that says "not run" of a
+// request that may have run, and against the reverse: a request counts as not sent just
+// if no peer has sent it.
+func TestUnsentAttemptIsSaidToBeUnsent(t *testing.T) {
+	good := newTarget(t, answer)
+	gone := newTarget(t, answer)
+	gone.Close()
+	breaking := newTarget(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	unable := newPeer(t, addressOf(good))
+	unable.Unable = func() string { return "shutting down" }
+	cut := newPeer(t, addressOf(good))
+	cut.Cut = func(deployment.Target) bool { return true }
+	blocking := newPeer(t, addressOf(good))
+	blocking.Blocked = func([]string) bool { return true }
+	stopped := newPeer(t, addressOf(good))
+	stopped.http.Close()
+	for name, c := range map[string]struct {
+		peers   []*testPeer
+		sent    bool
+		refused bool
+		peerErr bool
+		ok      bool
+	}{
+		"no peer":                  {peerErr: true},
+		"peer stopped":             {peers: []*testPeer{stopped}, peerErr: true},
+		"peer shuts down":          {peers: []*testPeer{unable}, peerErr: true},
+		"peer is cut off":          {peers: []*testPeer{cut}, peerErr: true},
+		"peer knows it is blocked": {peers: []*testPeer{blocking}, peerErr: true},
+		"target refuses":           {peers: []*testPeer{newPeer(t, addressOf(gone))}, refused: true},
+		"target breaks off":        {peers: []*testPeer{newPeer(t, addressOf(breaking))}, sent: true},
+		"next peer is asked":       {peers: []*testPeer{stopped, unable, newPeer(t, addressOf(good))}, ok: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, a := request("mow")
+			response, err := newClient(c.peers...).Do(context.Background(), target, r, a)
+			if c.ok {
+				if err != nil {
+					t.Fatal(err)
+				}
+				response.Close()
+				return
+			}
+			if upstream.ErrNotSent.Has(err) == c.sent || upstream.ErrIncompleteResponse.Has(err) != c.sent {
+				t.Errorf("error %v, sent %t", err, c.sent)
+			}
+			if errors.Is(err, syscall.ECONNREFUSED) != c.refused || forwarding.ErrPeer.Has(err) != c.peerErr {
+				t.Errorf("error %v, refused %t, of the peer %t", err, c.refused, c.peerErr)
+			}
+		})
+	}
+}
+
+// TestPeerThatEndsLeavesTheOutcomeOpen guards against taking the end of a peer for the end
+// of the target, or for an attempt that was not sent.
+func TestPeerThatEndsLeavesTheOutcomeOpen(t *testing.T) {
+	started := make(chan struct{})
+	peer := newPeer(t, addressOf(newTarget(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(started)
+		<-r.Context().Done()
+	})))
+	go func() { <-started; peer.http.CloseClientConnections() }()
+	r, a := request("mow")
+	_, err := newClient(peer).Do(context.Background(), target, r, a)
+	if !upstream.ErrIncompleteResponse.Has(err) || !forwarding.ErrPeer.Has(err) || crash.EndedByTarget(err) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// TestEndOfCallerEndsAttempt guards against a target that works on for a caller that has
+// left, before and within its answer.
+func TestEndOfCallerEndsAttempt(t *testing.T) {
+	for name, head := range map[string]bool{"before the answer": false, "within the answer": true} {
+		t.Run(name, func(t *testing.T) {
+			started, ended := make(chan struct{}), make(chan struct{})
+			peer := newPeer(t, addressOf(newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if head {
+					_, _ = io.WriteString(w, "first")
+					w.(http.Flusher).Flush()
+				}
+				close(started)
+				<-r.Context().Done()
+				close(ended)
+			})))
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() {
+				r, a := request("mow")
+				if response, err := newClient(peer).Do(ctx, target, r, a); err == nil {
+					_, _ = response.ReadAll()
+				}
+			}()
+			<-started
+			if peer.InFlight() != 1 {
+				t.Errorf("%d attempts in flight, want 1", peer.InFlight())
+			}
+			cancel()
+			select {
+			case <-ended:
+			case <-time.After(500 * time.Millisecond):
+				t.Error("the target works on")
+			}
+		})
+	}
+}
+
+// TestSilenceIsReported guards against attempts through a peer that are never hedged when
+// the target is silent.
+func TestSilenceIsReported(t *testing.T) {
+	release := make(chan struct{})
+	peer := newPeer(t, addressOf(newTarget(t, func(w http.ResponseWriter, r *http.Request) { <-release; answer(w, r) })))
+	r, a := request("mow")
+	var reports atomic.Int32
+	a.Silence = 20 * time.Millisecond
+	a.OnSilence = func() {
+		if reports.Add(1) == 3 {
+			close(release)
+		}
+	}
+	response, err := newClient(peer).Do(context.Background(), target, r, a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := response.ReadAll(); err != nil || reports.Load() < 3 {
+		t.Errorf("error %v, %d reports", err, reports.Load())
+	}
+}
+
+// TestPeerBoundsAttempts guards against an instance that runs out of memory because of the
+// attempts of its peers.
+func TestPeerBoundsAttempts(t *testing.T) {
+	release := make(chan struct{})
+	peer := newPeer(t, addressOf(newTarget(t, func(w http.ResponseWriter, r *http.Request) { <-release; answer(w, r) })))
+	c := newClient(peer)
+	outcomes := make(chan error)
+	const attempts = 300
+	for range attempts {
+		go func() {
+			r, a := request("mow")
+			response, err := c.Do(context.Background(), target, r, a)
+			if err == nil {
+				_, err = response.ReadAll()
+			}
+			outcomes <- err
+		}()
+	}
+	declined := 0
+	for range attempts - 256 {
+		if err := <-outcomes; !upstream.ErrNotSent.Has(err) || !forwarding.ErrPeer.Has(err) {
+			t.Errorf("error %v", err)
+		}
+		declined++
+	}
+	close(release)
+	for range attempts - declined {
+		if err := <-outcomes; err != nil {
+			t.Errorf("error %v", err)
+		}
+	}
+}
--- a/internal/forwarding/server.go
+++ b/internal/forwarding/server.go
@@ -5,9 +5,11 @@
 package forwarding
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -18,6 +20,7 @@
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
 	"heatherrelay/internal/upstream"
 )
 
@@ -26,6 +29,8 @@
 	// same time, maxForwardedBytes the bodies of their requests.
 	maxForwarded      = 256
 	maxForwardedBytes = 16 << 20
+	// maxMessageBytes bounds a request of a peer: the largest body of a client and its head.
+	maxMessageBytes = 9 << 20
 	// bodyChunkBytes is the most of a body that one message holds.
 	bodyChunkBytes = 16 << 10
 	// probeTimeout bounds the connection attempt of a probe.
@@ -53,6 +58,23 @@
 	inFlight, bodyBytes atomic.Int64
 }
 
+// Handler returns the path and the handler of the protocol. A request is read to its end
+// before it is handled: until then the HTTP library does not notice that the instance has
+// ended it, and the target would work on.
+func (s *Server) Handler() (string, http.Handler) {
+	path, handler := heatherrelayv1connect.NewForwardServiceHandler(s)
+	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		message, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
+		if err != nil {
+			s.Log.Info("request of a peer cannot be read", zap.String("peer", r.RemoteAddr), zap.Error(err))
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(message))
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // InFlight returns the number of attempts that are being carried out.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
--- a/internal/forwarding/stream.go
+++ b/internal/forwarding/stream.go
@@ -41,24 +41,30 @@
 	err     error
 }
 
-// newStream returns the stream of a peer's messages. The cancel function ends the link and
-// its context.
-func newStream(ctx context.Context, cancel context.CancelFunc, messages *connect.ServerStreamForClient[v1.ForwardResponse]) *stream {
+// newStream returns the stream of a peer's messages. The open function sends the attempt to
+// the peer; it may wait until the peer has begun to answer. The cancel function ends the
+// link and its context.
+func newStream(ctx context.Context, cancel context.CancelFunc, open func() (*connect.ServerStreamForClient[v1.ForwardResponse], error)) *stream {
 	arrived, done := make(chan received), make(chan struct{})
+	deliver := func(r received) {
+		select {
+		case arrived <- r:
+		case <-done:
+		}
+	}
 	go func() {
 		defer cancel()
+		messages, err := open()
+		if err != nil {
+			deliver(received{err: err})
+			return
+		}
 		// The link is closed already if this fails.
 		defer func() { _ = messages.Close() }()
 		for messages.Receive() {
-			select {
-			case arrived <- received{message: messages.Msg()}:
-			case <-done:
-			}
-		}
-		select {
-		case arrived <- received{err: cmp.Or(messages.Err(), errNoEnd)}:
-		case <-done:
+			deliver(received{message: messages.Msg()})
 		}
+		deliver(received{err: cmp.Or(messages.Err(), errNoEnd)})
 	}()
 	return &stream{ctx: ctx, cancel: cancel, messages: arrived, done: done}
 }
--- a/internal/gatewayinstance/forwarding.go
+++ b/internal/gatewayinstance/forwarding.go
@@ -38,7 +38,7 @@
 		Log:          i.Log,
 	}
 	i.server.Forwarded = i.forwardServer.InFlight
-	i.network.Forwarding, i.network.CutOff = i.forwardServer, i.reach.CutOffServices
+	i.network.Forwarding, i.network.CutOff = i.forwardServer.Handler, i.reach.CutOffServices
 	i.lease.Usable = i.network.ReachesEngines
 	i.holder.OnUnanswered = i.reach.Suspect
 }
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -85,9 +85,9 @@
 	Limits *throttle.Limiter
 	// Leaving reports whether this instance is shutting down.
 	Leaving func() bool
-	// Forwarding carries out the attempts of instances that are cut off; nil if this
-	// instance offers none.
-	Forwarding heatherrelayv1connect.ForwardServiceHandler
+	// Forwarding returns the path and the handler of the protocol by which this instance
+	// carries out attempts of others; nil if it offers none.
+	Forwarding func() (string, http.Handler)
 	// CutOff returns the services whose targets this instance does not reach; nil means
 	// that there are none.
 	CutOff func() []string
@@ -151,7 +151,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(heatherrelayv1connect.NewFleetServiceHandler(&server{network: n}, connect.WithCompressMinBytes(minCompressedBytes)))
 	if n.Forwarding != nil {
-		mux.Handle(heatherrelayv1connect.NewForwardServiceHandler(n.Forwarding))
+		mux.Handle(n.Forwarding())
 	}
 	return mux
 }
