Bound the rejections of brittle targets over all instances together

The statement travels with the limits; whoever sends takes the token, so an instance without one sends through a peer that has one.

--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -19,6 +19,7 @@
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/forwarding"
+	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/platform"
 )
@@ -35,7 +36,10 @@
 func newPeer(t *testing.T, target netip.AddrPort) *testPeer {
 	t.Helper()
 	p := &testPeer{Server: &forwarding.Server{
-		Upstream: &upstream.Client{Encode: platform.EncodeRequest, Decode: platform.DecodeResponse},
+		Direct: &forwarding.Direct{
+			Upstream: &upstream.Client{Encode: platform.EncodeRequest, Decode: platform.DecodeResponse},
+			Limits:   &throttle.Limiter{Now: time.Now, Log: zap.NewNop()},
+		},
 		Target: func(id deployment.TargetID) (deployment.Target, bool) {
 			return deployment.Target{ID: id, Address: target, Generation: 1}, id == testTarget
 		},
--- a/internal/forwarding/message.go
+++ b/internal/forwarding/message.go
@@ -34,7 +34,7 @@
 	return &v1.ForwardedHead{
 		Status: int64(h.Status), RequestId: h.RequestID, Signed: h.Signed, NotRun: h.NotRun, Misdirected: h.Misdirected,
 		TargetId: string(h.TargetID), Leaving: h.Leaving, Limited: h.Limited, PerSecond: h.RequestsPerSecond,
-		Length: int64(h.Length), RetryAfterMs: h.RetryAfter.Milliseconds(), Headers: headerMessages(h.Headers),
+		Length: int64(h.Length), RetryAfterMs: h.RetryAfter.Milliseconds(), Brittle: h.Brittle, Rejections: int64(h.Rejections), Headers: headerMessages(h.Headers),
 	}
 }
 
@@ -42,7 +42,7 @@
 	return upstream.ResponseHead{
 		Status: int(m.GetStatus()), RequestID: m.GetRequestId(), Signed: m.GetSigned(), NotRun: m.GetNotRun(), Misdirected: m.GetMisdirected(),
 		TargetID: deployment.TargetID(m.GetTargetId()), Leaving: m.GetLeaving(), Limited: m.GetLimited(), RequestsPerSecond: m.GetPerSecond(),
-		Length: int(m.GetLength()), RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, Headers: headersFrom(m.GetHeaders()),
+		Length: int(m.GetLength()), RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, Brittle: m.GetBrittle(), Rejections: int(m.GetRejections()), Headers: headersFrom(m.GetHeaders()),
 	}
 }
 
--- a/internal/forwarding/sender.go
+++ b/internal/forwarding/sender.go
@@ -14,9 +14,9 @@
 // Sender sends the attempts of this instance to targets: directly, or through a peer while
 // the path to the target is cut. Set the exported fields before the first call.
 type Sender struct {
-	Upstream *upstream.Client
-	Reach    *reach.Monitor
-	Peers    *Client
+	Direct *Direct
+	Reach  *reach.Monitor
+	Peers  *Client
 	// TargetAt returns the listed target with an address, and false if there is none.
 	TargetAt func(address netip.AddrPort) (deployment.Target, bool)
 }
@@ -29,10 +29,12 @@
 			return response, err
 		}
 	}
-	response, err := s.Upstream.Do(ctx, target.Address, request, attempt)
+	response, err := s.Direct.Do(ctx, target, request, attempt)
 	switch {
 	case err == nil, ctx.Err() != nil:
 		return response, err
+	case errNoRoom.Has(err):
+		return s.doWithoutRoom(ctx, target, request, attempt, err)
 	case upstream.ErrNotSent.Has(err) && errors.Is(err, syscall.ECONNREFUSED):
 		return s.doRefused(ctx, target, request, attempt, err)
 	}
@@ -53,13 +55,23 @@
 	return response, err
 }
 
+// doWithoutRoom sends a request to a brittle target through a peer that may still risk a
+// rejection. It returns the reason for which this instance may not if there is none.
+func (s *Sender) doWithoutRoom(ctx context.Context, target deployment.Target, request *upstream.Request, attempt *upstream.Attempt, noRoom error) (*upstream.Response, error) {
+	response, err := s.Peers.Do(ctx, target, request, attempt)
+	if upstream.ErrNotSent.Has(err) {
+		return nil, ErrPeer.Wrap(noRoom)
+	}
+	return response, err
+}
+
 // noPeer reports whether no peer has tried to carry out an attempt.
 func noPeer(err error) bool { return upstream.ErrNotSent.Has(err) && ErrPeer.Has(err) }
 
 // Probe opens a connection to a target. If its address refuses that, peers probe it too: a
 // connection that this instance alone is refused says nothing about the target.
 func (s *Sender) Probe(ctx context.Context, address netip.AddrPort) error {
-	err := s.Upstream.Probe(ctx, address)
+	err := s.Direct.Upstream.Probe(ctx, address)
 	target, listed := s.TargetAt(address)
 	if !errors.Is(err, syscall.ECONNREFUSED) || !listed {
 		return err
--- a/internal/forwarding/server.go
+++ b/internal/forwarding/server.go
@@ -39,8 +39,8 @@
 
 // Server carries out attempts for peers. Set the exported fields before the first call.
 type Server struct {
-	// Upstream sends the attempts.
-	Upstream *upstream.Client
+	// Direct sends the attempts.
+	Direct *Direct
 	// Target returns a listed target, and false if it is not listed.
 	Target func(id deployment.TargetID) (deployment.Target, bool)
 	// Availability is told what targets state, and knows which take no requests.
@@ -95,7 +95,7 @@
 	// The bound ends an attempt whose instance is suspended.
 	ctx, cancel := context.WithTimeout(ctx, attempt.Deadline)
 	defer cancel()
-	response, err := s.Upstream.Do(ctx, target.Address, request, attempt)
+	response, err := s.Direct.Do(ctx, target, request, attempt)
 	if err != nil {
 		return s.sendError(stream, target, err)
 	}
@@ -130,6 +130,8 @@
 func (s *Server) sendError(stream *connect.ServerStream[v1.ForwardResponse], target deployment.Target, err error) error {
 	s.Log.Debug("forwarded attempt failed", zap.String("target", string(target.ID)), zap.Error(err))
 	switch {
+	case errNoRoom.Has(err):
+		return sendEnd(stream, v1.ForwardEnd_RESULT_DECLINED, err.Error())
 	case !upstream.ErrNotSent.Has(err):
 		return sendEnd(stream, incompleteResult(err), err.Error())
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -177,5 +179,5 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	return &v1.ProbeTargetResponse{Connected: s.Upstream.Probe(ctx, target.Address) == nil}, nil
+	return &v1.ProbeTargetResponse{Connected: s.Direct.Upstream.Probe(ctx, target.Address) == nil}, nil
 }
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/forwarding"
+	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
 )
 
@@ -37,8 +38,10 @@
 	}
 	head := &response.ResponseHead
 	s.Availability.Observe(e.target, head)
-	if head.Success() && head.Signed && !head.Limited {
-		s.Limits.Observe(e.target, false, 0)
+	if head.Success() && head.Signed {
+		s.Limits.Observe(e.target, throttle.Statement{
+			Limited: head.Limited, PerSecond: head.RequestsPerSecond, Brittle: head.Brittle, Rejections: head.Rejections,
+		}, true)
 	}
 	switch {
 	case head.NotRun:
--- a/internal/gatewayinstance/forwarding.go
+++ b/internal/gatewayinstance/forwarding.go
@@ -25,11 +25,12 @@
 		Zone: i.Settings.Zone, Probe: i.client.Probe, PeerProbe: i.forwardClient.Probe, Targets: i.catalog.Targets, OnChange: i.pathChanged, Now: clock.Now, Log: i.Log,
 	}
 	i.client.OnConnect = i.reach.RecordConnected
-	sender := &forwarding.Sender{Upstream: i.client, Reach: i.reach, Peers: i.forwardClient, TargetAt: i.targetAt}
+	direct := &forwarding.Direct{Upstream: i.client, Limits: i.limits}
+	sender := &forwarding.Sender{Direct: direct, Reach: i.reach, Peers: i.forwardClient, TargetAt: i.targetAt}
 	i.server.Send, i.server.OnFailure = sender.Do, i.reach.Suspect
 	i.crashDetector.Probe = sender.Probe
 	i.forwardServer = &forwarding.Server{
-		Upstream:     i.client,
+		Direct:       direct,
 		Target:       i.listedTarget,
 		Availability: i.server.Availability,
 		Blocked:      i.requestBlocked,
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -244,9 +244,13 @@
 // assembleLimits creates the component that keeps requests within the limits that
 // targets state. The network and the server must exist.
 func (i *Instance) assembleLimits() {
-	i.limits = &throttle.Limiter{Self: i.Settings.InstanceID, Members: i.network.MemberIDs, OnChange: i.network.PublishLimit, Now: clock.Now, Log: i.Log}
+	i.limits = &throttle.Limiter{Self: i.Settings.InstanceID, StartedAt: clock.Now(), Members: i.network.MemberIDs, OnChange: i.network.PublishLimit, Now: clock.Now, Log: i.Log}
 	i.network.Limits, i.server.Limits = i.limits, i.limits
-	i.server.Availability.OnLimit = func(target deployment.Target, perSecond float64) { i.limits.Observe(target, true, perSecond) }
+	i.server.Availability.OnStatement = func(target deployment.Target, head *upstream.ResponseHead) {
+		i.limits.Observe(target, throttle.Statement{
+			Limited: head.Limited, PerSecond: head.RequestsPerSecond, Brittle: head.Brittle, Rejections: head.Rejections,
+		}, false)
+	}
 }
 
 // orderMargin is added to the quiet time between the orders of two lease holders, for
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -34,7 +34,7 @@
 	for _, s := range statements {
 		messages = append(messages, &v1.TargetLimit{
 			TargetId: string(s.Target), Generation: s.Generation, Limited: s.Limited, PerSecond: s.PerSecond,
-			AgeMs: max(now.Sub(s.At).Milliseconds(), 0),
+			AgeMs: max(now.Sub(s.At).Milliseconds(), 0), Brittle: s.Brittle, Rejections: int64(s.Rejections), Service: s.Service,
 		})
 	}
 	return messages, last
@@ -45,7 +45,7 @@
 	for _, m := range messages {
 		n.Limits.Merge(throttle.Statement{
 			Target: deployment.TargetID(m.GetTargetId()), Generation: m.GetGeneration(), Limited: m.GetLimited(), PerSecond: m.GetPerSecond(),
-			At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+			At: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond), Brittle: m.GetBrittle(), Rejections: int(m.GetRejections()), Service: m.GetService(),
 		})
 	}
 }
--- a/internal/peer/notices_test.go
+++ b/internal/peer/notices_test.go
@@ -6,6 +6,7 @@
 
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/throttle"
 )
 
 // TestNoticesReachAllInstances guards against crashes and limits of targets that stay
@@ -24,7 +25,7 @@
 			for n := range 3 {
 				fleet[n].Crashes.RecordCrash(crash.Process{Target: testTarget, Generation: int64(n)}, map[string]int{"bad": 1, fmt.Sprint("other", n): 2})
 			}
-			fleet[0].Limits.Observe(engine, true, 1.5)
+			fleet[0].Limits.Observe(engine, throttle.Statement{Limited: true, PerSecond: 1.5}, false)
 			await(t, "all have blocked the part and know the limit", func() bool {
 				return allInstances(fleet, func(m *member) bool {
 					_, blocked := m.Crashes.Blocked([]string{"bad"})
@@ -32,7 +33,7 @@
 				})
 			})
 			fleet[0].stop()
-			fleet[1].Limits.Observe(engine, false, 0)
+			fleet[1].Limits.Observe(engine, throttle.Statement{}, true)
 			fleet[1].Crashes.RecordSound([]string{"bad"})
 			await(t, "all have released the part and the limit", func() bool {
 				return allInstances(fleet[1:], func(m *member) bool {
--- a/internal/throttle/limiter.go
+++ b/internal/throttle/limiter.go
@@ -19,11 +19,13 @@
 	repeatInterval = 10 * time.Second
 )
 
-// Limiter holds the limits that targets state and this instance's part of each. It is
-// safe for concurrent use. Set the exported fields before the first use.
+// Limiter holds the limits that targets state, and the rejections that brittle ones bear,
+// with this instance's part of each. It is safe for concurrent use. Set the exported fields before the first use.
 type Limiter struct {
 	// Self is the id of this instance.
 	Self string
+	// StartedAt is when this instance started.
+	StartedAt time.Time
 	// Members returns the ids of all known instances, this one included, also of those
 	// that are silent for the moment.
 	Members func() []string
@@ -35,6 +37,8 @@
 
 	mu     sync.Mutex
 	limits map[deployment.TargetID]*limit
+	// risks holds this instance's parts of the rejections that brittle targets bear.
+	risks map[deployment.TargetID]*risk
 }
 
 // limit is the last statement of a target, with this instance's part.
@@ -46,10 +50,19 @@
 	passedOnAt time.Time
 }
 
-// Observe records what a target stated in a response to this instance: a limit, or with
-// limited unset that it has none.
-func (l *Limiter) Observe(target deployment.Target, limited bool, perSecond float64) {
-	l.apply(Statement{Target: target.ID, Generation: target.Generation, Limited: limited, PerSecond: perSecond, At: l.Now()})
+// Observe records what a target stated in a response to this instance. With final unset the
+// response says nothing by what it leaves out, and ends nothing that the target stated
+// before.
+func (l *Limiter) Observe(target deployment.Target, s Statement, final bool) {
+	s.Target, s.Generation, s.Service, s.At = target.ID, target.Generation, target.Service, l.Now()
+	if !final {
+		l.mu.Lock()
+		if known, ok := l.limits[target.ID]; ok && known.Generation == target.Generation {
+			s = s.over(known.Statement)
+		}
+		l.mu.Unlock()
+	}
+	l.apply(s)
 }
 
 // Merge applies a statement that another instance received.
@@ -69,7 +82,7 @@
 func (l *Limiter) set(s Statement) bool {
 	known, ok := l.limits[s.Target]
 	switch {
-	case !ok && !s.Limited:
+	case !ok && !s.Limited && !s.Brittle:
 		return false
 	case !ok:
 		if l.limits == nil {
@@ -85,7 +98,8 @@
 	if changed {
 		known.sharedAt = time.Time{}
 		l.Log.Info("limit of a target changed", zap.String("target", string(s.Target)), zap.Int64("generation", s.Generation),
-			zap.Bool("limited", s.Limited), zap.Float64("requests_per_second", s.PerSecond))
+			zap.Bool("limited", s.Limited), zap.Float64("requests_per_second", s.PerSecond),
+			zap.Bool("brittle", s.Brittle), zap.Int("rejections_per_second", s.Rejections))
 	}
 	if !changed && s.At.Sub(known.passedOnAt) < repeatInterval {
 		return false
@@ -168,6 +182,7 @@
 	for id, known := range l.limits {
 		if _, ok := listed[id]; !ok && now.Sub(known.At) > unlistedRetention {
 			delete(l.limits, id)
+			delete(l.risks, id)
 		}
 	}
 }
--- a/internal/throttle/limiter_test.go
+++ b/internal/throttle/limiter_test.go
@@ -58,7 +58,7 @@
 
 func (f *testFleet) state(perSecond float64) {
 	for _, l := range f.limiters {
-		l.Observe(target, true, perSecond)
+		l.Observe(target, throttle.Statement{Limited: true, PerSecond: perSecond}, false)
 	}
 }
 
@@ -96,7 +96,7 @@
 		f.run(time.Duration(rapid.IntRange(0, 20).Draw(t, "quiet")) * time.Second)
 		again := rapid.IntRange(0, len(f.limiters)-1).Draw(t, "starts again")
 		f.limiters[again] = f.newLimiter(again)
-		f.limiters[again].Observe(target, true, perSecond)
+		f.limiters[again].Observe(target, throttle.Statement{Limited: true, PerSecond: perSecond}, false)
 		f.run(window)
 		lost := rapid.IntRange(0, len(f.limiters)-1).Draw(t, "lost")
 		for i := range f.members {
@@ -119,12 +119,12 @@
 func TestLatestStatementHolds(t *testing.T) {
 	f := newFleet(2)
 	l := f.limiters[0]
-	l.Observe(target, true, 1)
+	l.Observe(target, throttle.Statement{Limited: true, PerSecond: 1}, false)
 	if l.Wait(target) == 0 {
 		t.Error("no wait right after the limit was stated")
 	}
 	f.now = f.now.Add(time.Second)
-	l.Observe(target, false, 0)
+	l.Observe(target, throttle.Statement{}, true)
 	l.Merge(throttle.Statement{Target: target.ID, Generation: 1, Limited: true, PerSecond: 2, At: start})
 	if wait := l.Wait(target); wait != 0 {
 		t.Errorf("wait %s for a target without a limit", wait)
@@ -136,7 +136,7 @@
 		t.Errorf("waits %s and %s, want one for the first process only", l.Wait(target), l.Wait(later))
 	}
 	l.Merge(throttle.Statement{Target: target.ID, Generation: 2, Limited: true, PerSecond: 2, At: start})
-	l.Observe(target, false, 0)
+	l.Observe(target, throttle.Statement{}, true)
 	if l.Wait(later) == 0 {
 		t.Error("a statement of an earlier process replaced that of a later one")
 	}
@@ -151,15 +151,15 @@
 	sender.OnChange = other.Merge
 	f.state(1)
 	f.now = f.now.Add(time.Second)
-	sender.Observe(target, false, 0)
+	sender.Observe(target, throttle.Statement{}, true)
 	f.now = f.now.Add(time.Second)
-	other.Observe(target, true, 1)
+	other.Observe(target, throttle.Statement{Limited: true, PerSecond: 1}, false)
 	if other.Wait(target) == 0 {
 		t.Fatal("the later answer was ignored")
 	}
 	for range 30 {
 		f.now = f.now.Add(time.Second)
-		sender.Observe(target, false, 0)
+		sender.Observe(target, throttle.Statement{}, true)
 	}
 	for n := range 20 {
 		if !other.Take(target) {
--- a/internal/throttle/statement.go
+++ b/internal/throttle/statement.go
@@ -18,13 +18,30 @@
 	// requests that it takes each second from all instances together.
 	Limited   bool
 	PerSecond float64
+	// Brittle is set when the target falls over if it has to reject more than Rejections
+	// requests in a second for want of room, those of all instances together.
+	Brittle    bool
+	Rejections int
+	// Service is the target's service.
+	Service string
 	// At is when an instance received the statement.
 	At time.Time
 }
 
 // same reports whether two statements of a process say the same.
 func (s Statement) same(other Statement) bool {
-	return s.Limited == other.Limited && s.PerSecond == other.PerSecond
+	return s.Limited == other.Limited && s.PerSecond == other.PerSecond && s.Brittle == other.Brittle && s.Rejections == other.Rejections
+}
+
+// over returns s with what only known states.
+func (s Statement) over(known Statement) Statement {
+	if !s.Limited {
+		s.Limited, s.PerSecond = known.Limited, known.PerSecond
+	}
+	if !s.Brittle {
+		s.Brittle, s.Rejections = known.Brittle, known.Rejections
+	}
+	return s
 }
 
 // Newer reports whether s replaces known: it is of a later process, or was made later by
--- a/internal/upstream/availability.go
+++ b/internal/upstream/availability.go
@@ -33,9 +33,9 @@
 type Availability struct {
 	Now func() time.Time
 	Log *zap.Logger
-	// OnLimit is called with the requests a second that a target states to take; may be
-	// nil.
-	OnLimit func(target deployment.Target, perSecond float64)
+	// OnStatement is called with the head of a response that states a limit, or that the
+	// target is brittle; may be nil.
+	OnStatement func(target deployment.Target, head *ResponseHead)
 
 	mu         sync.Mutex
 	statements map[deployment.TargetID]*statement
@@ -58,8 +58,8 @@
 	if head.TargetID != "" && head.TargetID != target.ID {
 		return
 	}
-	if head.Limited && a.OnLimit != nil {
-		a.OnLimit(target, head.RequestsPerSecond)
+	if (head.Limited || head.Brittle) && a.OnStatement != nil {
+		a.OnStatement(target, head)
 	}
 	if !head.Leaving && pause == 0 {
 		return
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -5,6 +5,7 @@
 package upstream
 
 import (
+	"net/http"
 	"time"
 
 	"heatherrelay/internal/deployment"
@@ -111,6 +112,10 @@
 	// instances together, RequestsPerSecond.
 	Limited           bool
 	RequestsPerSecond float64
+	// Brittle is set when the target states that it falls over if it has to reject more
+	// than Rejections requests in a second for want of room.
+	Brittle    bool
+	Rejections int
 	// Length is the body's length in bytes, or one of the Length constants.
 	Length int
 	// Close is set when the target closes the connection after the response.
@@ -125,5 +130,11 @@
 	Headers []HeaderField
 }
 
+// Rejected reports whether the target rejected the request for want of room, as far as its
+// status tells.
+func (h *ResponseHead) Rejected() bool {
+	return h.NotRun && !h.Misdirected && (h.Status == http.StatusServiceUnavailable || h.Status == http.StatusTooManyRequests)
+}
+
 // Success reports whether the status is 2xx.
 func (h *ResponseHead) Success() bool { return h.Status/100 == 2 }
