--- a/internal/crash/ledger_test.go
+++ b/internal/crash/ledger_test.go
@@ -281,3 +281,21 @@
 		})
 	}
 }
+
+// TestTwoCausesAtOnceStayBlocked guards against releasing a request, or a part, that crashes
+// targets because another cause is at work at the same time and was at some of the same
+// targets.
+func TestTwoCausesAtOnceStayBlocked(t *testing.T) {
+	l := newLedger()
+	request := crash.RequestDigest("roads", "", "", []byte("mow"))
+	part, both := map[string]int{"bad": 2}, map[string]int{"bad": 2, request: 1_000}
+	for n, suspects := range []map[string]int{both, part, part, both, {request: 1_000}, {request: 1_000}, part} {
+		l.RecordCrash(process(n), suspects)
+		if n < 4 {
+			continue
+		}
+		if !blocked(l, "bad") || n > 4 && !blocked(l, request) {
+			t.Errorf("after crash %d: part blocked %t, request %t", n+1, blocked(l, "bad"), blocked(l, request))
+		}
+	}
+}
