--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -81,7 +81,7 @@
 		if request.Ran {
 			runs++
 		}
-		if request.Body != "body of "+r.id || request.URI != "/"+r.route+"/" || request.Header.Get("Key") != "" {
+		if request.Body != r.sent || request.URI != "/"+r.route+"/" || request.Header.Get("Key") != "" {
 			fail("forwarded with changes: %s %q", request.URI, request.Body)
 		}
 	}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -27,8 +27,11 @@
 	// err is why there is no response.
 	err  error
 	body string
-	// crashing is set when the prompt has the part that crashes engines.
-	crashing bool
+	// sent is the body of the request.
+	sent string
+	// crashing is set when the prompt has the part that crashes engines, or when the
+	// request is the one that does, which repeated is set for as well.
+	crashing, repeated bool
 	// complete is set when the body ended as HTTP prescribes, rather than with its
 	// connection breaking off.
 	complete bool
@@ -98,7 +101,11 @@
 	routes := []string{"stream", "draft", "post", "read"}
 	r := clientRequest{id: c.cluster.requests.newID(c.cluster.Seed), route: routes[c.random.IntN(len(routes))], key: c.cluster.pickKey(c.random), at: time.Now()}
 	r.instance = c.cluster.randomProcess(c.random)
-	request, err := http.NewRequest(http.MethodPost, "http://"+r.instance.ClientAddress.String()+"/"+r.route+"/", strings.NewReader("body of "+r.id))
+	r.sent = "body of " + r.id
+	if c.cluster.Crashes && (r.route == "stream" || r.route == "draft") && c.random.IntN(repeatedRequests) == 0 {
+		r.sent, r.repeated = repeatedBody, true
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+r.instance.ClientAddress.String()+"/"+r.route+"/", strings.NewReader(r.sent))
 	if err != nil {
 		return r
 	}
@@ -110,7 +117,7 @@
 		request.Header.Set("Model", fmt.Sprintf("%s/a%d", platformtest.Model, 1+c.random.IntN(adapterCount)))
 		request.Header.Set("Token-Count", "100,50")
 		if c.cluster.Crashes {
-			r.crashing = c.cluster.setPrompt(request.Header, c.random, r.id)
+			r.crashing = c.cluster.setPrompt(request.Header, c.random, r.id) || r.repeated
 		}
 	}
 	response, err := c.http.Do(request)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -200,7 +200,7 @@
 		t.Service, t.Model, t.AdapterSlots, t.LoadTime = platformtest.ModelService, platformtest.Model, platformtest.AdapterSlots, loadTime
 		t.Events, t.EventGap = eventCount, c.eventGap()
 		if c.Crashes {
-			t.CrashPart, t.Downtime, t.CrashStore, t.AnswerDelay = crashingPart, crashDowntime, c.store, crashAnswerDelay
+			t.CrashPart, t.CrashBody, t.Downtime, t.CrashStore, t.AnswerDelay = crashingPart, repeatedBody, crashDowntime, c.store, crashAnswerDelay
 		}
 	}
 	t.Start()
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -24,6 +24,13 @@
 	// with the part that reach engines later than undisturbedTime after it.
 	boundedCrashes      = 5
 	maxCrashingRequests = 3
+	// repeatedBody is the body of a request that crashes engines and is sent again and again,
+	// once in repeatedRequests requests for an engine. From its boundedRepeatCrashes-th
+	// crash on, maxRepeats bounds its repeats in the same way.
+	repeatedBody         = "the request that crashes engines"
+	repeatedRequests     = 16
+	boundedRepeatCrashes = 3
+	maxRepeats           = 3
 	// undisturbedTime is how long an instance must have been undisturbed to be held to a
 	// bound, and how long it may take to apply one.
 	undisturbedTime = 3 * time.Second
@@ -96,26 +103,35 @@
 	return crashing
 }
 
-// checkCrashes returns the violations of the bound on requests that crash engines.
+// checkCrashes returns the violations of the bounds on requests that crash engines.
 func (c *Cluster) checkCrashes(byID map[string][]platformtest.ReceivedRequest) []string {
-	var crashes []time.Time
+	var all, repeated []time.Time
 	for _, t := range c.targets {
-		crashes = append(crashes, t.Crashes()...)
+		all = append(all, t.Crashes()...)
+		repeated = append(repeated, t.BodyCrashes()...)
 	}
-	slices.SortFunc(crashes, time.Time.Compare)
-	c.logf("%d crashes of engines", len(crashes))
-	if len(crashes) < boundedCrashes {
+	c.logf("%d crashes of engines, %d by one request", len(all), len(repeated))
+	return append(
+		c.checkLate(byID, all, boundedCrashes, maxCrashingRequests, "with the part", func(r clientRequest) bool { return r.crashing && !r.repeated }),
+		c.checkLate(byID, repeated, boundedRepeatCrashes, maxRepeats, "that are repeats", func(r clientRequest) bool { return r.repeated })...)
+}
+
+// checkLate returns the violation of the bound on requests that reach engines later than
+// undisturbedTime after a crash, counted from 1.
+func (c *Cluster) checkLate(byID map[string][]platformtest.ReceivedRequest, crashes []time.Time, bounded, most int, which string, counts func(clientRequest) bool) []string {
+	if len(crashes) < bounded {
 		return nil
 	}
-	from := crashes[boundedCrashes-1].Add(undisturbedTime)
+	slices.SortFunc(crashes, time.Time.Compare)
+	from := crashes[bounded-1].Add(undisturbedTime)
 	late := 0
 	for _, r := range c.requests.all {
-		if r.crashing && r.at.After(from) && c.undisturbed(r.instance, r.at.Add(-undisturbedTime), r.at) {
+		if counts(r) && r.at.After(from) && c.undisturbed(r.instance, r.at.Add(-undisturbedTime), r.at) {
 			late += len(byID[r.id])
 		}
 	}
-	if late > maxCrashingRequests {
-		return []string{fmt.Sprintf("%d requests that crash engines reached them later than %s after crash %d, %d crashes in all", late, undisturbedTime, boundedCrashes, len(crashes))}
+	if late > most {
+		return []string{fmt.Sprintf("%d requests %s reached engines later than %s after crash %d, %d crashes in all", late, which, undisturbedTime, bounded, len(crashes))}
 	}
 	return nil
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,6 +28,14 @@
 	702, 704,
 }
 
+// crashSeeds are seeds with requests that crash engines that found faults, run with the
+// default sizes of cmd/soak.
+var crashSeeds = []uint64{
+	// A request and a part of prompts, which both crashed engines, released each other
+	// (crash.blockedSuspects).
+	5200,
+}
+
 // runSeed runs the cluster and reports its violations as test errors.
 func runSeed(t *testing.T, c *soak.Cluster) {
 	t.Helper()
@@ -65,6 +73,9 @@
 func TestSoakCrashes(t *testing.T) {
 	binary := buildBinary(t)
 	runSeed(t, &soak.Cluster{Seed: ciSeed, Binary: binary, Dir: t.TempDir(), Instances: 4, Clients: 12, FaultDuration: 12 * time.Second, Crashes: true})
+	for _, seed := range crashSeeds {
+		runSeed(t, &soak.Cluster{Seed: seed, Binary: binary, Dir: t.TempDir(), Instances: 6, Clients: 12, FaultDuration: 10 * time.Second, Crashes: true})
+	}
 }
 
 // TestSoakPlanned runs instances as processes beside planned work and silent targets,
