--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -39,9 +39,7 @@
 	head := &response.ResponseHead
 	s.Availability.Observe(e.target, head)
 	if head.Success() && head.Signed {
-		s.Limits.Observe(e.target, throttle.Statement{
-			Limited: head.Limited, PerSecond: head.RequestsPerSecond, Brittle: head.Brittle, Rejections: head.Rejections,
-		}, true)
+		s.Limits.Observe(e.target, StatementOf(head), true)
 	}
 	switch {
 	case head.NotRun:
@@ -62,6 +60,12 @@
 	return attemptAnswered
 }
 
+// StatementOf returns what a target states in the head of a response about the requests that
+// it takes.
+func StatementOf(head *upstream.ResponseHead) throttle.Statement {
+	return throttle.Statement{Limited: head.Limited, PerSecond: head.RequestsPerSecond, Brittle: head.Brittle, Rejections: head.Rejections}
+}
+
 // countPending counts the current attempt, which may have reached the target, unless
 // it is counted already. The first attempt of a request adds to the retry budget.
 func (e *exchange) countPending() {
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -247,9 +247,7 @@
 	i.limits = &throttle.Limiter{Self: i.Settings.InstanceID, StartedAt: clock.Now(), Members: i.network.MemberIDs, OnChange: i.network.PublishLimit, Now: clock.Now, Log: i.Log}
 	i.network.Limits, i.server.Limits = i.limits, i.limits
 	i.server.Availability.OnStatement = func(target deployment.Target, head *upstream.ResponseHead) {
-		i.limits.Observe(target, throttle.Statement{
-			Limited: head.Limited, PerSecond: head.RequestsPerSecond, Brittle: head.Brittle, Rejections: head.Rejections,
-		}, false)
+		i.limits.Observe(target, gateway.StatementOf(head), false)
 	}
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -38,7 +39,7 @@
 	byID := c.receivedByID()
 	c.requests.mu.Lock()
 	defer c.requests.mu.Unlock()
-	violations := append(c.checkCrashes(byID), c.checkLimits()...)
+	violations := slices.Concat(c.checkCrashes(byID), c.checkLimits(), c.checkBrittle())
 	succeeded, total := 0, 0
 	for _, r := range c.requests.all {
 		violations = append(violations, c.checkRequest(r, byID[r.id])...)
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -102,8 +102,8 @@
 	r := clientRequest{id: c.cluster.requests.newID(c.cluster.Seed), route: routes[c.random.IntN(len(routes))], key: c.cluster.pickKey(c.random), at: time.Now()}
 	r.instance = c.cluster.randomProcess(c.random)
 	r.sent = "body of " + r.id
-	if c.cluster.Crashes && (r.route == "stream" || r.route == "draft") && c.random.IntN(repeatedRequests) == 0 {
-		r.sent, r.repeated = repeatedBody, true
+	if c.cluster.Crashes && r.route == repeatedRoute && c.random.IntN(repeatedRequests) == 0 {
+		r.sent, r.repeated, r.key = repeatedBody, true, repeatedKey
 	}
 	request, err := http.NewRequest(http.MethodPost, "http://"+r.instance.ClientAddress.String()+"/"+r.route+"/", strings.NewReader(r.sent))
 	if err != nil {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -90,6 +90,10 @@
 	// disturbed by a fault. limits holds the times in which targets stated limits.
 	disturbances map[*Process][]stop
 	limits       []limited
+	// brittleNow is held while the plain targets are brittle; brittleTimes holds when they
+	// were.
+	brittleNow   sync.Mutex
+	brittleTimes []brittleTime
 }
 
 func (c *Cluster) logf(format string, args ...any) {
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -24,11 +24,13 @@
 	// with the part that reach engines later than undisturbedTime after it.
 	boundedCrashes      = 5
 	maxCrashingRequests = 3
-	// repeatedBody is the body of a request that crashes engines and is sent again and again,
-	// once in repeatedRequests requests for an engine. From its boundedRepeatCrashes-th
+	// repeatedBody is the body of a request on repeatedRoute, with repeatedKey, that crashes
+	// engines and is sent again and again, once in repeatedRequests requests on the route. From its boundedRepeatCrashes-th
 	// crash on, maxRepeats bounds its repeats in the same way.
 	repeatedBody         = "the request that crashes engines"
-	repeatedRequests     = 16
+	repeatedRoute        = "stream"
+	repeatedKey          = "key-0"
+	repeatedRequests     = 8
 	boundedRepeatCrashes = 3
 	maxRepeats           = 3
 	// undisturbedTime is how long an instance must have been undisturbed to be held to a
@@ -71,7 +73,7 @@
 
 // crashFaults are the faults of a run with Cluster.Crashes, beside the crashes: those
 // that disturb one instance or the store, and ends of connections that are no crash.
-var crashFaults = []fault{killFault, stopFault, silenceFault, loseFault, breakFault, storeFault, limitFault, limitFault}
+var crashFaults = []fault{killFault, stopFault, silenceFault, loseFault, breakFault, storeFault, limitFault, limitFault, brittleFault}
 
 // disturb records that an instance, or with nil the store, is disturbed from now until
 // the returned function is called.
