Weigh crashes anew only for suspects that may be blocked

An answer to a request that was at a crashed target had all reports weighed anew and passed on to all instances at once. Since requests are suspects beside parts, there is one such answer for each request in flight at a crash.

Found when reading the diff.

--- a/internal/crash/ledger.go
+++ b/internal/crash/ledger.go
@@ -23,6 +23,10 @@
 	// soundLookback is how long before a crash an answer clears its request, and the
 	// parts of the prompt, of that crash. Later answers clear them as well.
 	soundLookback = 10 * time.Second
+	// clearedInterval is the least time between two publications of requests that were
+	// cleared and had too few crashes to be blocked: there is one for each request that was
+	// at a crashed target.
+	clearedInterval = 5 * time.Second
 	// maxSound bounds the requests and parts whose last answer is remembered.
 	maxSound = 20_000
 )
@@ -45,6 +49,10 @@
 	records map[Process]*record
 	// soundAt is when a request, or one with a part, was last answered.
 	soundAt map[string]time.Time
+	// unpublished holds the crashes of which requests were cleared that are not passed on
+	// yet; publishedAt is when such crashes were last passed on.
+	unpublished map[Process]bool
+	publishedAt time.Time
 	// blocked maps the blocked suspects to the time of the last crash that it took.
 	blocked map[string]time.Time
 }
@@ -125,7 +133,9 @@
 }
 
 // clear records an answer to a request and clears its names of all crashes. It returns the
-// reports that changed.
+// reports to pass on at once: those in which a part was cleared, or a request with enough
+// crashes to be blocked. The others, one for each request that was at a crashed target,
+// are passed on by publishCleared.
 func (l *Ledger) clear(names []string) []Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -133,33 +143,58 @@
 		l.soundAt = map[string]time.Time{}
 	}
 	now := l.Now()
+	urgent, decisive := map[Process]bool{}, false
 	for _, name := range names {
-		if _, ok := l.soundAt[name]; !ok && len(l.soundAt) >= maxSound {
-			continue
-		}
-		l.soundAt[name] = now
-	}
-	var changed []Report
-	for p, r := range l.records {
-		cleared := false
-		for _, name := range names {
-			cleared = r.clear(name) || cleared
+		if _, ok := l.soundAt[name]; ok || len(l.soundAt) < maxSound {
+			l.soundAt[name] = now
 		}
-		if cleared {
-			changed = append(changed, r.report(p))
+		enough := l.crashes(name) >= blockingCrashes
+		decisive = decisive || enough
+		for p, r := range l.records {
+			if !r.clear(name) {
+				continue
+			}
+			if enough || !IsRequest(name) {
+				urgent[p] = true
+			} else {
+				l.unpublished[p] = true
+			}
 		}
 	}
-	if len(changed) > 0 {
+	// A suspect with fewer crashes blocks nothing, and explains none to others.
+	if decisive {
 		l.decide()
 	}
+	changed := make([]Report, 0, len(urgent))
+	for p := range urgent {
+		delete(l.unpublished, p)
+		changed = append(changed, l.records[p].report(p))
+	}
 	return changed
 }
 
+// publishCleared returns the reports in which requests were cleared that are not passed on
+// yet, once every clearedInterval. The caller holds the lock.
+func (l *Ledger) publishCleared(now time.Time) []Report {
+	if len(l.unpublished) == 0 || now.Sub(l.publishedAt) < clearedInterval {
+		return nil
+	}
+	l.publishedAt = now
+	var reports []Report
+	for p := range l.unpublished {
+		if r, ok := l.records[p]; ok {
+			reports = append(reports, r.report(p))
+		}
+	}
+	clear(l.unpublished)
+	return reports
+}
+
 // record returns the record of a crash and whether it was known before. The caller
 // holds the lock.
 func (l *Ledger) record(p Process, at time.Time) (*record, bool) {
 	if l.records == nil {
-		l.records = map[Process]*record{}
+		l.records, l.unpublished = map[Process]*record{}, map[Process]bool{}
 	}
 	r, ok := l.records[p]
 	if !ok {
@@ -297,8 +332,16 @@
 	return reports
 }
 
-// RemoveExpired removes the crashes and the answers that no longer count.
-func (l *Ledger) RemoveExpired() {
+// Maintain removes the crashes and the answers that no longer count, and passes on what is
+// not urgent. Call it at intervals.
+func (l *Ledger) Maintain() {
+	for _, report := range l.maintain() {
+		l.notify(report, false)
+	}
+}
+
+// maintain is Maintain. It returns the reports to pass on.
+func (l *Ledger) maintain() []Report {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
@@ -308,4 +351,5 @@
 	if len(l.records) != before {
 		l.decide()
 	}
+	return l.publishCleared(now)
 }
--- a/internal/crash/ledger_test.go
+++ b/internal/crash/ledger_test.go
@@ -131,14 +131,14 @@
 	}
 	for range 20 {
 		l.now = l.now.Add(30 * time.Minute)
-		l.RemoveExpired()
+		l.Maintain()
 		if !blocked(l, "bad") {
 			t.Fatalf("released after %s", l.now.Sub(start))
 		}
 		l.RecordRefusal("bad")
 	}
 	l.now = l.now.Add(61 * time.Minute)
-	l.RemoveExpired()
+	l.Maintain()
 	if blocked(l, "bad") {
 		t.Error("still blocked")
 	}
@@ -299,3 +299,32 @@
 		}
 	}
 }
+
+// TestAnswersToRequestsArePassedOnTogether guards against a report to all instances for each
+// answered request that was at a crashed target, of which there may be hundreds, and
+// against answers that are never passed on.
+func TestAnswersToRequestsArePassedOnTogether(t *testing.T) {
+	l := newLedger()
+	digest := func(n int) string { return crash.RequestDigest("roads", "", "", []byte{byte(n)}) }
+	suspects := map[string]int{"part": 1}
+	for n := range 100 {
+		suspects[digest(n)] = 1_000
+	}
+	l.RecordCrash(process(0), suspects)
+	l.changed = nil
+	for n := range 100 {
+		l.RecordSound([]string{digest(n)})
+	}
+	if len(l.changed) > 0 {
+		t.Errorf("%d reports for 100 answers", len(l.changed))
+	}
+	l.now = l.now.Add(10 * time.Second)
+	l.Maintain()
+	if len(l.changed) != 1 || len(l.changed[0].Cleared) != 100 {
+		t.Fatalf("%d reports, want one with all answers", len(l.changed))
+	}
+	l.RecordSound([]string{"part"})
+	if len(l.changed) != 2 {
+		t.Error("the answer to a part was not passed on at once")
+	}
+}
--- a/internal/crash/verdict.go
+++ b/internal/crash/verdict.go
@@ -40,10 +40,8 @@
 	return cmp.Or(cmp.Compare(c.unexplained, other.unexplained), cmp.Compare(c.depth, other.depth), cmp.Compare(other.name, c.name))
 }
 
-// blocking reports whether the candidate explains enough crashes to be blocked.
-func (c candidate) blocking() bool {
-	return c.crashes >= blockingCrashes && (IsRequest(c.name) || c.unexplained >= minUnexplained)
-}
+// blocking reports whether the candidate, which has blockingCrashes, is to be blocked.
+func (c candidate) blocking() bool { return IsRequest(c.name) || c.unexplained >= minUnexplained }
 
 // blockedSuspects returns the suspects that explain the crashes, each with the time of the
 // last crash that it took to block it: repeatedly the one that is suspected in most of
@@ -52,9 +50,10 @@
 // none.
 func blockedSuspects(records map[Process]*record) map[string]time.Time {
 	blocked := map[string]time.Time{}
+	candidates := frequentSuspects(records)
 	unexplained := maps.Clone(records)
 	for {
-		best, ok := bestCandidate(records, unexplained, blocked)
+		best, ok := bestCandidate(candidates, unexplained)
 		if !ok {
 			return blocked
 		}
@@ -67,31 +66,36 @@
 		}
 		slices.SortFunc(times, time.Time.Compare)
 		blocked[best.name] = times[blockingCrashes-1]
+		delete(candidates, best.name)
 	}
 }
 
-// bestCandidate returns the suspect to block next that explains the most of the unexplained
-// crashes, and false if there is none.
-func bestCandidate(records, unexplained map[Process]*record, blocked map[string]time.Time) (candidate, bool) {
+// frequentSuspects returns the suspects with enough crashes to be blocked, which are few,
+// by their names.
+func frequentSuspects(records map[Process]*record) map[string]candidate {
 	candidates := map[string]candidate{}
-	for p, r := range records {
-		_, open := unexplained[p]
+	for _, r := range records {
 		for name, depth := range r.suspects {
 			if r.cleared[name] {
 				continue
 			}
 			c := candidates[name]
-			c.name, c.depth, c.crashes = name, max(c.depth, depth), c.crashes+1
-			if open {
-				c.unexplained++
-			}
-			candidates[name] = c
+			candidates[name] = candidate{name: name, crashes: c.crashes + 1, depth: max(c.depth, depth)}
 		}
 	}
+	maps.DeleteFunc(candidates, func(_ string, c candidate) bool { return c.crashes < blockingCrashes })
+	return candidates
+}
+
+// bestCandidate returns the candidate to block next that explains the most of the
+// unexplained crashes, and false if there is none.
+func bestCandidate(candidates map[string]candidate, unexplained map[Process]*record) (candidate, bool) {
 	var best candidate
 	for _, c := range candidates {
-		if _, already := blocked[c.name]; already {
-			continue
+		for _, r := range unexplained {
+			if r.suspected(c.name) {
+				c.unexplained++
+			}
 		}
 		if c.blocking() && (best.name == "" || c.compare(best) > 0) {
 			best = c
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -402,7 +402,7 @@
 		}
 		i.client.CloseExpiredIdle(time.Now())
 		i.origins.RemoveExpired()
-		i.crashes.RemoveExpired()
+		i.crashes.Maintain()
 		i.network.RetainCrashes()
 		i.network.RetainLimits()
 		i.forwardClient.Retain(i.network.MemberIDs())
