End the read of a forwarded response that is closed

A read that waited for a message of the peer went on for ever when the response was closed meanwhile, by the silence of the target or by a timer: nothing delivers messages to a closed stream. Found when reading the diff; TestCloseEndsReadInProgress hangs without the change, with both.

--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -236,6 +236,34 @@
 	}
 }
 
+// TestCloseEndsReadInProgress guards against a request that waits for ever because its
+// response was closed, by the silence of the target or by a timer, while it was read.
+func TestCloseEndsReadInProgress(t *testing.T) {
+	for name, bySilence := range map[string]bool{"by silence": true, "by another goroutine": false} {
+		t.Run(name, func(t *testing.T) {
+			peer := newPeer(t, addressOf(newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(w, "first")
+				w.(http.Flusher).Flush()
+				<-r.Context().Done()
+			})))
+			r, a := request()
+			response, err := newClient(peer).Do(context.Background(), target, r, a)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if bySilence {
+				response.SetSilence(20*time.Millisecond, response.Close)
+			} else {
+				time.AfterFunc(20*time.Millisecond, response.Close)
+			}
+			if _, err := response.ReadAll(); !upstream.ErrIncompleteResponse.Has(err) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
 // TestPeerBoundsAttempts guards against an instance that runs out of memory because of the
 // attempts of its peers.
 func TestPeerBoundsAttempts(t *testing.T) {
--- a/internal/forwarding/stream.go
+++ b/internal/forwarding/stream.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -14,7 +15,7 @@
 
 // stream is the response of a target as a peer sends it. While no message arrives, it
 // calls onSilence after each silence, like a connection to a target. Reads are made by one
-// goroutine at a time.
+// goroutine at a time; any goroutine may close the stream, which ends a read in progress.
 type stream struct {
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -25,7 +26,7 @@
 	endOnce sync.Once
 	// ended is set once the end of the attempt has arrived, failed if the link ended
 	// before, unless this side ended it.
-	ended, failed bool
+	ended, failed atomic.Bool
 	// pending is what Read has not returned yet of a message, err what it returns after
 	// that.
 	pending []byte
@@ -86,13 +87,15 @@
 		case r := <-s.messages:
 			switch {
 			case r.err != nil:
-				s.failed = s.ctx.Err() == nil
+				s.failed.Store(s.ctx.Err() == nil)
 				return nil, linkError(r.err)
 			case r.message.GetEnd() != nil:
-				s.ended = true
+				s.ended.Store(true)
 				return nil, endError(r.message.GetEnd())
 			}
 			return r.message, nil
+		case <-s.done:
+			return nil, upstream.ErrIncompleteResponse.Wrap(ErrPeer.New("the response was closed"))
 		case <-silent:
 			s.onSilence()
 		}
@@ -130,9 +133,9 @@
 func (s *stream) Close() {
 	s.endOnce.Do(func() {
 		close(s.done)
-		if !s.ended {
+		if !s.ended.Load() {
 			s.cancel()
 		}
-		s.onClose(s.failed)
+		s.onClose(s.failed.Load())
 	})
 }
