Replicas remember what changed, so that peers need not be sent all objects

Cause: each change of one target had every instance receive the objects of all 129 targets. A replica now keeps the revision of each object's last change; a peer with an older position of the same generation gets the changed objects and the deleted ones. A list that does not lead to the stated content is not kept, and the replica asks for all objects. An instance that others read the store for waits up to 1.5 s for a first replica.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -21,6 +21,9 @@
 	peerCheckInterval = 150 * time.Millisecond
 	// probeWatchWait is the wait of a watch after a call that failed.
 	probeWatchWait = 50 * time.Millisecond
+	// firstReplicaWait is how long after its start an instance that need not read the
+	// store waits for a peer's replica.
+	firstReplicaWait = 1500 * time.Millisecond
 )
 
 // Follower keeps a replica of one kind of objects up to date with the store. Set
@@ -46,6 +49,8 @@
 	Now      func() time.Time
 	Log      *zap.Logger
 
+	// startedAt is when Run was called. Only Run uses it.
+	startedAt time.Time
 	// notifyMu is held from a change of the replica until OnChange returns, so that
 	// changes are reported in their order.
 	notifyMu sync.Mutex
@@ -77,6 +82,7 @@
 // Run lists and watches the store until ctx ends, except while peers keep the
 // replica current.
 func (f *Follower) Run(ctx context.Context) {
+	f.startedAt = f.Now()
 	backoff := initialBackoff
 	listed := false
 	for ctx.Err() == nil {
@@ -105,8 +111,14 @@
 
 // coveredByPeers reports whether peers keep the replica current.
 func (f *Follower) coveredByPeers() bool {
-	state := f.State()
-	return f.CoveredByPeers != nil && !state.ConfirmedAt.IsZero() && f.CoveredByPeers(f.Now().Sub(state.ConfirmedAt))
+	if f.CoveredByPeers == nil {
+		return false
+	}
+	confirmedAt := f.State().ConfirmedAt
+	if confirmedAt.IsZero() {
+		return f.Now().Sub(f.startedAt) < firstReplicaWait && f.CoveredByPeers(0)
+	}
+	return f.CoveredByPeers(f.Now().Sub(confirmedAt))
 }
 
 // stepResult describes the result of a call to the store.
@@ -169,6 +181,28 @@
 	f.update(func(r *Replica) bool { return r.Merge(peer, complete, objects) })
 }
 
+// MergeChanges applies what changed of a peer's replica; see Replica.MergeChanges.
+func (f *Follower) MergeChanges(peer State, after uint64, objects []platformstore.Object) {
+	f.update(func(r *Replica) bool { return r.MergeChanges(peer, after, objects) })
+}
+
+// NeedsComplete reports whether only all objects of a peer can bring the replica up to
+// date.
+func (f *Follower) NeedsComplete() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.NeedsComplete()
+}
+
+// ChangesAfter returns the replica's state and what changed after a position; see
+// Replica.ChangesAfter.
+func (f *Follower) ChangesAfter(position platformstore.Position) (State, []platformstore.Object, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	objects, ok := f.replica.ChangesAfter(position)
+	return f.replica.State, objects, ok
+}
+
 // State returns how current the replica is.
 func (f *Follower) State() State {
 	f.mu.Lock()
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -5,6 +5,7 @@
 package catalog
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"time"
@@ -40,6 +41,10 @@
 type Replica struct {
 	State
 	objects map[string]platformstore.Object
+	history history
+	// needsComplete is set when a peer's changes did not lead to the peer's content, so
+	// that only all of its objects can.
+	needsComplete bool
 }
 
 // Known reports whether the replica holds any state of the store yet.
@@ -60,11 +65,31 @@
 		content += contentHash(o)
 	}
 	changed := !r.Known() || content != r.ContentHash
-	r.objects, r.ContentHash = listed, content
+	if !r.Known() || page.Generation != r.Generation {
+		r.history.restart(page.Revision)
+	} else if changed {
+		r.recordDifferences(listed, page.Revision)
+	}
+	r.objects, r.ContentHash, r.needsComplete = listed, content, false
 	r.advance(page.Position(), sentAt)
 	return changed
 }
 
+// recordDifferences records the objects in which a listing of a revision differs from the
+// present ones.
+func (r *Replica) recordDifferences(listed map[string]platformstore.Object, revision uint64) {
+	for name, o := range listed {
+		if known, ok := r.objects[name]; !ok || !bytes.Equal(known.Value, o.Value) {
+			r.history.record(name, revision)
+		}
+	}
+	for name := range r.objects {
+		if _, ok := listed[name]; !ok {
+			r.history.record(name, revision)
+		}
+	}
+}
+
 // contentHash returns the hash of an object's name and value. A replica's hash is
 // the sum over its objects, so that their order does not matter.
 func contentHash(o platformstore.Object) uint64 {
@@ -98,6 +123,9 @@
 	if ok && o.Revision < current.Revision || !ok && o.Deleted {
 		return
 	}
+	if !ok || o.Deleted || !bytes.Equal(current.Value, o.Value) {
+		r.history.record(o.Name, o.Revision)
+	}
 	if ok {
 		r.ContentHash -= contentHash(current)
 	}
@@ -109,6 +137,51 @@
 	r.ContentHash += contentHash(o)
 }
 
+// ChangesAfter returns the objects that changed after a position, the deleted ones marked
+// as such; false if the replica does not remember which these are.
+func (r *Replica) ChangesAfter(position platformstore.Position) ([]platformstore.Object, bool) {
+	if !r.Known() || position.Generation != r.Generation || position.Revision < r.history.from {
+		return nil, false
+	}
+	var changed []platformstore.Object
+	for name, revision := range r.history.changedAt {
+		if revision <= position.Revision {
+			continue
+		}
+		o, ok := r.objects[name]
+		if !ok {
+			o = platformstore.Object{Name: name, Revision: revision, Deleted: true}
+		}
+		changed = append(changed, o)
+	}
+	return changed, true
+}
+
+// MergeChanges applies what changed of a peer's replica after a revision of the same
+// generation. If that does not lead to the peer's content, the replica stays as it was
+// and NeedsComplete reports true. It reports whether objects changed.
+func (r *Replica) MergeChanges(peer State, after uint64, objects []platformstore.Object) bool {
+	if !r.Known() || peer.Generation != r.Generation || after > r.Revision || peer.Revision < r.Revision {
+		return false
+	}
+	merged := Replica{State: r.State, objects: maps.Clone(r.objects), history: r.history.clone()}
+	for _, o := range objects {
+		merged.applyObject(o)
+	}
+	if merged.ContentHash != peer.ContentHash {
+		r.needsComplete = true
+		return false
+	}
+	merged.advance(peer.Position(), peer.ConfirmedAt)
+	changed := merged.ContentHash != r.ContentHash
+	*r = merged
+	return changed
+}
+
+// NeedsComplete reports whether only all objects of a peer can bring the replica up to
+// date.
+func (r *Replica) NeedsComplete() bool { return r.needsComplete }
+
 // Merge applies a peer's replica. complete is set when the peer sent its objects;
 // it leaves them out when this replica already has the same ones or newer ones.
 // Even then the peer's position and confirmation apply, if the contents are equal and
@@ -121,8 +194,10 @@
 	case r.Known() && peer.ContentHash == r.ContentHash && peer.Generation >= r.Generation:
 		if peer.Generation > r.Generation {
 			r.forgetRevisions()
+			r.history.restart(peer.Revision)
 		}
 		r.advance(peer.Position(), peer.ConfirmedAt)
+		r.needsComplete = false
 	}
 	return false
 }
@@ -130,6 +205,7 @@
 // forgetRevisions sets the revisions of all objects to zero, so that any change of a
 // newer generation applies to them.
 func (r *Replica) forgetRevisions() {
+	r.history.restart(r.Revision)
 	for name, o := range r.objects {
 		o.Revision = 0
 		r.objects[name] = o
--- a/internal/inflight/tracker.go
+++ b/internal/inflight/tracker.go
@@ -3,6 +3,7 @@
 package inflight
 
 import (
+	"maps"
 	"sync"
 
 	"heatherrelay/internal/deployment"
@@ -32,6 +33,46 @@
 	Adapters map[deployment.AdapterName]int
 }
 
+// IsZero reports whether nothing is in flight.
+func (u TargetUse) IsZero() bool { return u.Use == Use{} && len(u.Adapters) == 0 }
+
+// Equal reports whether u and other are the same.
+func (u TargetUse) Equal(other TargetUse) bool {
+	return u.Use == other.Use && maps.Equal(u.Adapters, other.Adapters)
+}
+
+// With returns the sum of u and other.
+func (u TargetUse) With(other TargetUse) TargetUse {
+	sum := TargetUse{Use: u.Use, Adapters: maps.Clone(u.Adapters)}
+	sum.Add(other.Use)
+	for name, requests := range other.Adapters {
+		if sum.Adapters == nil {
+			sum.Adapters = map[deployment.AdapterName]int{}
+		}
+		sum.Adapters[name] += requests
+	}
+	return sum
+}
+
+// Without returns u less other, field by field and never below zero. Adapters are those
+// that u lists.
+func (u TargetUse) Without(other TargetUse) TargetUse {
+	rest := TargetUse{Use: Use{
+		Requests:      max(u.Requests-other.Requests, 0),
+		WaitingTokens: max(u.WaitingTokens-other.WaitingTokens, 0),
+		Tokens:        max(u.Tokens-other.Tokens, 0),
+	}}
+	for name, requests := range u.Adapters {
+		if left := requests - other.Adapters[name]; left > 0 {
+			if rest.Adapters == nil {
+				rest.Adapters = map[deployment.AdapterName]int{}
+			}
+			rest.Adapters[name] = left
+		}
+	}
+	return rest
+}
+
 // Tracker counts the requests that this instance has in flight, by target. It is
 // safe for concurrent use; the zero value is ready for use.
 type Tracker struct {
@@ -119,11 +160,7 @@
 	defer t.mu.Unlock()
 	all := make(map[deployment.TargetID]TargetUse, len(t.targets))
 	for id, u := range t.targets {
-		copied := TargetUse{Use: u.Use, Adapters: make(map[deployment.AdapterName]int, len(u.Adapters))}
-		for name, n := range u.Adapters {
-			copied.Adapters[name] = n
-		}
-		all[id] = copied
+		all[id] = TargetUse{Use: u.Use, Adapters: maps.Clone(u.Adapters)}
 	}
 	return all
 }
