Exchange what changed between instances, in place of complete lists

Each instance now keeps one log of what it tells others, ordered by the number of the last change; a receiver states what it has and gets the rest, with names of targets, teams and incarnations sent once. Sums are kept up to date by source instead of formed for each call. Members are stated when their status or silence changes, first-hand only, so that statements do not keep each other alive. The interval to a relay grows with its zone, so its calls do not. Nothing is compressed. One instance a zone reads the store, as in small fleets; the others wait for its replica at the start, and only the first two of a zone list the instances. Instances of the former version are served with complete lists (legacy.go), and a message that no known version sends is refused with its reason.

--- a/internal/gatewayinstance/register.go
+++ b/internal/gatewayinstance/register.go
@@ -20,9 +20,13 @@
 	// discoverInterval is the time between listings of the instances in the store
 	// while no peer is known.
 	discoverInterval = time.Second
-	// connectedDiscoverInterval is the same for an instance with peers, which report
-	// new instances to it.
+	// connectedDiscoverInterval is the same for the first instances of a zone once they
+	// have peers, which report new instances to them; firstDiscoverDelay is the time from
+	// the start to the first of these listings. The other instances learn from them.
 	connectedDiscoverInterval = 20 * time.Second
+	firstDiscoverDelay        = 3 * time.Second
+	// discoveringRanks is how many instances of a zone list the instances in the store.
+	discoveringRanks = 2
 )
 
 // storedInstance is the value of an instance's object in the store.
@@ -37,7 +41,7 @@
 // store was restored from a copy, which may be older than the object.
 func (i *Instance) register(ctx context.Context) {
 	registered, writtenIn := false, uint64(0)
-	var discoveredAt time.Time
+	discoveredAt := clock.Now().Add(firstDiscoverDelay - connectedDiscoverInterval)
 	for ctx.Err() == nil {
 		pause := discoverInterval
 		if generation := i.catalog.StoreGeneration(); !registered || generation > writtenIn {
@@ -49,7 +53,7 @@
 				i.Log.Warn("instance registration failed", zap.Error(err))
 			}
 		}
-		if connected := i.network.MemberCount() > 1; !connected || clock.Since(discoveredAt) >= connectedDiscoverInterval {
+		if connected := i.network.MemberCount() > 1; !connected || i.discovers() && clock.Since(discoveredAt) >= connectedDiscoverInterval {
 			discoveredAt = clock.Now()
 			if err := i.discover(ctx, connected); err != nil {
 				i.Log.Debug("instances cannot be listed", zap.Error(err))
@@ -61,6 +65,13 @@
 	}
 }
 
+// discovers reports whether this instance lists the instances in the store on behalf of
+// its zone.
+func (i *Instance) discovers() bool {
+	rank := i.network.Rank()
+	return rank >= 0 && rank < discoveringRanks
+}
+
 // writeInstance creates this instance's object in the store, or replaces the one
 // that an earlier incarnation left if that has other contents.
 func (i *Instance) writeInstance(ctx context.Context) error {
--- a/internal/peer/change_log.go
+++ b/internal/peer/change_log.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"container/list"
+	"iter"
 	"maps"
 	"sync"
 )
@@ -63,3 +65,50 @@
 	defer c.mu.Unlock()
 	maps.DeleteFunc(c.entries, func(_ string, e changeEntry[T]) bool { return match(e.state) })
 }
+
+// changeOrder keeps keys in the order of their last changes, so that listing the
+// latest changes costs as much as there are of them, not as many as there are keys.
+// It is not safe for concurrent use; the zero value is ready for use.
+type changeOrder[K comparable] struct {
+	order    list.List
+	elements map[K]*list.Element
+}
+
+// orderedChange is a key and the number of its last change.
+type orderedChange[K comparable] struct {
+	key    K
+	number uint64
+}
+
+// touch records that a key changed with a number, which is the highest so far.
+func (c *changeOrder[K]) touch(key K, number uint64) {
+	if c.elements == nil {
+		c.elements = map[K]*list.Element{}
+	}
+	if e, ok := c.elements[key]; ok {
+		e.Value = orderedChange[K]{key: key, number: number}
+		c.order.MoveToBack(e)
+		return
+	}
+	c.elements[key] = c.order.PushBack(orderedChange[K]{key: key, number: number})
+}
+
+// remove forgets a key.
+func (c *changeOrder[K]) remove(key K) {
+	if e, ok := c.elements[key]; ok {
+		c.order.Remove(e)
+		delete(c.elements, key)
+	}
+}
+
+// since returns the keys whose last change has a higher number, the latest first.
+func (c *changeOrder[K]) since(number uint64) iter.Seq[K] {
+	return func(yield func(K) bool) {
+		for e := c.order.Back(); e != nil; e = e.Prev() {
+			change := e.Value.(orderedChange[K])
+			if change.number <= number || !yield(change.key) {
+				return
+			}
+		}
+	}
+}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -13,114 +13,79 @@
 	"heatherrelay/internal/platformstore"
 )
 
-// nextState returns the state that this instance publishes, under the next
-// sequence number.
-func (n *Network) nextState() *v1.InstanceState {
-	n.mu.Lock()
+// sentState is what a request said of this instance: the number of the last change of its
+// log, its requests in flight, and the numbers of the last notices.
+type sentState struct {
+	number  uint64
+	uses    map[deployment.TargetID]inflight.TargetUse
+	notices noticeCursor
+}
+
+// stateFor returns the state that this instance publishes, under the next sequence
+// number, for a receiver of a protocol version. The caller holds the lock.
+func (n *Network) stateFor(receiver Member, version uint32, p position) *v1.InstanceState {
+	n.refreshOwn()
 	n.sequence++
-	sequence := n.sequence
-	n.mu.Unlock()
-	s := &v1.InstanceState{
-		Member:      n.selfMessage(),
-		Incarnation: n.Incarnation,
-		Sequence:    sequence,
-		Teams:       teamMessages(n.Meter.Admitted()),
-	}
-	for id, u := range n.Tracker.All() {
-		s.Targets = append(s.Targets, targetUseMessage(id, u))
-	}
-	engines := n.leasedEngines()
-	if n.currentRole() == roleRelayed {
-		s.Engines = engines
+	s := &v1.InstanceState{Member: n.selfMessage(), Incarnation: n.Incarnation, Sequence: n.sequence}
+	if version == 0 {
+		n.addCompleteState(s)
+		return s
 	}
-	n.relayedStates.teamUsage.apply(n.Self.ID+"#"+n.Incarnation, teamUsageOf(s), newerTeamUsage, equalTeamUsage)
+	s.Changes = n.changesFor(scopeOwn, p.own, p.names, receiver)
 	return s
 }
 
 // newRequest returns the exchange request for the instance with an id, or for a
-// seed if the id is empty, and the numbers of the last changes of notices in it.
-func (n *Network) newRequest(id string) (request *v1.ExchangeRequest, pushed noticeCursor) {
-	request = &v1.ExchangeRequest{Sender: n.nextState(), Beliefs: n.replicaStates(), WantsAdapters: n.Holder.Holds()}
+// seed if the id is empty, and what it says of this instance.
+func (n *Network) newRequest(id string) (*v1.ExchangeRequest, sentState) {
+	request := &v1.ExchangeRequest{Beliefs: n.replicaStates(), WantsAdapters: n.Holder.Holds(), ProtocolVersion: protocolVersion}
 	if configuration := n.Catalog.Configuration(); configuration != nil {
 		request.ConfigurationVersion = configuration.Version
 	}
-	var cursor changeCursor
-	n.mu.RLock()
-	if r, ok := n.remotes[id]; ok {
-		request.ChangesSource, cursor = r.incarnation, r.cursor
-	}
-	role := n.role
-	n.mu.RUnlock()
+	n.mu.Lock()
+	r, ok := n.remotes[id]
+	if !ok {
+		r = &remote{}
+	}
+	request.Sender = n.stateFor(r.Member, r.protocolVersion, r.position)
+	request.ChangesSource, request.Receipt = r.incarnation, r.receiptMessage()
+	request.Relaying = n.role == roleRelaying
+	cursor, version, role := r.cursor, r.protocolVersion, n.role
+	sent := sentState{number: n.log.last, uses: n.ownUses}
+	n.mu.Unlock()
 	request.EnginesAfter, request.SpendingsAfter = cursor.engines, cursor.teamUsage
 	request.CrashesAfter, request.LimitsAfter = cursor.notices.crashes, cursor.notices.limits
-	request.Crashes, pushed.crashes = n.crashesSince(cursor.pushed.crashes)
-	request.Limits, pushed.limits = n.limitsSince(cursor.pushed.limits)
-	request.WantsAdapters = request.WantsAdapters || role == roleRelaying
-	if role != roleRelayed {
+	request.Crashes, sent.notices.crashes = n.crashesSince(cursor.pushed.crashes)
+	request.Limits, sent.notices.limits = n.limitsSince(cursor.pushed.limits)
+	if version == 0 && role != roleRelayed {
 		request.Members = n.memberListFor(id)
 	}
-	return request, pushed
+	request.WantsAdapters = request.WantsAdapters || role == roleRelaying
+	return request, sent
 }
 
-// The minimum times between two member lists sent to the same instance. The
-// time is longer in a full mesh: there every instance exchanges with all
-// others, and learns from several of them about those that it cannot reach
-// itself.
-const (
-	memberListInterval       = 280 * time.Millisecond
-	meshedMemberListInterval = 1150 * time.Millisecond
-)
-
-// memberListFor returns the member list for the instance with an id; nil if the
-// last list was sent to it less than the minimum time ago.
-func (n *Network) memberListFor(id string) []*v1.Member {
-	n.mu.Lock()
-	now, interval := n.Now(), memberListInterval
-	if n.role == roleMeshed {
-		interval = meshedMemberListInterval
-	}
-	r, ok := n.remotes[id]
-	due := !ok || now.Sub(r.memberListSentAt) >= interval
-	if ok && due {
-		r.memberListSentAt = now
-	}
-	n.mu.Unlock()
-	if !due {
-		return nil
-	}
-	return n.memberMessages()
+func (n *Network) selfMessage() *v1.Member {
+	m := memberMessage(n.Self)
+	m.Leaving, m.CutOffServices, m.HoldsOrders, m.WaitingLoads = n.Leaving(), n.cutOff(), n.Holder.Holds(), int64(n.Holder.WaitingLoads())
+	return m
 }
 
-func teamMessages(teams map[string]float64) []*v1.TeamUse {
-	messages := make([]*v1.TeamUse, 0, len(teams))
-	for team, admitted := range teams {
-		messages = append(messages, &v1.TeamUse{Team: team, Admitted: admitted})
-	}
-	return messages
-}
+// maxMemberAge is the longest time since an instance was seen that messages state.
+const maxMemberAge = time.Hour
 
-// memberMessages returns the instances that are alive, without this one.
-func (n *Network) memberMessages() []*v1.Member {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	now := n.Now()
-	var members []*v1.Member
-	for _, r := range n.remotes {
-		if !r.alive(now) {
-			continue
-		}
-		m := memberMessage(r.Member)
-		// Rounded up, so that the age is never understated.
-		m.AgeMs = now.Sub(r.lastSeenAt).Milliseconds() + 1
-		m.Leaving, m.CutOffServices, m.HoldsOrders, m.WaitingLoads = r.leaving, r.cutOff, r.holdsLease, int64(r.waitingLoads)
-		members = append(members, m)
-	}
-	return members
+// seenAt returns when a member in a message that was sent at a time had been seen, or was
+// sent at the earliest.
+func seenAt(m *v1.Member, sentAt time.Time) time.Time {
+	age := min(max(m.GetAgeMs(), 0), maxMemberAge.Milliseconds()+1)
+	return sentAt.Add(-time.Duration(age) * time.Millisecond)
 }
 
-func (n *Network) selfMessage() *v1.Member {
-	m := memberMessage(n.Self)
-	m.Leaving, m.CutOffServices, m.HoldsOrders, m.WaitingLoads = n.Leaving(), n.cutOff(), n.Holder.Holds(), int64(n.Holder.WaitingLoads())
+// message describes the instance as last seen at a time.
+func (r *remote) message(seenAt, now time.Time) *v1.Member {
+	m := memberMessage(r.Member)
+	// Rounded up, so that the age is never understated.
+	m.AgeMs = min(now.Sub(seenAt), maxMemberAge).Milliseconds() + 1
+	m.Leaving, m.CutOffServices, m.HoldsOrders, m.WaitingLoads = r.status.leaving, r.status.cutOff, r.status.holdsLease, int64(r.status.waitingLoads)
 	return m
 }
 
@@ -141,43 +106,44 @@
 // targetUseMessage converts what is in flight at a target. Requests for the
 // base model are part of the totals, but not of the list of adapters.
 func targetUseMessage(id deployment.TargetID, u inflight.TargetUse) *v1.TargetUse {
-	m := &v1.TargetUse{
+	return &v1.TargetUse{
 		TargetId:      string(id),
 		Requests:      int64(u.Requests),
 		WaitingTokens: int64(u.WaitingTokens),
 		Tokens:        int64(u.Tokens),
+		Adapters:      adapterUseMessages(u),
 	}
+}
+
+func adapterUseMessages(u inflight.TargetUse) []*v1.AdapterUse {
+	var messages []*v1.AdapterUse
 	for name, requests := range u.Adapters {
-		if name.Adapter != "" {
-			m.Adapters = append(m.Adapters, &v1.AdapterUse{Model: name.Model, Adapter: name.Adapter, Requests: int64(requests)})
+		if name.Adapter != "" && requests > 0 {
+			messages = append(messages, &v1.AdapterUse{Model: name.Model, Adapter: name.Adapter, Requests: int64(requests)})
 		}
 	}
-	return m
+	return messages
+}
+
+func adapterUsesFrom(messages []*v1.AdapterUse) map[deployment.AdapterName]int {
+	uses := make(map[deployment.AdapterName]int, len(messages))
+	for _, a := range messages {
+		uses[deployment.AdapterName{Model: a.GetModel(), Adapter: a.GetAdapter()}] = int(a.GetRequests())
+	}
+	return uses
 }
 
 func targetUsesFrom(messages []*v1.TargetUse) map[deployment.TargetID]inflight.TargetUse {
 	uses := make(map[deployment.TargetID]inflight.TargetUse, len(messages))
 	for _, m := range messages {
-		u := inflight.TargetUse{
+		uses[deployment.TargetID(m.GetTargetId())] = inflight.TargetUse{
 			Use:      inflight.Use{Requests: int(m.GetRequests()), WaitingTokens: int(m.GetWaitingTokens()), Tokens: int(m.GetTokens())},
-			Adapters: make(map[deployment.AdapterName]int, len(m.GetAdapters())),
+			Adapters: adapterUsesFrom(m.GetAdapters()),
 		}
-		for _, a := range m.GetAdapters() {
-			u.Adapters[deployment.AdapterName{Model: a.GetModel(), Adapter: a.GetAdapter()}] = int(a.GetRequests())
-		}
-		uses[deployment.TargetID(m.GetTargetId())] = u
 	}
 	return uses
 }
 
-func admittedFrom(messages []*v1.TeamUse) map[string]float64 {
-	admitted := make(map[string]float64, len(messages))
-	for _, m := range messages {
-		admitted[m.GetTeam()] = m.GetAdmitted()
-	}
-	return admitted
-}
-
 func engineMessage(e placement.EngineState, zone string, now time.Time) *v1.EngineState {
 	m := &v1.EngineState{
 		TargetId:      string(e.Target),
@@ -188,24 +154,29 @@
 		Sequence:      e.Sequence,
 	}
 	for _, r := range e.Residents {
-		m.Adapters = append(m.Adapters, &v1.AdapterState{
-			Model:     r.Model,
-			Adapter:   r.Adapter,
-			Version:   r.Version,
-			ReadyInMs: max(r.ReadyAt.Sub(now).Milliseconds(), 0),
-		})
+		m.Adapters = append(m.Adapters, adapterStateMessage(r, now))
 	}
 	return m
 }
 
+func adapterStateMessage(r placement.Resident, now time.Time) *v1.AdapterState {
+	return &v1.AdapterState{Model: r.Model, Adapter: r.Adapter, Version: r.Version, ReadyInMs: max(r.ReadyAt.Sub(now).Milliseconds(), 0)}
+}
+
+func residentFrom(a *v1.AdapterState, now time.Time) placement.Resident {
+	return placement.Resident{AdapterName: adapterName(a), Version: a.GetVersion(), ReadyAt: now.Add(time.Duration(a.GetReadyInMs()) * time.Millisecond)}
+}
+
+func adapterName(a *v1.AdapterState) deployment.AdapterName {
+	return deployment.AdapterName{Model: a.GetModel(), Adapter: a.GetAdapter()}
+}
+
 func engineFrom(m *v1.EngineState, now time.Time) placement.EngineState {
-	e := placement.EngineState{Target: deployment.TargetID(m.GetTargetId()), Generation: m.GetBorn(), Models: m.GetModels()}
+	e := placement.EngineState{
+		Target: deployment.TargetID(m.GetTargetId()), Generation: m.GetBorn(), FencingNumber: m.GetFencingNumber(), Sequence: m.GetSequence(), Models: m.GetModels(),
+	}
 	for _, a := range m.GetAdapters() {
-		e.Residents = append(e.Residents, placement.Resident{
-			AdapterName: adapterName(a),
-			Version:     a.GetVersion(),
-			ReadyAt:     now.Add(time.Duration(a.GetReadyInMs()) * time.Millisecond),
-		})
+		e.Residents = append(e.Residents, residentFrom(a, now))
 	}
 	return e
 }
@@ -236,7 +207,7 @@
 }
 
 func objectMessage(o platformstore.Object) *v1.StoredObject {
-	return &v1.StoredObject{Name: o.Name, Revision: o.Revision, Value: o.Value}
+	return &v1.StoredObject{Name: o.Name, Revision: o.Revision, Value: o.Value, Deleted: o.Deleted}
 }
 
 func objectsFrom(messages []*v1.StoredObject) []platformstore.Object {
@@ -248,7 +219,7 @@
 }
 
 func objectFrom(m *v1.StoredObject) platformstore.Object {
-	return platformstore.Object{Name: m.GetName(), Revision: m.GetRevision(), Value: json.RawMessage(m.GetValue())}
+	return platformstore.Object{Name: m.GetName(), Revision: m.GetRevision(), Value: json.RawMessage(m.GetValue()), Deleted: m.GetDeleted()}
 }
 
 var resultMessages = map[placement.Result]v1.LoadAdapterResponse_Result{
--- a/internal/peer/crashes.go
+++ b/internal/peer/crashes.go
@@ -18,7 +18,7 @@
 // report of an instance's own observation is sent without waiting for the interval.
 func (n *Network) PublishCrash(report crash.Report, observed bool) {
 	name := fmt.Sprintf("%s#%d", report.Target, report.Generation)
-	if n.relayedStates.crashes.apply(name, report, newerCrash, differentCrash) && observed {
+	if n.crashReports.apply(name, report, newerCrash, differentCrash) && observed {
 		n.TriggerExchange()
 	}
 }
@@ -33,13 +33,13 @@
 
 // RetainCrashes drops the reports that the ledger has dropped.
 func (n *Network) RetainCrashes() {
-	n.relayedStates.crashes.removeFunc(func(r crash.Report) bool { return !n.Crashes.Known(r.Process) })
+	n.crashReports.removeFunc(func(r crash.Report) bool { return !n.Crashes.Known(r.Process) })
 }
 
 // crashesSince returns the reports that changed after a change number, and the number of
 // the last change.
 func (n *Network) crashesSince(number uint64) ([]*v1.TargetCrash, uint64) {
-	reports, last := n.relayedStates.crashes.since(number, func(crash.Report) bool { return true })
+	reports, last := n.crashReports.since(number, func(crash.Report) bool { return true })
 	messages := make([]*v1.TargetCrash, 0, len(reports))
 	now := n.Now()
 	for _, r := range reports {
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -13,7 +13,7 @@
 
 // PublishLimit has the exchange carry a statement that says something new.
 func (n *Network) PublishLimit(s throttle.Statement) {
-	if n.relayedStates.limits.apply(string(s.Target), s, func(known, next throttle.Statement) bool { return next.Newer(known) }, differentLimit) {
+	if n.limitStatements.apply(string(s.Target), s, func(known, next throttle.Statement) bool { return next.Newer(known) }, differentLimit) {
 		n.TriggerExchange()
 	}
 }
@@ -22,13 +22,13 @@
 
 // RetainLimits drops the statements that the limiter has dropped.
 func (n *Network) RetainLimits() {
-	n.relayedStates.limits.removeFunc(func(s throttle.Statement) bool { return !n.Limits.Known(s.Target) })
+	n.limitStatements.removeFunc(func(s throttle.Statement) bool { return !n.Limits.Known(s.Target) })
 }
 
 // limitsSince returns the statements that changed after a change number, and the number
 // of the last change.
 func (n *Network) limitsSince(number uint64) ([]*v1.TargetLimit, uint64) {
-	statements, last := n.relayedStates.limits.since(number, func(throttle.Statement) bool { return true })
+	statements, last := n.limitStatements.since(number, func(throttle.Statement) bool { return true })
 	messages := make([]*v1.TargetLimit, 0, len(statements))
 	now := n.Now()
 	for _, s := range statements {
@@ -57,7 +57,7 @@
 	defer n.mu.RUnlock()
 	ids := []string{n.Self.ID}
 	for id, r := range n.remotes {
-		if !r.leaving {
+		if !r.status.leaving {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -53,12 +53,14 @@
 	triggerDelay = 60 * time.Millisecond
 	// useTimeout is how long the last report of requests in flight counts when
 	// no newer one arrives.
-	useTimeout     = 3 * time.Second
-	connectTimeout = 400 * time.Millisecond
-	// minCompressedBytes is the size from which responses are compressed. Smaller ones
-	// save fewer bytes than the compression costs processor time.
-	minCompressedBytes = 1024
-	idleConnTimeout    = 30 * time.Second
+	useTimeout      = 3 * time.Second
+	connectTimeout  = 400 * time.Millisecond
+	idleConnTimeout = 30 * time.Second
+	// maxMessageBytes bounds a message of another instance.
+	maxMessageBytes = 16 << 20
+	// adapterUseInterval is the time between two counts of the adapters in use for the
+	// engines that this instance holds the lease for.
+	adapterUseInterval = 300 * time.Millisecond
 )
 
 // Network is this instance's part in the exchange of state. Set the exported
@@ -91,26 +93,44 @@
 	// CutOff returns the services whose targets this instance does not reach; nil means
 	// that there are none.
 	CutOff func() []string
-	Now    func() time.Time
-	Log    *zap.Logger
+	// Connect returns a client of the protocol at an address; nil means one that calls it
+	// over HTTP.
+	Connect func(netip.AddrPort) heatherrelayv1connect.FleetServiceClient
+	Now     func() time.Time
+	Log     *zap.Logger
 
 	initOnce   sync.Once
 	trigger    chan struct{}
 	httpClient *http.Client
 	mu         sync.RWMutex
+	startedAt  time.Time
 	sequence   uint64
 	remotes    map[string]*remote
 	seeds      map[netip.AddrPort]heatherrelayv1connect.FleetServiceClient
 	// lastProbeAt is when a silent instance and the seeds were last contacted.
 	lastProbeAt time.Time
 	role        role
-	// zoneSummaries are the totals of the zones, as received from relays.
-	zoneSummaries map[string]*zoneSummary
-	// remoteUses sums what the other instances have in flight at each target.
-	// remoteUsesValid is set while the sums include the latest reports.
-	remoteUses      map[deployment.TargetID]inflight.Use
-	remoteUsesValid bool
-	relayedStates   relayedStates
+	// log orders what this instance tells others: its own requests in flight, ownUses,
+	// the sums of a relay, what instances admitted, and the engines.
+	log      stateLog
+	ownUses  map[deployment.TargetID]inflight.TargetUse
+	admitted map[admittedKey]admittedRecord
+	engines  map[deployment.TargetID]*engineRecord
+	// fleetSums sums what is in flight at all instances, zoneSums, at a relay, at those
+	// of its zone. sumsFrom holds the relay that supplies each source of fleetSums.
+	fleetSums, zoneSums useSums
+	sumsFrom            map[string]string
+	// removedAt is when instances were removed whose admissions are remembered.
+	removedAt map[string]time.Time
+	// adaptersCountedAt is when the adapters in use were last counted.
+	adaptersCountedAt time.Time
+	// applyMu is held while admissions and engines are applied and handed to the meter
+	// or the directory, so that these receive them in the order in which they are
+	// applied.
+	applyMu sync.Mutex
+	// crashReports and limitStatements are the notices about targets.
+	crashReports    changeLog[crash.Report]
+	limitStatements changeLog[throttle.Statement]
 	// loadWaits counts, by zone, the awaited adapters that were not reported to the
 	// zone's lease holder yet.
 	loadWaits map[string]waitCounts
@@ -129,9 +149,13 @@
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
 		}}
+		n.startedAt = n.Now()
 		n.trigger = make(chan struct{}, 1)
 		n.remotes = map[string]*remote{}
-		n.zoneSummaries = map[string]*zoneSummary{}
+		n.ownUses, n.admitted = map[deployment.TargetID]inflight.TargetUse{}, map[admittedKey]admittedRecord{}
+		n.engines, n.sumsFrom, n.removedAt = map[deployment.TargetID]*engineRecord{}, map[string]string{}, map[string]time.Time{}
+		n.fleetSums.onChange = func(id deployment.TargetID) { n.log.fleetUses.touch(id, n.log.next()) }
+		n.zoneSums.onChange = func(id deployment.TargetID) { n.log.zoneUses.touch(id, n.log.next()) }
 		n.seeds = map[netip.AddrPort]heatherrelayv1connect.FleetServiceClient{}
 		for _, s := range n.Seeds {
 			if s != n.Self.Address {
@@ -142,20 +166,29 @@
 }
 
 func (n *Network) client(address netip.AddrPort) heatherrelayv1connect.FleetServiceClient {
-	return heatherrelayv1connect.NewFleetServiceClient(n.httpClient, "http://"+address.String())
+	if n.Connect != nil {
+		return n.Connect(address)
+	}
+	return heatherrelayv1connect.NewFleetServiceClient(n.httpClient, "http://"+address.String(), connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // Handler returns the handler of the protocol between instances.
 func (n *Network) Handler() http.Handler {
 	n.init()
 	mux := http.NewServeMux()
-	mux.Handle(heatherrelayv1connect.NewFleetServiceHandler(&server{network: n}, connect.WithCompressMinBytes(minCompressedBytes)))
+	mux.Handle(heatherrelayv1connect.NewFleetServiceHandler(n.Service(), connect.WithCompressMinBytes(maxMessageBytes), connect.WithReadMaxBytes(maxMessageBytes)))
 	if n.Forwarding != nil {
 		mux.Handle(n.Forwarding())
 	}
 	return mux
 }
 
+// Service returns the protocol's implementation.
+func (n *Network) Service() heatherrelayv1connect.FleetServiceHandler {
+	n.init()
+	return &server{network: n}
+}
+
 // Serve serves the protocol on a listener until ctx ends. It returns nil then,
 // and the server's error if that fails earlier.
 func (n *Network) Serve(ctx context.Context, listener net.Listener) error {
@@ -189,13 +222,32 @@
 			time.Sleep(triggerDelay)
 			triggered = true
 		}
-		n.removeExpired()
-		n.updateRole()
-		n.applyOwnEngines()
-		n.invalidateRemoteUses()
+		n.maintain()
 	}
 }
 
+// maintain updates what changes by the passage of time.
+func (n *Network) maintain() {
+	n.updateRole()
+	n.mu.Lock()
+	n.removeExpired()
+	n.expireSums()
+	n.stateSilence()
+	n.mu.Unlock()
+	n.refreshOwnEngines()
+	n.countAdapterUses()
+}
+
+// Step does what Run does at one tick, and waits until the exchanges have ended. It is for
+// simulations on a clock of their own.
+func (n *Network) Step(ctx context.Context) {
+	n.init()
+	for _, call := range n.dueExchanges(false) {
+		n.exchange(ctx, call)
+	}
+	n.maintain()
+}
+
 // TriggerExchange has Run exchange state with all partners after triggerDelay,
 // without waiting for their intervals. It does not block.
 func (n *Network) TriggerExchange() {
@@ -263,7 +315,7 @@
 func (n *Network) exchange(ctx context.Context, call dueExchange) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	request, pushed := n.newRequest(call.id)
+	request, sent := n.newRequest(call.id)
 	sentAt := n.Now()
 	response, err := call.client.Exchange(ctx, request)
 	n.mu.Lock()
@@ -275,13 +327,10 @@
 		n.Log.Debug("exchange with peer failed", zap.String("peer", call.id), zap.Error(err))
 		return
 	}
-	n.receiveState(response.GetResponder())
-	if response.GetResponder().GetIncarnation() == request.GetChangesSource() {
-		n.recordPushed(call.id, pushed)
+	if err := n.applyResponse(response, request, sent, sentAt); err != nil {
+		n.Log.Warn("response of peer refused", zap.String("peer", response.GetResponder().GetMember().GetInstanceId()), zap.Error(err))
+		return
 	}
-	n.addMembers(response.GetMembers(), sentAt)
-	n.applyRelayedStates(response)
-	n.applyZoneSummaries(response, sentAt)
 	for _, b := range response.GetBeliefs() {
 		n.mergeReplica(b, sentAt)
 	}
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -193,7 +193,7 @@
 	now := n.Now()
 	var candidates []ranked
 	for _, r := range n.remotes {
-		if r.alive(now) && !r.leaving {
+		if r.alive(now) && !r.status.leaving {
 			candidates = append(candidates, ranked{remote: *r, weight: xxhash.Sum64String(requestID + "\x00" + r.ID)})
 		}
 	}
--- a/internal/peer/queries.go
+++ b/internal/peer/queries.go
@@ -40,18 +40,14 @@
 	}
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	now := n.Now()
-	for _, r := range n.remotes {
-		if n.countsDirectly(r) && now.Sub(r.lastReceivedAt) <= useTimeout && r.uses[id].Adapters[name] > 0 {
-			return true
-		}
-	}
-	for _, z := range n.zoneSummaries {
-		if now.Sub(z.asOf) <= useTimeout && z.uses[id].Adapters[name] > 0 {
-			return true
-		}
-	}
-	return false
+	return n.fleetSums.adapterRequests(id, name) > 0
+}
+
+// remoteUse returns what the other instances have in flight at a target.
+func (n *Network) remoteUse(id deployment.TargetID) inflight.Use {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.fleetSums.of(id, ownSource)
 }
 
 // MemberCount returns the number of known instances that may be running, this
@@ -70,7 +66,7 @@
 	now := n.Now()
 	aliveCount := 1
 	for _, r := range n.remotes {
-		if r.alive(now) || r.leaving {
+		if r.alive(now) || r.status.leaving {
 			aliveCount++
 		}
 	}
@@ -84,7 +80,7 @@
 		return n.Holder.WaitingLoads(), true
 	}
 	r, ok := n.leaseHolder(zone)
-	return r.waitingLoads, ok
+	return r.status.waitingLoads, ok
 }
 
 // MayAcquireLease reports whether this instance should try to acquire its zone's
@@ -96,7 +92,7 @@
 	}
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	able := slices.DeleteFunc(n.relayCandidates(n.Self.Zone), func(c relayCandidate) bool { return c.remote != nil && n.anyEngines(c.remote.cutOff) })
+	able := slices.DeleteFunc(n.relayCandidates(n.Self.Zone), func(c relayCandidate) bool { return c.remote != nil && n.anyEngines(c.remote.status.cutOff) })
 	rank := slices.IndexFunc(able, func(c relayCandidate) bool { return c.remote == nil })
 	return rank >= 0 && rank < relaysPerZone
 }
@@ -129,7 +125,7 @@
 	now := n.Now()
 	var members []Member
 	for _, r := range n.remotes {
-		if r.alive(now) && !r.leaving && !slices.Contains(r.cutOff, service) {
+		if r.alive(now) && !r.status.leaving && !slices.Contains(r.status.cutOff, service) {
 			members = append(members, r.Member)
 		}
 	}
@@ -144,7 +140,7 @@
 	defer n.mu.RUnlock()
 	now := n.Now()
 	for _, r := range n.remotes {
-		if r.Zone == zone && r.holdsLease && r.alive(now) && now.Sub(r.lastFailureAt) > failureBackoff {
+		if r.Zone == zone && r.status.holdsLease && r.alive(now) && now.Sub(r.lastFailureAt) > failureBackoff {
 			return *r, true
 		}
 	}
--- a/internal/peer/receive.go
+++ b/internal/peer/receive.go
@@ -11,45 +11,86 @@
 )
 
 // receiveState applies the state that another instance published. A state that
-// is not newer than the last one of the same incarnation is ignored.
-func (n *Network) receiveState(s *v1.InstanceState) {
+// is not newer than the last one of the same incarnation is ignored. It fails with
+// ErrBadMessage, and applies nothing, if the state is no valid one.
+func (n *Network) receiveState(s *v1.InstanceState, version uint32) error {
 	m := memberFrom(s.GetMember())
-	if m.ID == "" || m.ID == n.Self.ID || !m.Address.IsValid() {
-		return
+	if m.ID == n.Self.ID {
+		return nil
+	}
+	if m.ID == "" || !m.Address.IsValid() {
+		return ErrBadMessage.New("member: %q at %q is no instance", m.ID, s.GetMember().GetAddress())
+	}
+	if version > protocolVersion+1 {
+		return ErrBadMessage.New("protocol_version: %d is unknown, %d is spoken", version, protocolVersion)
 	}
 	n.mu.Lock()
-	r, ok := n.remotes[m.ID]
-	if !ok || r.Address != m.Address {
-		r = &remote{Member: m, client: n.client(m.Address)}
-		n.remotes[m.ID] = r
+	names := 0
+	if r, ok := n.remotes[m.ID]; ok && r.incarnation == s.GetIncarnation() {
+		names = len(r.names)
+	}
+	if err := validateChanges(s.GetChanges(), names); err != nil {
+		n.mu.Unlock()
+		return err
+	}
+	r := n.addMember(m)
+	if r.Address != m.Address {
+		r.client = n.client(m.Address)
 	}
 	stale := r.incarnation == s.GetIncarnation() && s.GetSequence() <= r.sequence
-	elapsed := n.Now().Sub(r.lastReceivedAt)
-	if !stale {
-		if !r.leaving && s.GetMember().GetLeaving() {
-			n.Log.Info("peer announced that it leaves", zap.String("peer", m.ID))
-		}
-		if r.incarnation != s.GetIncarnation() {
-			r.cursor = changeCursor{}
-		}
-		r.Member, r.incarnation, r.sequence = m, s.GetIncarnation(), s.GetSequence()
-		r.setStatus(s.GetMember())
-		r.lastSeenAt, r.lastReceivedAt = n.Now(), n.Now()
-		r.uses = targetUsesFrom(s.GetTargets())
-		n.remoteUsesValid = false
+	if stale {
+		n.mu.Unlock()
+		return nil
 	}
-	direct := n.countsDirectly(r)
+	if r.incarnation != s.GetIncarnation() {
+		r.restarted()
+	}
+	if !r.status.leaving && s.GetMember().GetLeaving() {
+		n.Log.Info("peer announced that it leaves", zap.String("peer", m.ID))
+	}
+	r.Member, r.incarnation, r.sequence, r.protocolVersion = m, s.GetIncarnation(), s.GetSequence(), version
+	n.setStatus(r, statusFrom(s.GetMember(), s.GetIncarnation(), s.GetSequence()))
+	r.lastSeenAt, r.lastReceivedAt = n.Now(), n.Now()
+	if version == 0 {
+		n.applyCompleteUses(r, s)
+	}
+	n.countOwnUses(r, nil, false)
 	n.mu.Unlock()
-	if stale {
-		return
+	if version == 0 {
+		n.applyCompleteState(m, s)
+		return nil
+	}
+	return n.applyChanges(m.ID, s.GetChanges(), n.Now(), nil)
+}
+
+// applyResponse applies the response to a request. sent is what the request said of this
+// instance. It fails with ErrBadMessage if a part is not valid; the parts before it are
+// applied.
+func (n *Network) applyResponse(response *v1.ExchangeResponse, request *v1.ExchangeRequest, sent sentState, sentAt time.Time) error {
+	id := response.GetResponder().GetMember().GetInstanceId()
+	if err := n.receiveState(response.GetResponder(), response.GetProtocolVersion()); err != nil {
+		return err
 	}
-	if direct {
-		n.recordAdapterUses(s.GetTargets(), elapsed)
+	if response.GetResponder().GetIncarnation() == request.GetChangesSource() {
+		n.recordPushed(id, sent.notices)
 	}
-	n.applyTeamUsage(teamUsageOf(s))
-	for _, e := range s.GetEngines() {
-		n.applyEngine(e, n.Now())
+	position := n.positionFrom(response.GetReceipt())
+	n.mu.Lock()
+	included := sent.uses
+	if r, ok := n.remotes[id]; ok && response.GetReceipt() != nil {
+		r.position = position
+		if position.own != sent.number {
+			// The responder has ignored the changes in the request.
+			included = r.included
+		}
+	}
+	n.mu.Unlock()
+	if err := n.applyChanges(id, response.GetChanges(), sentAt, included); err != nil {
+		return err
 	}
+	n.applyCompleteResponse(response, sentAt)
+	n.applyNotices(response)
+	return nil
 }
 
 // typicalRequestDuration is about how long a request runs. A request in flight
@@ -57,17 +98,42 @@
 // passed since the report before.
 const typicalRequestDuration = 1500 * time.Millisecond
 
-// recordAdapterUses passes the adapters that other instances use to this
-// instance's Holder, which counts uses on the engines that it holds the lease
-// for. elapsed is the time since the previous report of the same source.
-func (n *Network) recordAdapterUses(uses []*v1.TargetUse, elapsed time.Duration) {
-	weight := float64(min(max(elapsed, 0), exchangeInterval)) / float64(typicalRequestDuration)
-	for _, u := range uses {
-		for _, a := range u.GetAdapters() {
-			name := deployment.AdapterName{Model: a.GetModel(), Adapter: a.GetAdapter()}
-			n.Holder.RecordUse(deployment.TargetID(u.GetTargetId()), name, weight*float64(a.GetRequests()))
+// countAdapterUses tells this instance's Holder which adapters the other instances use
+// on the engines that it holds the lease for.
+func (n *Network) countAdapterUses() {
+	if !n.Holder.Holds() {
+		return
+	}
+	type adapterUse struct {
+		target   deployment.TargetID
+		adapter  deployment.AdapterName
+		requests int
+	}
+	var uses []adapterUse
+	now := n.Now()
+	n.mu.Lock()
+	elapsed := now.Sub(n.adaptersCountedAt)
+	if elapsed < adapterUseInterval {
+		n.mu.Unlock()
+		return
+	}
+	n.adaptersCountedAt = now
+	own := n.fleetSums.sources[ownSource]
+	for id, sum := range n.fleetSums.sums {
+		for name, requests := range sum.Adapters {
+			if own != nil {
+				requests -= own.uses[id].Adapters[name]
+			}
+			if name.Adapter != "" && requests > 0 {
+				uses = append(uses, adapterUse{target: id, adapter: name, requests: requests})
+			}
 		}
 	}
+	n.mu.Unlock()
+	weight := float64(min(elapsed, 2*adapterUseInterval)) / float64(typicalRequestDuration)
+	for _, u := range uses {
+		n.Holder.RecordUse(u.target, u.adapter, weight*float64(u.requests))
+	}
 }
 
 // mergeReplica merges a peer's replica of one kind of store objects. The age of
@@ -78,5 +144,10 @@
 	if !ok {
 		return
 	}
-	f.Merge(replicaStateFrom(b.GetState(), sentAt), b.GetComplete(), objectsFrom(b.GetObjects()))
+	state := replicaStateFrom(b.GetState(), sentAt)
+	if b.GetPartial() {
+		f.MergeChanges(state, b.GetChangedAfter(), objectsFrom(b.GetObjects()))
+		return
+	}
+	f.Merge(state, b.GetComplete(), objectsFrom(b.GetObjects()))
 }
--- a/internal/peer/roles.go
+++ b/internal/peer/roles.go
@@ -18,8 +18,19 @@
 	// keeps the zone connected while the failure of the first is not detected
 	// yet.
 	relaysPerZone = 2
+	// maxFirstRelayRate and maxSecondRelayRate are how many exchanges a second the
+	// instances of a zone start with its first and its second relay. In a larger zone
+	// each instance starts fewer, so that a relay's share does not grow with the zone.
+	maxFirstRelayRate  = 200
+	maxSecondRelayRate = 100
 )
 
+// relayInterval returns the interval at which each of the instances of a zone starts
+// exchanges with a relay that serves a rate a second, and no shorter one than given.
+func relayInterval(instances, rate int, shortest time.Duration) time.Duration {
+	return max(shortest, time.Duration(instances)*time.Second/time.Duration(rate))
+}
+
 // role is the part that an instance has in the exchange.
 type role int
 
@@ -50,7 +61,7 @@
 	}
 	changed := n.role != previous
 	if changed {
-		n.zoneSummaries = map[string]*zoneSummary{}
+		n.resetSums()
 	}
 	next := n.role
 	n.mu.Unlock()
@@ -59,12 +70,6 @@
 	}
 }
 
-func (n *Network) currentRole() role {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	return n.role
-}
-
 // relayCandidate is an instance that may relay for its zone; remote is nil for
 // this instance itself.
 type relayCandidate struct {
@@ -88,7 +93,7 @@
 	}
 	now := n.Now()
 	for _, r := range n.remotes {
-		if r.Zone == zone && r.alive(now) && !r.leaving {
+		if r.Zone == zone && r.alive(now) && !r.status.leaving {
 			all = append(all, relayCandidate{Member: r.Member, remote: r})
 		}
 	}
@@ -119,14 +124,17 @@
 		if n.role == roleRelayed && zone != n.Self.Zone {
 			continue
 		}
-		for i, m := range n.relays(zone) {
+		candidates := n.relayCandidates(zone)
+		for i, m := range candidates[:min(len(candidates), relaysPerZone)] {
 			if m.remote == nil {
 				continue
 			}
 			p := partner{remote: m.remote, interval: exchangeInterval}
 			switch {
 			case i == 0 && n.role == roleRelayed:
-				p.interval = firstRelayInterval
+				p.interval = relayInterval(len(candidates), maxFirstRelayRate, firstRelayInterval)
+			case n.role == roleRelayed:
+				p.interval = relayInterval(len(candidates), maxSecondRelayRate, exchangeInterval)
 			case i == 0:
 				p.interval = remoteZoneInterval
 			}
@@ -206,16 +214,22 @@
 	return slices.IndexFunc(n.relayCandidates(n.Self.Zone), func(m relayCandidate) bool { return m.remote == nil })
 }
 
-// ReadsStore reports whether this instance reads the store on behalf of its zone:
-// the first relay candidate of the zone in a full mesh, the relays in a larger
-// fleet. In a full mesh an instance that is shutting down reads it as well.
+// seedWait is how long after its start an instance with seeds leaves reading the store to
+// others: the seeds tell it who the others are.
+const seedWait = 400 * time.Millisecond
+
+// ReadsStore reports whether this instance reads the store on behalf of its zone: it is
+// the first relay candidate of the zone. In a full mesh an instance that is shutting down
+// reads it as well.
 func (n *Network) ReadsStore() bool {
+	n.init()
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	if n.role == roleMeshed {
-		return n.rank() <= 0
+	if len(n.seeds) > 0 && n.Now().Sub(n.startedAt) < seedWait {
+		return false
 	}
-	return n.role == roleRelaying
+	rank := n.rank()
+	return rank == 0 || rank < 0 && n.role == roleMeshed
 }
 
 // HearsReader reports whether another instance that reads the store on behalf of this
@@ -226,9 +240,7 @@
 	defer n.mu.RUnlock()
 	now := n.Now()
 	readers := n.relays(n.Self.Zone)
-	if n.role == roleMeshed {
-		readers = readers[:min(len(readers), 1)]
-	}
+	readers = readers[:min(len(readers), 1)]
 	return slices.ContainsFunc(readers, func(c relayCandidate) bool {
 		return c.remote != nil && now.Sub(c.remote.lastReceivedAt) <= aliveTimeout
 	})
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
 	"heatherrelay/internal/catalog"
 	"heatherrelay/internal/deployment"
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
@@ -16,33 +19,50 @@
 }
 
 // Exchange applies the sender's state and returns this instance's state, with
-// the replicas of store objects that are newer than the sender's.
+// the replicas of store objects that are newer than the sender's. A request without a
+// sender is answered and changes nothing.
 func (s *server) Exchange(_ context.Context, request *v1.ExchangeRequest) (*v1.ExchangeResponse, error) {
 	n := s.network
-	n.receiveState(request.GetSender())
+	requester, version := memberFrom(request.GetSender().GetMember()), request.GetProtocolVersion()
+	if request.GetSender() != nil {
+		if err := n.receiveState(request.GetSender(), version); err != nil {
+			n.Log.Warn("request of peer refused", zap.String("peer", requester.ID), zap.Error(err))
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+	}
 	n.addMembers(request.GetMembers(), n.Now())
 	n.mergeCrashes(request.GetCrashes())
 	n.mergeLimits(request.GetLimits())
-	requester := memberFrom(request.GetSender().GetMember())
-	response := &v1.ExchangeResponse{
-		Responder: n.nextState(),
-		Beliefs:   n.newerReplicas(request.GetBeliefs()),
-		Zones:     n.summariesFor(requester, request.GetWantsAdapters()),
-	}
-	if request.GetChangesSource() == n.Incarnation {
-		response.Members = n.memberListFor(requester.ID)
-	} else {
-		// The requester has received nothing from this incarnation yet, and may
-		// know none of the other instances.
-		response.Members = n.memberMessages()
+	response := &v1.ExchangeResponse{ProtocolVersion: protocolVersion, Beliefs: n.newerReplicas(request.GetBeliefs(), version)}
+	n.addState(response, request, requester)
+	if version == 0 {
+		n.addCompleteLists(response, request, requester)
 	}
 	if o, ok := n.Catalog.RetainedConfiguration(request.GetConfigurationVersion()); ok {
 		response.RetainedConfiguration = objectMessage(o)
 	}
-	n.addChanges(response, request, requester)
+	n.addNotices(response, request)
 	return response, nil
 }
 
+// addState adds this instance's state to a response, and what it relays to the requester.
+func (n *Network) addState(response *v1.ExchangeResponse, request *v1.ExchangeRequest, requester Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known := n.positionFrom(request.GetReceipt())
+	if r, ok := n.remotes[requester.ID]; ok {
+		r.position = known
+		response.Receipt = r.receiptMessage()
+	}
+	response.Responder = n.stateFor(requester, request.GetProtocolVersion(), known)
+	if request.GetProtocolVersion() == 0 {
+		return
+	}
+	names := known.names + uint32(len(response.Responder.GetChanges().GetNames()))
+	relayed := n.scopeFor(requester, request.GetRelaying(), request.GetWantsAdapters())
+	response.Changes = n.changesFor(relayed, known.after(relayed), names, requester)
+}
+
 // LoadAdapter has an adapter loaded on an engine that this instance holds the
 // lease for.
 func (s *server) LoadAdapter(ctx context.Context, request *v1.LoadAdapterRequest) (*v1.LoadAdapterResponse, error) {
@@ -68,15 +88,17 @@
 func (n *Network) replicaStates() []*v1.BeliefState {
 	var states []*v1.BeliefState
 	for kind, f := range n.Catalog.Followers() {
-		states = append(states, replicaStateMessage(kind, f.State(), n.Now()))
+		m := replicaStateMessage(kind, f.State(), n.Now())
+		m.NeedsComplete = f.NeedsComplete()
+		states = append(states, m)
 	}
 	return states
 }
 
 // newerReplicas returns, for each kind in known, this instance's replica for an
-// instance whose own replica has the known state. It skips the kinds for which
-// newerReplica returns nil.
-func (n *Network) newerReplicas(known []*v1.BeliefState) []*v1.Belief {
+// instance of a protocol version whose own replica has the known state. It skips the
+// kinds for which newerReplica returns nil.
+func (n *Network) newerReplicas(known []*v1.BeliefState, version uint32) []*v1.Belief {
 	followers := n.Catalog.Followers()
 	var replicas []*v1.Belief
 	for _, k := range known {
@@ -84,7 +106,7 @@
 		if !ok {
 			continue
 		}
-		if b := newerReplica(k, f, n); b != nil {
+		if b := newerReplica(k, f, version, n); b != nil {
 			replicas = append(replicas, b)
 		}
 	}
@@ -93,8 +115,9 @@
 
 // newerReplica returns this instance's replica of one kind; nil if no read of
 // the store ever confirmed it. The objects are left out if the receiver's replica
-// has the same content or a position that is not before this one's.
-func newerReplica(known *v1.BeliefState, f *catalog.Follower, n *Network) *v1.Belief {
+// has the same content or a position that is not before this one's. Only those that
+// changed are listed if the replica remembers which these are.
+func newerReplica(known *v1.BeliefState, f *catalog.Follower, version uint32, n *Network) *v1.Belief {
 	state := f.State()
 	if state.ConfirmedAt.IsZero() {
 		return nil
@@ -103,6 +126,13 @@
 	if state.ContentHash == known.GetContent() || state.Position().Compare(position) <= 0 {
 		return &v1.Belief{State: replicaStateMessage(f.Kind, state, n.Now())}
 	}
+	if version > 0 && !known.GetNeedsComplete() {
+		if state, objects, ok := f.ChangesAfter(position); ok {
+			return &v1.Belief{
+				State: replicaStateMessage(f.Kind, state, n.Now()), Partial: true, ChangedAfter: position.Revision, Objects: objectMessages(objects),
+			}
+		}
+	}
 	state, objects := f.Snapshot()
 	return &v1.Belief{
 		State:    replicaStateMessage(f.Kind, state, n.Now()),
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -32,6 +32,7 @@
 	depth float64
 	// unpublished is what this instance admitted since it last called Publish.
 	unpublished float64
+	createdAt   time.Time
 }
 
 // publishFraction is the part of a bucket's depth that an instance may admit before
@@ -75,6 +76,8 @@
 	Now     func() time.Time
 
 	mu sync.Mutex
+	// admittingSince is when the first bucket was created.
+	admittingSince time.Time
 	// buckets and admitted, which is this instance's own usage, are by team.
 	buckets  map[string]*bucket
 	admitted map[string]float64
@@ -154,7 +157,10 @@
 	b, ok := m.buckets[team.Name]
 	rate, depth := m.bucketParameters(team)
 	if !ok {
-		b = &bucket{refilledAt: m.Now(), level: depth * initialFraction}
+		b = &bucket{refilledAt: m.Now(), createdAt: m.Now(), level: depth * initialFraction}
+		if m.admittingSince.IsZero() {
+			m.admittingSince = b.createdAt
+		}
 		m.buckets[team.Name] = b
 	}
 	b.rate, b.depth = rate, depth
@@ -207,11 +213,23 @@
 	return maps.Clone(m.admitted)
 }
 
+// AdmittingFor returns how long this instance has been able to admit requests.
+func (m *Meter) AdmittingFor() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.admittingSince.IsZero() {
+		return 0
+	}
+	return m.Now().Sub(m.admittingSince)
+}
+
 // Observe applies a peer's report of what one of its incarnations has admitted since
-// it started, by team. The first report of an unknown peer deducts nothing: it is
-// about the time before this instance's buckets filled. Everything that a later
-// incarnation of a known peer admits is deducted.
-func (m *Meter) Observe(id, incarnation string, admitted map[string]float64) {
+// it started, by team; a team that is missing has not changed. Of the first report of an
+// unknown peer the part counts that falls into the time since this instance's buckets
+// were created, if the peer stated for how long it had been admitting requests; the rest
+// is about the time before. Everything that a later incarnation of a known peer admits is
+// deducted.
+func (m *Meter) Observe(id, incarnation string, admittingFor time.Duration, admitted map[string]float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.peers == nil {
@@ -221,13 +239,28 @@
 	i := slices.IndexFunc(incarnations, func(u *incarnationUsage) bool { return u.incarnation == incarnation })
 	switch {
 	case len(incarnations) == 0:
-		m.peers[id] = []*incarnationUsage{{incarnation: incarnation, admitted: admitted}}
+		m.deductFirst(admittingFor, admitted)
+		m.peers[id] = []*incarnationUsage{{incarnation: incarnation, admitted: maps.Clone(admitted)}}
 	case i < 0:
 		m.deduct(nil, admitted)
-		m.peers[id] = append(incarnations[max(len(incarnations)+1-maxIncarnations, 0):], &incarnationUsage{incarnation: incarnation, admitted: admitted})
+		m.peers[id] = append(incarnations[max(len(incarnations)+1-maxIncarnations, 0):], &incarnationUsage{incarnation: incarnation, admitted: maps.Clone(admitted)})
 	default:
 		m.deduct(incarnations[i].admitted, admitted)
-		incarnations[i].admitted = admitted
+		maps.Copy(incarnations[i].admitted, admitted)
+	}
+}
+
+// deductFirst subtracts the part of a peer's first report that falls into the time since
+// the buckets were created. The caller holds the lock.
+func (m *Meter) deductFirst(admittingFor time.Duration, admitted map[string]float64) {
+	if admittingFor <= 0 {
+		return
+	}
+	now := m.Now()
+	for team, total := range admitted {
+		if b, ok := m.buckets[team]; ok {
+			b.level -= total * min(now.Sub(b.createdAt).Seconds()/admittingFor.Seconds(), 1)
+		}
 	}
 }
 
--- a/internal/quota/meter_test.go
+++ b/internal/quota/meter_test.go
@@ -76,7 +76,7 @@
 func (f *fleet) publish(i int) {
 	for j := range f.meters {
 		if i != j && f.partitioned[i] == f.partitioned[j] {
-			f.meters[j].Observe(fmt.Sprint("instance", i), fmt.Sprint("run", f.incarnations[i]), f.meters[i].Admitted())
+			f.meters[j].Observe(fmt.Sprint("instance", i), fmt.Sprint("run", f.incarnations[i]), f.meters[i].AdmittingFor(), f.meters[i].Admitted())
 		}
 	}
 }
@@ -198,7 +198,7 @@
 	f.now = f.now.Add(10 * time.Second)
 	before := m.Level(testTeam)
 	observe := func(incarnation string, admitted float64) {
-		m.Observe("peer", incarnation, map[string]float64{testTeam.Name: admitted})
+		m.Observe("peer", incarnation, 0, map[string]float64{testTeam.Name: admitted})
 	}
 	observe("first", 100)
 	observe("first", 1100)
