--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -33,6 +33,9 @@
 	// crashesLimit is the same for reports on crashed targets, which reach most
 	// instances sooner from their peers.
 	crashesLimit = 4 * time.Second
+	// firstReplicaWait is how long after the first start of the whole fleet an instance
+	// that need not read the store waits for the replica of a peer that does.
+	firstReplicaWait = 1500 * time.Millisecond
 	// ownReadFraction is the part of a limit after which an instance whose peers have
 	// not confirmed its replica reads the store itself. The rest of the limit is left
 	// for applying the change.
@@ -71,6 +74,8 @@
 	// peers. An instance that does not relies on the replicas of its peers as long as
 	// these are recent. Nil means that it does.
 	ReadsForPeers func() bool
+	// Bootstrap is set when the whole fleet starts for the first time.
+	Bootstrap bool
 	// ConfigurationLimit and TargetsLimit are the times within which a change of the
 	// configuration and of the targets must be applied.
 	ConfigurationLimit time.Duration
@@ -129,8 +134,13 @@
 // follower returns a follower of a kind whose changes must be applied within limit.
 func (c *Catalog) follower(kind platformstore.Kind, limit time.Duration, onChange func([]platformstore.Object)) Follower {
 	maxPeerAge := time.Duration(ownReadFraction * float64(limit))
+	wait := time.Duration(0)
+	if c.Bootstrap {
+		wait = firstReplicaWait
+	}
 	return Follower{
-		Store: c.Store, Kind: kind, MaxWatchWait: time.Duration(watchWaitFraction * float64(limit)), OnChange: onChange, Now: c.Now, Log: c.Log,
+		FirstReplicaWait: wait,
+		Store:            c.Store, Kind: kind, MaxWatchWait: time.Duration(watchWaitFraction * float64(limit)), OnChange: onChange, Now: c.Now, Log: c.Log,
 		CoveredByPeers: func(age time.Duration) bool { return c.ReadsForPeers != nil && !c.ReadsForPeers() && age < maxPeerAge },
 	}
 }
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -21,9 +21,6 @@
 	peerCheckInterval = 150 * time.Millisecond
 	// probeWatchWait is the wait of a watch after a call that failed.
 	probeWatchWait = 50 * time.Millisecond
-	// firstReplicaWait is how long after its start an instance that need not read the
-	// store waits for a peer's replica.
-	firstReplicaWait = 1500 * time.Millisecond
 )
 
 // Follower keeps a replica of one kind of objects up to date with the store. Set
@@ -38,6 +35,9 @@
 	// peers keep the replica current. Its argument is the time since the last
 	// confirmation. Nil means that this instance always reads.
 	CoveredByPeers func(age time.Duration) bool
+	// FirstReplicaWait is how long after Run began an instance that need not read the
+	// store waits for a peer's replica.
+	FirstReplicaWait time.Duration
 	// BatchDelay is the pause between a result with changes and the next watch, so
 	// that changes arrive in batches.
 	BatchDelay time.Duration
@@ -116,7 +116,7 @@
 	}
 	confirmedAt := f.State().ConfirmedAt
 	if confirmedAt.IsZero() {
-		return f.Now().Sub(f.startedAt) < firstReplicaWait && f.CoveredByPeers(0)
+		return f.Now().Sub(f.startedAt) < f.FirstReplicaWait && f.CoveredByPeers(0)
 	}
 	return f.CoveredByPeers(f.Now().Sub(confirmedAt))
 }
--- a/internal/gatewayinstance/settings.go
+++ b/internal/gatewayinstance/settings.go
@@ -31,6 +31,9 @@
 	// Seeds are addresses of other instances to contact before the store answers.
 	// Their ports are ignored.
 	Seeds []netip.AddrPort `toml:"seeds"`
+	// Bootstrap is set when the whole system starts for the first time. The instances
+	// then leave reading the store to a few of them; one that restarts reads it at once.
+	Bootstrap bool `toml:"bootstrap"`
 	// KeyLimit is the longest time for which a withdrawn key may still be accepted.
 	KeyLimit settings.Duration `toml:"key_limit"`
 	// ConfigurationLimit and TargetsLimit are the times within which a change of the
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -93,6 +93,8 @@
 	// CutOff returns the services whose targets this instance does not reach; nil means
 	// that there are none.
 	CutOff func() []string
+	// Bootstrap is set when the whole fleet starts for the first time.
+	Bootstrap bool
 	// Connect returns a client of the protocol at an address; nil means one that calls it
 	// over HTTP.
 	Connect func(netip.AddrPort) heatherrelayv1connect.FleetServiceClient
--- a/internal/peer/roles.go
+++ b/internal/peer/roles.go
@@ -214,8 +214,8 @@
 	return slices.IndexFunc(n.relayCandidates(n.Self.Zone), func(m relayCandidate) bool { return m.remote == nil })
 }
 
-// seedWait is how long after its start an instance with seeds leaves reading the store to
-// others: the seeds tell it who the others are.
+// seedWait is how long after the first start of the whole fleet an instance with seeds
+// leaves reading the store to others: the seeds tell it who the others are.
 const seedWait = 400 * time.Millisecond
 
 // ReadsStore reports whether this instance reads the store on behalf of its zone: it is
@@ -225,7 +225,7 @@
 	n.init()
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	if len(n.seeds) > 0 && n.Now().Sub(n.startedAt) < seedWait {
+	if n.Bootstrap && len(n.seeds) > 0 && n.Now().Sub(n.startedAt) < seedWait {
 		return false
 	}
 	rank := n.rank()
