Soak: run two versions side by side and replace one by the other

--upgrade-from COMMIT builds that version from the history; instances begin with it, and each restart swaps the version.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,6 +25,8 @@
 	restores      bool
 	crashes       bool
 	verbose       bool
+	// previous is a commit of this repository.
+	previous string
 }
 
 func main() {
@@ -46,6 +48,7 @@
 	flags.BoolVar(&o.planned, "planned", false, "inject only planned work and silent targets, and check that no request is lost")
 	flags.BoolVar(&o.restores, "restores", false, "restore the store from older copies too")
 	flags.BoolVar(&o.crashes, "crashes", false, "send prompts that crash engines and have targets state limits, beside fewer other faults")
+	flags.StringVar(&o.previous, "upgrade-from", "", "commit whose version runs at first; restarts replace it by this one, and back")
 	flags.BoolVar(&o.verbose, "verbose", false, "print each fault")
 	if err := command.Execute(); err != nil {
 		os.Exit(1)
@@ -65,9 +68,15 @@
 	if err := build.Run(); err != nil {
 		return err
 	}
+	previous := ""
+	if o.previous != "" {
+		if previous, err = buildCommit(o.previous, dir); err != nil {
+			return err
+		}
+	}
 	failed := 0
 	for i := range o.seeds {
-		if !runSeed(o, o.seed+uint64(i), binary, dir) {
+		if !runSeed(o, o.seed+uint64(i), binary, previous, dir) {
 			failed++
 		}
 	}
@@ -78,14 +87,30 @@
 	return os.RemoveAll(dir)
 }
 
+// buildCommit builds the heatherrelay binary of a commit in dir and returns its path.
+func buildCommit(commit, dir string) (string, error) {
+	source, binary := filepath.Join(dir, "previous"), filepath.Join(dir, "heatherrelay-previous")
+	for _, command := range []*exec.Cmd{
+		exec.Command("git", "clone", "--quiet", "--no-checkout", ".", source),
+		exec.Command("git", "-C", source, "checkout", "--quiet", commit),
+		exec.Command("go", "build", "-C", source, "-o", binary, "./cmd/heatherrelay"),
+	} {
+		command.Stderr = os.Stderr
+		if err := command.Run(); err != nil {
+			return "", fmt.Errorf("build of %s: %w", commit, err)
+		}
+	}
+	return binary, nil
+}
+
 // runSeed runs one seed, prints its violations, and reports whether there were none.
-func runSeed(o options, seed uint64, binary, dir string) bool {
+func runSeed(o options, seed uint64, binary, previous, dir string) bool {
 	runDir := filepath.Join(dir, fmt.Sprint("seed-", seed))
 	if err := os.MkdirAll(runDir, 0o700); err != nil {
 		fmt.Println(err)
 		return false
 	}
-	cluster := &soak.Cluster{Seed: seed, Binary: binary, Dir: runDir, Instances: o.instances, Clients: o.clients, FaultDuration: o.faultDuration, Planned: o.planned, Restores: o.restores, Crashes: o.crashes}
+	cluster := &soak.Cluster{Seed: seed, Binary: binary, PreviousBinary: previous, Dir: runDir, Instances: o.instances, Clients: o.clients, FaultDuration: o.faultDuration, Planned: o.planned, Restores: o.restores, Crashes: o.crashes}
 	cluster.Log = func(text string) {
 		if o.verbose {
 			fmt.Println("  ", text)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -50,6 +50,9 @@
 	// Binary is the path of the heatherrelay binary; Dir is the directory for
 	// settings files and logs.
 	Binary, Dir string
+	// PreviousBinary is that of an earlier version; optional. Instances begin with it, and
+	// each restart replaces it by Binary or that by it, so that both run side by side.
+	PreviousBinary string
 	// Instances and Clients are the numbers of instances and clients.
 	Instances, Clients int
 	// Planned limits the faults to planned work, such as new configurations and
@@ -124,6 +127,14 @@
 	return eventGap
 }
 
+// binaries returns the programs that the starts of an instance use in turn.
+func (c *Cluster) binaries() []string {
+	if c.PreviousBinary == "" {
+		return []string{c.Binary}
+	}
+	return []string{c.PreviousBinary, c.Binary}
+}
+
 // Run starts the platform and the instances, sends requests while it injects faults
 // and for some time after them, and returns the violations. It fails if the
 // instances do not start.
@@ -170,7 +181,7 @@
 			return err
 		}
 		c.storeProxies = append(c.storeProxies, proxy)
-		p, err := newProcess(c.Binary, c.Dir, fmt.Sprintf("instance-%d", i), fmt.Sprintf("zone-%d", i%engineCount), proxy.Address(), keyLimit, c.shutdownGrace())
+		p, err := newProcess(c.binaries(), c.Dir, fmt.Sprintf("instance-%d", i), fmt.Sprintf("zone-%d", i%engineCount), proxy.Address(), keyLimit, c.shutdownGrace())
 		if err != nil {
 			return err
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -42,7 +42,9 @@
 	ClientAddress netip.AddrPort
 	ReadyAddress  netip.AddrPort
 
-	binary       string
+	// binaries are the programs that the starts use in turn.
+	binaries     []string
+	starts       int
 	settingsPath string
 	logPath      string
 
@@ -55,8 +57,8 @@
 
 // newProcess writes the settings file of an instance to dir, with free loopback
 // addresses. Start runs the instance.
-func newProcess(binary, dir, id, zone string, store netip.AddrPort, keyLimit, shutdownGrace time.Duration) (*Process, error) {
-	p := &Process{ID: id, binary: binary, settingsPath: filepath.Join(dir, id+".toml"), logPath: filepath.Join(dir, id+".log")}
+func newProcess(binaries []string, dir, id, zone string, store netip.AddrPort, keyLimit, shutdownGrace time.Duration) (*Process, error) {
+	p := &Process{ID: id, binaries: binaries, settingsPath: filepath.Join(dir, id+".toml"), logPath: filepath.Join(dir, id+".log")}
 	peers, err := loopback.FreeAddress()
 	if err != nil {
 		return nil, err
@@ -83,7 +85,8 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(p.binary, "gateway", "--config", p.settingsPath)
+	command := exec.Command(p.binaries[p.starts%len(p.binaries)], "gateway", "--config", p.settingsPath)
+	p.starts++
 	command.Stdout, command.Stderr = logFile, logFile
 	if err := command.Start(); err != nil {
 		return err
