Skip a response without an id on a connection whose responses name their requests

Cause: a response without an id was taken for the one that is due. A target that sends a second copy of an answer late, on a connection that is in use again, and leaves the id out, had the next caller get an answer that is not its own.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// TestLateCopyWithoutIDIsSkipped guards against callers that get the answer to another
+// request: a target sends a second copy of an answer late, when the connection carries the
+// next request, and leaves out the id that its other answers on the connection carry.
+func TestLateCopyWithoutIDIsSkipped(t *testing.T) {
+	address := serve(t, func(_, request int, id string) string {
+		if request == 0 {
+			return okResponse(id, "first")
+		}
+		return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst" + okResponse(id, "right")
+	})
+	c := newClient()
+	for id, want := range []string{"first", "right"} {
+		if body, err := do(c, address, fmt.Sprint(id)); err != nil || body != want {
+			t.Errorf("request %d: body %q, error %v, want %q", id, body, err, want)
+		}
+	}
+}
+
 // TestExtraBytesPreventConnectionReuse checks that a connection with an unrequested
 // second response is closed, so that no later request receives that response.
 func TestExtraBytesPreventConnectionReuse(t *testing.T) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,6 +22,8 @@
 	writeErr  error
 	// largeAckTimeout is set while largeRequestAckTimeout applies to the connection.
 	largeAckTimeout bool
+	// namesRequests is set once a response on the connection named its request.
+	namesRequests bool
 	// aborted is set when this side closed the connection.
 	aborted   atomic.Bool
 	closeOnce sync.Once
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -61,14 +61,16 @@
 }
 
 // readHead reads the head of the response to the request with the given id. It
-// skips responses to other requests, which a target may send late, and accepts a
-// response without a request id.
+// skips responses to other requests, which a target may send late. It accepts a
+// response without a request id, unless one with an id came on the connection before:
+// then it may be a late copy of that one.
 func (r *Response) readHead(decode func(*fasthttp.ResponseHeader) ResponseHead, id string) error {
 	for range maxStrayResponses + 1 {
 		if err := r.readNextHead(decode); err != nil {
 			return err
 		}
-		if r.RequestID == "" || r.RequestID == id {
+		if r.RequestID == id || r.RequestID == "" && !r.conn.namesRequests {
+			r.conn.namesRequests = r.RequestID != ""
 			return nil
 		}
 		if r.Length == LengthUntilClose {
