Count the silence of a target from its last event, not from its last byte

Cause: a stalled stream that sends a byte now and then was never silent, so no hedge began, and its client waited until the deadline. The silence now begins with each event; in bodies that are read whole, with each part. A slow but sound stream is not cut: its target goes on beside the hedge. TestTrickleIsSilence was seen to fail (no report of silence).

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -76,7 +76,7 @@
 	}
 	r := &Response{client: c, address: address, conn: cn, withoutBody: request.Method == http.MethodHead}
 	r.stopAbort = context.AfterFunc(ctx, cn.abort)
-	cn.silence, cn.onSilence = attempt.Silence, attempt.OnSilence
+	cn.setSilence(attempt.Silence, attempt.OnSilence)
 	if err := cn.writeRequest(c.Encode(nil, request, attempt)); err != nil {
 		r.fail(err)
 		return nil, ErrNotSent.Wrap(err)
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -254,6 +254,66 @@
 	}
 }
 
+// TestTrickleIsSilence guards against stalled streams that send a byte now and then and
+// are never hedged: bytes that complete no event do not end the silence of a target.
+func TestTrickleIsSilence(t *testing.T) {
+	const silence, steps = 40 * time.Millisecond, 20
+	address := serveTrickle(t, steps, silence/4)
+	reports := 0
+	attempt := &upstream.Attempt{Silence: silence, OnSilence: func() { reports++ }}
+	response, err := newClient().Do(context.Background(), address, &upstream.Request{ID: "1", Method: http.MethodPost, URI: "/"}, attempt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.SetSilence(silence, func() { reports++ })
+	if n, err := io.Copy(io.Discard, response); err != nil || n != steps || reports < 2 {
+		t.Errorf("%d bytes, error %v, %d reports of silence, want 2 or more", n, err, reports)
+	}
+}
+
+// TestSlowBodyIsNotSilent checks that a body that is read whole, and of which a part
+// arrives in each silence, is not reported as silent.
+func TestSlowBodyIsNotSilent(t *testing.T) {
+	const silence, steps = 200 * time.Millisecond, 8
+	address := serveTrickle(t, steps, silence/4)
+	reports := 0
+	attempt := &upstream.Attempt{Silence: silence, OnSilence: func() { reports++ }}
+	response, err := newClient().Do(context.Background(), address, &upstream.Request{ID: "1", Method: http.MethodPost, URI: "/"}, attempt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := response.ReadAll(); err != nil || len(body) != steps || reports > 0 {
+		t.Errorf("%d bytes, error %v, %d reports of silence", len(body), err, reports)
+	}
+}
+
+// serveTrickle starts a server that answers one request with a body of which it sends a
+// byte after each pause.
+func serveTrickle(t *testing.T, bytes int, pause time.Duration) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", bytes)
+		for range bytes {
+			time.Sleep(pause)
+			_, _ = conn.Write([]byte("x"))
+		}
+	}()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
 // TestSilentTargetTimesOut checks that a request to a silent target fails when its
 // context ends, which OnSilence may bring about.
 func TestSilentTargetTimesOut(t *testing.T) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -29,11 +29,11 @@
 	closeOnce sync.Once
 	// idleUntil is when this side closes the connection if it is still idle.
 	idleUntil time.Time
-	// silence is how long a read waits for the next byte before it calls onSilence and
-	// waits on; zero means that it does not call it. Only the reading goroutine uses
-	// the two.
-	silence   time.Duration
-	onSilence func()
+	// silence is how long after silentSince a read calls onSilence and waits on; zero
+	// means that it does not call it. Only the reading goroutine uses the three.
+	silence     time.Duration
+	onSilence   func()
+	silentSince time.Time
 }
 
 func newConn(raw net.Conn) *conn {
@@ -42,13 +42,18 @@
 	return c
 }
 
-// Read reads from the connection. While no byte arrives it calls onSilence after each
-// silence.
+// setSilence replaces silence and onSilence, and has silence begin now.
+func (c *conn) setSilence(silence time.Duration, onSilence func()) {
+	c.silence, c.onSilence, c.silentSince = silence, onSilence, time.Now()
+}
+
+// Read reads from the connection. It calls onSilence after each silence. That bytes
+// arrive does not end a silence: they may complete no event of a stream.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		var deadline time.Time
 		if c.silence > 0 {
-			deadline = time.Now().Add(c.silence)
+			deadline = c.silentSince.Add(c.silence)
 		}
 		if err := c.SetReadDeadline(deadline); err != nil {
 			return 0, err
@@ -57,6 +62,7 @@
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
+		c.silentSince = time.Now()
 		c.onSilence()
 	}
 }
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -75,8 +75,9 @@
 	// PossibleCauses are what is to blame if the target crashes: the digest of the request
 	// and the shared parts of its prompt. They are not sent to the target.
 	PossibleCauses []string
-	// Silence is how long the target may send nothing before OnSilence is called, and
-	// is called again after each further Silence. Zero means that it is never called.
+	// Silence is how long the target may send nothing, or no complete event of a stream,
+	// before OnSilence is called, and is called again after each further Silence. Zero
+	// means that it is never called.
 	Silence time.Duration
 	// OnSilence runs in the goroutine that waits for the response. The wait goes on
 	// after it returns, unless the attempt's context has ended.
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -201,10 +201,13 @@
 // client buffers at present.
 type bufferedReader struct{ *Response }
 
-// Read reads from the body. It fails when all responses together exceed
-// maxBufferedBytes.
+// Read reads from the body, of which each part ends the target's silence. It fails when
+// all responses together exceed maxBufferedBytes.
 func (b *bufferedReader) Read(p []byte) (int, error) {
 	n, err := b.Response.Read(p)
+	if n > 0 && !b.ended && b.conn != nil {
+		b.conn.silentSince = time.Now()
+	}
 	if b.client.buffered.Add(int64(n)) > maxBufferedBytes && err == nil {
 		b.Close()
 		err = ErrIncompleteResponse.New("more than %d bytes of responses in memory", int64(maxBufferedBytes))
@@ -233,7 +236,7 @@
 			r.source.Close()
 			return
 		}
-		r.conn.silence, r.conn.onSilence = 0, nil
+		r.conn.setSilence(0, nil)
 		unusable := r.ResponseHead.Close || r.Length == LengthUntilClose || r.conn.reader.Buffered() > 0 || !r.conn.requestWritten()
 		if !r.stopAbort() || unusable {
 			r.conn.abort()
@@ -254,7 +257,7 @@
 	r.Close()
 }
 
-// SetSilence replaces the Silence and OnSilence of the attempt. It must not be called
+// SetSilence replaces the Silence and OnSilence of the attempt; the silence begins now. It must not be called
 // while another goroutine reads the response. It has no effect on a response that has
 // ended, whose connection may serve another request.
 func (r *Response) SetSilence(silence time.Duration, onSilence func()) {
@@ -265,7 +268,7 @@
 		r.source.SetSilence(silence, onSilence)
 		return
 	}
-	r.conn.silence, r.conn.onSilence = silence, onSilence
+	r.conn.setSilence(silence, onSilence)
 }
 
 // Close abandons the response and closes its connection, which the target notices.
