Look for unknown seeds only when they are due

Cause (profile of the simulated exchange at 340 instances): a quarter of the time went into a set of all addresses, formed 20 times a second by every instance.

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -286,10 +286,6 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var due []dueExchange
-	knownAddresses := map[netip.AddrPort]bool{}
-	for _, r := range n.remotes {
-		knownAddresses[r.Address] = true
-	}
 	now := n.Now()
 	for _, p := range n.partners() {
 		if !p.exchangeInFlight && (immediate || now.Sub(p.exchangeStartedAt) >= p.interval-tickInterval/2) {
@@ -305,12 +301,26 @@
 		r.exchangeInFlight, r.exchangeStartedAt = true, now
 		due = append(due, dueExchange{id: r.ID, client: r.client})
 	}
+	return append(due, n.unknownSeeds()...)
+}
+
+// unknownSeeds returns exchanges with the seeds whose address belongs to no known member.
+// The caller holds the lock.
+func (n *Network) unknownSeeds() []dueExchange {
+	if len(n.seeds) == 0 {
+		return nil
+	}
+	known := make(map[netip.AddrPort]bool, len(n.remotes))
+	for _, r := range n.remotes {
+		known[r.Address] = true
+	}
+	var unknown []dueExchange
 	for address, client := range n.seeds {
-		if !knownAddresses[address] {
-			due = append(due, dueExchange{client: client})
+		if !known[address] {
+			unknown = append(unknown, dueExchange{client: client})
 		}
 	}
-	return due
+	return unknown
 }
 
 // exchange runs one exchange and applies the response.
