--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -205,7 +205,8 @@
 // all responses together exceed maxBufferedBytes.
 func (b *bufferedReader) Read(p []byte) (int, error) {
 	n, err := b.Response.Read(p)
-	if n > 0 && !b.ended && b.conn != nil {
+	// After an error the connection may serve another request.
+	if n > 0 && err == nil && b.conn != nil {
 		b.conn.silentSince = time.Now()
 	}
 	if b.client.buffered.Add(int64(n)) > maxBufferedBytes && err == nil {
