Remember deletions at the revision up to which they were read

Cause: a deletion that carries the revision of the object's last write was not listed to peers that had that write; their content then differed, and they asked for all objects. The property test, which now draws such deletions and fails when changes do not lead to the reader's content, was seen to fail.

--- a/internal/catalog/history_test.go
+++ b/internal/catalog/history_test.go
@@ -36,8 +36,11 @@
 				from := reader.Position()
 				revision++
 				o := platformstore.Object{Name: fmt.Sprint("o", rapid.IntRange(0, 5).Draw(t, "name")), Revision: revision, Value: json.RawMessage(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "value")))}
-				if _, ok := stored[o.Name]; ok && rapid.Bool().Draw(t, "deleted") {
+				if last, ok := stored[o.Name]; ok && rapid.Bool().Draw(t, "deleted") {
 					o.Deleted = true
+					if rapid.Bool().Draw(t, "revision_of_last_write") {
+						o.Revision = last.Revision
+					}
 					delete(stored, o.Name)
 				} else {
 					stored[o.Name] = o
@@ -61,8 +64,11 @@
 // them, else by all objects.
 func syncReplicas(t *rapid.T, reader, follower *catalog.Replica) {
 	changes, ok := reader.ChangesAfter(follower.Position())
-	if ok && follower.Known() && !follower.NeedsComplete() {
+	if ok && follower.Known() {
 		follower.MergeChanges(reader.State, follower.Revision, changes)
+		if follower.NeedsComplete() {
+			t.Fatalf("the changes %v do not lead to the reader's content", changes)
+		}
 	} else {
 		follower.Merge(reader.State, true, reader.Objects())
 	}
--- a/internal/catalog/replica.go
+++ b/internal/catalog/replica.go
@@ -110,20 +110,24 @@
 	}
 	before := r.ContentHash
 	for _, o := range page.Objects {
-		r.applyObject(o)
+		r.applyObject(o, page.Revision)
 	}
 	r.advance(page.Position(), sentAt)
 	return r.ContentHash != before
 }
 
-// applyObject applies one change, unless the replica holds the object at a later
-// revision.
-func (r *Replica) applyObject(o platformstore.Object) {
+// applyObject applies one change from a list up to a revision, unless the replica holds
+// the object at a later one.
+func (r *Replica) applyObject(o platformstore.Object, upTo uint64) {
 	current, ok := r.objects[o.Name]
 	if ok && o.Revision < current.Revision || !ok && o.Deleted {
 		return
 	}
-	if !ok || o.Deleted || !bytes.Equal(current.Value, o.Value) {
+	switch {
+	case o.Deleted:
+		// A deletion may carry the revision of the last write.
+		r.history.record(o.Name, upTo)
+	case !ok || !bytes.Equal(current.Value, o.Value):
 		r.history.record(o.Name, o.Revision)
 	}
 	if ok {
@@ -166,7 +170,7 @@
 	}
 	merged := Replica{State: r.State, objects: maps.Clone(r.objects), history: r.history.clone()}
 	for _, o := range objects {
-		merged.applyObject(o)
+		merged.applyObject(o, peer.Revision)
 	}
 	if merged.ContentHash != peer.ContentHash {
 		r.needsComplete = true
