--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -7,6 +7,9 @@
 // one, a few instances of each zone are relays: the other instances of the zone
 // exchange with them, and they exchange totals per zone with the relays of the
 // other zones.
+//
+// Each instance keeps one log of what it tells others (stateLog). A receiver states
+// what it has of it and gets what changed since.
 package peer
 
 import (
--- a/internal/peer/state_log.go
+++ b/internal/peer/state_log.go
@@ -219,7 +219,7 @@
 	return &v1.MemberChange{Member: m, Silent: !r.stated, Incarnation: r.status.incarnation, StatusSequence: r.status.sequence}
 }
 
-// receiptFor returns what this instance has of another one's log. The caller holds the
+// receiptMessage states what this instance has of another one's log. The caller holds the
 // lock.
 func (r *remote) receiptMessage() *v1.Receipt {
 	return &v1.Receipt{
