Drop targets that a relay of the former version leaves out

Cause (found when reading the diff): the sums of a relay of version 0 were merged into those known, so that a target without requests, which such a relay does not list, counted as loaded until the role changed.

--- a/internal/peer/legacy.go
+++ b/internal/peer/legacy.go
@@ -95,12 +95,18 @@
 			total[id] = total[id].With(use)
 		}
 	}
+	changes := maps.Clone(total)
+	for id := range r.sums {
+		if _, ok := total[id]; !ok {
+			changes[id] = inflight.TargetUse{}
+		}
+	}
 	r.sums = total
 	s := scopeZone
 	if r.Zone == n.Self.Zone {
 		s = scopeFleet
 	}
-	n.countSums(r, s, total, sentAt, nil)
+	n.countSums(r, s, changes, sentAt, nil)
 }
 
 // addCompleteLists adds to a response what an instance of version 0 expects.
--- a/internal/peer/legacy_test.go
+++ b/internal/peer/legacy_test.go
@@ -24,7 +24,9 @@
 	sequence uint64
 	admitted float64
 	requests int64
-	// received is the last response to a call, or the last request that came.
+	// zones are the sums that it returns as a relay.
+	zones []*v1.ZoneSummary
+	// received is the last request that came.
 	received *v1.ExchangeRequest
 }
 
@@ -54,7 +56,7 @@
 	response := &v1.ExchangeResponse{Responder: o.state()}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.received = request
+	o.received, response.Zones = request, o.zones
 	return response, nil
 }
 
@@ -137,6 +139,35 @@
 	})
 }
 
+// TestSumsOfOldRelayReplaceEarlierOnes guards against targets that count as loaded for
+// good behind a relay of version 0, which leaves a target out once nothing is in flight
+// there.
+func TestSumsOfOldRelayReplaceEarlierOnes(t *testing.T) {
+	t.Parallel()
+	p, relay := newTestPeer(t), newOldInstance(t, "relay")
+	relay.member.Capacity = 9
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go p.Run(ctx)
+	p.publish(t, relay.state())
+	for i := range 20 {
+		p.AddMember(peer.Member{ID: fmt.Sprint("near-", i), Zone: "zone-0", Address: netip.MustParseAddrPort("127.0.0.1:2"), Capacity: 5})
+	}
+	sum := func(requests ...int64) {
+		relay.mu.Lock()
+		defer relay.mu.Unlock()
+		z := &v1.ZoneSummary{Zone: "zone-0", Source: "relay"}
+		for i, n := range requests {
+			z.Targets = append(z.Targets, &v1.TargetUse{TargetId: fmt.Sprint("engine-", i+1), Requests: n})
+		}
+		relay.zones = []*v1.ZoneSummary{z}
+	}
+	sum(3, 4)
+	await(t, "the sums are counted", func() bool { return p.Use("engine-1").Requests == 3 && p.Use("engine-2").Requests == 4 })
+	sum(2)
+	await(t, "a target that is left out has none", func() bool { return p.Use("engine-1").Requests == 2 && p.Use("engine-2").Requests == 0 })
+}
+
 // TestBadMessagesChangeNothing checks that a message that no instance of a known version
 // sends is refused whole.
 func TestBadMessagesChangeNothing(t *testing.T) {
