--- a/internal/quota/first_report_test.go
+++ b/internal/quota/first_report_test.go
@@ -36,6 +36,22 @@
 	}
 }
 
+// TestEarlierIncarnationsAreNotChargedToAStartedInstance guards against an instance that
+// starts in a fleet whose members have restarted before, and refuses teams within their
+// rate: relays list to it what the ended incarnations admitted, in any order.
+func TestEarlierIncarnationsAreNotChargedToAStartedInstance(t *testing.T) {
+	f := newFleet(1)
+	m := f.meters[0]
+	m.Prepare([]*deployment.Team{testTeam})
+	f.now = f.now.Add(100 * time.Millisecond)
+	before := m.Level(testTeam)
+	m.Observe("peer", "second", 20*time.Second, map[string]float64{testTeam.Name: 1_000_000})
+	m.Observe("peer", "first", 10*time.Second, map[string]float64{testTeam.Name: 1_000_000})
+	if deducted := before - m.Level(testTeam); deducted > 20_000 {
+		t.Errorf("%.0f tokens deducted for the time before the start", deducted)
+	}
+}
+
 // TestReportsOfChangedTeamsOnly checks that a report that names only the teams whose
 // amount has changed leaves the others as they are.
 func TestReportsOfChangedTeamsOnly(t *testing.T) {
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -227,8 +227,8 @@
 // it started, by team; a team that is missing has not changed. Of the first report of an
 // unknown peer the part counts that falls into the time since this instance's buckets
 // were created, if the peer stated for how long it had been admitting requests; the rest
-// is about the time before. Everything that a later incarnation of a known peer admits is
-// deducted.
+// is about the time before. The same holds for the first report of each further
+// incarnation; if it states no time, all of it is deducted.
 func (m *Meter) Observe(id, incarnation string, admittingFor time.Duration, admitted map[string]float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -242,7 +242,11 @@
 		m.deductFirst(admittingFor, admitted)
 		m.peers[id] = []*incarnationUsage{{incarnation: incarnation, admitted: maps.Clone(admitted)}}
 	case i < 0:
-		m.deduct(nil, admitted)
+		if admittingFor > 0 {
+			m.deductFirst(admittingFor, admitted)
+		} else {
+			m.deduct(nil, admitted)
+		}
 		m.peers[id] = append(incarnations[max(len(incarnations)+1-maxIncarnations, 0):], &incarnationUsage{incarnation: incarnation, admitted: maps.Clone(admitted)})
 	default:
 		m.deduct(incarnations[i].admitted, admitted)
@@ -250,7 +254,7 @@
 	}
 }
 
-// deductFirst subtracts the part of a peer's first report that falls into the time since
+// deductFirst subtracts the part of an incarnation's first report that falls into the time since
 // the buckets were created. The caller holds the lock.
 func (m *Meter) deductFirst(admittingFor time.Duration, admitted map[string]float64) {
 	if admittingFor <= 0 {
