--- a/internal/forwarding/client.go
+++ b/internal/forwarding/client.go
@@ -204,7 +204,7 @@
 		s.Close()
 		return nil, err
 	}
-	return c.Upstream.ResponseFrom(headFrom(head), upstream.Source{Body: s, Close: s.Close, SetSilence: s.SetSilence}), nil
+	return c.Upstream.ResponseFrom(headFrom(head), upstream.Source{Body: s, Close: s.Close, SetSilence: s.SetSilence, MarkProgress: s.MarkProgress}), nil
 }
 
 // linkError returns the error of an attempt whose link failed. Without a connection nothing
--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -264,6 +264,31 @@
 	}
 }
 
+// TestTrickleThroughPeerIsSilence guards against stalled streams that are never hedged
+// because a peer passes a byte on now and then: silence is counted from when it was set,
+// which is at each event, and not from the last message.
+func TestTrickleThroughPeerIsSilence(t *testing.T) {
+	const silence, steps = 60 * time.Millisecond, 20
+	peer := newPeer(t, addressOf(newTarget(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		for range steps {
+			_, _ = w.Write([]byte("x"))
+			w.(http.Flusher).Flush()
+			time.Sleep(silence / 4)
+		}
+	})))
+	r, a := request()
+	response, err := newClient(peer).Do(context.Background(), target, r, a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reports := 0
+	response.SetSilence(silence, func() { reports++ })
+	if _, err := io.Copy(io.Discard, response); err != nil || reports < 2 {
+		t.Errorf("error %v, %d reports of silence, want 2 or more", err, reports)
+	}
+}
+
 // TestPeerBoundsAttempts guards against an instance that runs out of memory because of the
 // attempts of its peers.
 func TestPeerBoundsAttempts(t *testing.T) {
--- a/internal/forwarding/stream.go
+++ b/internal/forwarding/stream.go
@@ -13,8 +13,8 @@
 	"heatherrelay/internal/upstream"
 )
 
-// stream is the response of a target as a peer sends it. While no message arrives, it
-// calls onSilence after each silence, like a connection to a target. Reads are made by one
+// stream is the response of a target as a peer sends it. It calls onSilence after each
+// silence, which messages do not end, like a connection to a target. Reads are made by one
 // goroutine at a time; any goroutine may close the stream, which ends a read in progress.
 type stream struct {
 	ctx      context.Context
@@ -32,8 +32,10 @@
 	pending []byte
 	err     error
 
-	silence   time.Duration
-	onSilence func()
+	// silence is how long after silentSince onSilence is called; zero means never.
+	silence     time.Duration
+	onSilence   func()
+	silentSince time.Time
 }
 
 // received is a message of a peer, or the error that ended the link.
@@ -70,18 +72,21 @@
 	return &stream{ctx: ctx, cancel: cancel, messages: arrived, done: done}
 }
 
-// SetSilence sets after how long without a message onSilence is called; zero means never.
+// SetSilence replaces silence and onSilence, and has silence begin now.
 func (s *stream) SetSilence(silence time.Duration, onSilence func()) {
-	s.silence, s.onSilence = silence, onSilence
+	s.silence, s.onSilence, s.silentSince = silence, onSilence, time.Now()
 }
 
+// MarkProgress has silence begin now.
+func (s *stream) MarkProgress() { s.silentSince = time.Now() }
+
 // next returns the next message. Its errors are those of the attempt; io.EOF means that
 // the response is complete.
 func (s *stream) next() (*v1.ForwardResponse, error) {
 	for {
 		var silent <-chan time.Time
 		if s.silence > 0 {
-			silent = time.After(s.silence)
+			silent = time.After(time.Until(s.silentSince.Add(s.silence)))
 		}
 		select {
 		case r := <-s.messages:
@@ -97,6 +102,7 @@
 		case <-s.done:
 			return nil, upstream.ErrIncompleteResponse.Wrap(ErrPeer.New("the response was closed"))
 		case <-silent:
+			s.MarkProgress()
 			s.onSilence()
 		}
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -206,8 +206,8 @@
 func (b *bufferedReader) Read(p []byte) (int, error) {
 	n, err := b.Response.Read(p)
 	// After an error the connection may serve another request.
-	if n > 0 && err == nil && b.conn != nil {
-		b.conn.silentSince = time.Now()
+	if n > 0 && err == nil {
+		b.markProgress()
 	}
 	if b.client.buffered.Add(int64(n)) > maxBufferedBytes && err == nil {
 		b.Close()
@@ -216,6 +216,15 @@
 	return n, err
 }
 
+// markProgress ends a silence of the target. The response must not have ended.
+func (r *Response) markProgress() {
+	if r.source != nil {
+		r.source.MarkProgress()
+		return
+	}
+	r.conn.silentSince = time.Now()
+}
+
 // Discard reads the rest of the body, up to limit bytes and for at most timeout, so that
 // the connection can be used again. A response with more is closed.
 func (r *Response) Discard(limit int64, timeout time.Duration) {
--- a/internal/upstream/source.go
+++ b/internal/upstream/source.go
@@ -13,6 +13,8 @@
 	Close func()
 	// SetSilence replaces the Silence and OnSilence of the attempt.
 	SetSilence func(silence time.Duration, onSilence func())
+	// MarkProgress ends a silence; the next one begins now.
+	MarkProgress func()
 }
 
 // ResponseFrom returns a response whose head has been received from a source. Its body has
