review: case 2, a stream that ends with its engine looks complete

An engine that is taken away ends its streams without a length or chunks with their connections; clients get them as complete.

--- a/review/program/main.go
+++ b/review/program/main.go
@@ -28,6 +28,7 @@
 // cases are the cases by their numbers. Each reports whether the rule was broken.
 var cases = map[string]func(*testCase) (bool, error){
 	"1": endlessReport,
+	"2": spotInStream,
 }
 
 func main() { os.Exit(run()) }
