--- a/review/program/main.go
+++ b/review/program/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(*testCase) (bool, error){
 	"1": endlessReport,
 	"2": spotInStream,
+	"3": crashInAnswer,
 }
 
 func main() { os.Exit(run()) }
