review: case 4, streams of two software versions after all instances were killed

A release ends while all instances are killed; clients take streams of the old version up and get the rest from the new one.

--- a/review/program/main.go
+++ b/review/program/main.go
@@ -30,6 +30,7 @@
 	"1": endlessReport,
 	"2": spotInStream,
 	"3": crashInAnswer,
+	"4": versionsMixed,
 }
 
 func main() { os.Exit(run()) }
