review: case 5, resumed streams are refused after all instances were killed

While workers of two software versions serve, streams that were broken off by a total restart are refused at instances in touch, and new ones begin.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,8 +17,8 @@
 	ID, Method, Path, Key, Body string
 	Deadline                    time.Duration
 	Header                      map[string]string
-	// OnBytes is called with what has arrived of the body so far; may be nil.
-	OnBytes func(body string)
+	// Until is closed when the client leaves; nil if it stays.
+	Until <-chan struct{}
 }
 
 // Answer is what the client received.
@@ -51,7 +52,16 @@
 	}
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
 	client := http.Client{Timeout: r.Deadline, Transport: transport}
-	response, err := client.Do(request)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-r.Until:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	response, err := client.Do(request.WithContext(ctx))
 	if err != nil {
 		a.Err = err
 		return a
@@ -64,9 +74,6 @@
 		n, err := response.Body.Read(buffer)
 		body.Write(buffer[:n])
 		a.Body = body.String()
-		if n > 0 && r.OnBytes != nil {
-			r.OnBytes(a.Body)
-		}
 		if err != nil {
 			a.Complete, a.Err = err == io.EOF, err
 			return a
--- a/review/program/main.go
+++ b/review/program/main.go
@@ -31,7 +31,7 @@
 	"2": spotInStream,
 	"3": crashInAnswer,
 	"4": versionsMixed,
-	"5": largeBodies,
+	"5": resumesRefused,
 }
 
 func main() { os.Exit(run()) }
--- a/review/program/versions.go
+++ b/review/program/versions.go
@@ -70,11 +70,7 @@
 func versionsMixed(c *testCase) (bool, error) {
 	store := platformtest.NewStore()
 	defer store.Close()
-	routes := platformtest.StandardRoutes()
-	for _, route := range routes {
-		route["timeout-ms"] = streamDeadline.Milliseconds()
-	}
-	platformtest.Config{Version: 1, Routes: routes, Rate: 1_000_000, Burst: 1_000_000, Keys: map[string]string{"key-a": "team-a"}}.Publish(store)
+	publishStreamRoutes(store)
 	r := &release{store: store}
 	zones := []string{"a", "b", "c"}
 	for i, zone := range zones {
