--- a/review/program/resume.go
+++ b/review/program/resume.go
@@ -16,10 +16,9 @@
 	// start to the break.
 	resumableEvents = 60
 	breakAfter      = 2 * time.Second
-	// firstPause is the least time between the first and the second attempt of a client to
-	// take a stream up; it doubles with each. A client makes resumeAttempts.
-	firstPause     = 300 * time.Millisecond
-	resumeAttempts = 5
+	// resumeDelay is the time from the break, or from the new start of the instances, to the
+	// one attempt of each client to take its stream up.
+	resumeDelay = 4 * time.Second
 	// stableWindow is how long an instance must have run undisturbed to be in touch.
 	stableWindow = 3 * time.Second
 	// newStreamsAfter is the time from the break to the new streams.
@@ -109,7 +108,7 @@
 }
 
 // breakAndResume has a client begin a stream, leave it when it is broken off, and take it up
-// again.
+// again once.
 func (c *testCase) breakAndResume(s *resumedStream, i int, broken <-chan struct{}, runningSince func() time.Time) {
 	start := time.Now()
 	first := s.id + "-begins"
@@ -122,22 +121,15 @@
 		return
 	}
 	<-broken
-	pause := firstPause
-	for attempt := range resumeAttempts {
-		p := c.readyInstance(i + attempt + 1)
-		id := fmt.Sprintf("%s-again-%d", s.id, attempt)
-		inTouch := time.Since(runningSince()) >= stableWindow
-		a := harness.Send(p, streamRequest(id, first, s.events, streamDeadline-time.Since(start)))
-		got := wholeEvents(a)
-		c.record.Printf("%s at %s, in touch %t, after event %d: status %d, Retry-After %q, %d events of v1, %d of v2, complete %t", id, p.ID, inTouch, strings.Count(s.events, "\n\n"),
-			a.Status, a.Header.Get("Retry-After"), strings.Count(got, "of v1"), strings.Count(got, "of v2"), a.Complete)
-		s.inTouch, s.wentOn = s.inTouch || inTouch, got != ""
-		if s.wentOn {
-			return
-		}
-		time.Sleep(pause)
-		pause *= 2
-	}
+	time.Sleep(resumeDelay)
+	p := c.readyInstance(i + 1)
+	id := s.id + "-again"
+	s.inTouch = time.Since(runningSince()) >= stableWindow
+	a = harness.Send(p, streamRequest(id, first, s.events, streamDeadline-time.Since(start)))
+	got := wholeEvents(a)
+	c.record.Printf("%s at %s, in touch %t, after event %d: status %d, Retry-After %q, %d events of v1, %d of v2, complete %t", id, p.ID, s.inTouch, strings.Count(s.events, "\n\n"),
+		a.Status, a.Header.Get("Retry-After"), strings.Count(got, "of v1"), strings.Count(got, "of v2"), a.Complete)
+	s.wentOn = got != ""
 }
 
 // readyInstance returns the first instance from a number on that is ready, once one is.
