Streams: what is no event of a target's stream reaches no client

Callers saw the text of an error, or the whole head of a response, in the middle of their stream, and a stream that ended as complete after it (ORDER, MIXED).

Cause: each block of lines up to an empty one counted as an event, whatever its lines were, and a block without an id was in order after any other. That held for the first target, for one that a stream goes on at, for hedges, and for responses that a peer passes on.

Change: an event has one id, which is a number above the last one, data, and no lines but comments and the fields of events (eventstream.Event.Check). The field that the platform adds is named in platform/. All streams of a gateway are read through one reader (gateway/events.go); what is no event breaks the stream off like any other fault of the target, so that it goes on elsewhere where that is allowed. Comments go to the client with the next event, up to 64 KiB of them, and end no silence.

Test changed: "an id is empty" of TestNoPieceIsLostOrDoubled wanted an event without an id to be passed on. Events have increasing ids, so it now wants the stream to go on elsewhere or to be broken off, as for any other such text.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -20,15 +20,6 @@
 	bufferSize    = 4 << 10
 )
 
-// Event is one server-sent event.
-type Event struct {
-	// ID is the value of the event's id field; empty if it has none.
-	ID string
-	// Raw holds the bytes of the event as received, including the empty line that
-	// ends it.
-	Raw []byte
-}
-
 // Reader reads the events of a stream. A line ends with a line feed, perhaps after a
 // carriage return, or, in a stream whose first line ends so, with a carriage return alone.
 type Reader struct {
@@ -43,7 +34,8 @@
 
 // Next returns the next complete event. It returns io.EOF after the last one, and
 // an error of class ErrTruncated if the stream ends within an event or an event is
-// longer than maxEventBytes.
+// longer than maxEventBytes. With another error it returns the bytes that it read of the
+// event before it.
 func (r *Reader) Next() (Event, error) {
 	var event Event
 	for {
@@ -56,7 +48,7 @@
 			return Event{}, ErrTruncated.New("%d bytes", len(event.Raw))
 		}
 		if err != nil {
-			return Event{}, err
+			return Event{Raw: event.Raw}, err
 		}
 		text := bytes.TrimRight(event.Raw[start:], "\r\n")
 		if len(text) == 0 {
--- a/internal/gateway/break.go
+++ b/internal/gateway/break.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 
+	"heatherrelay/internal/eventstream"
 	"heatherrelay/internal/liveness"
 )
 
@@ -20,6 +21,8 @@
 	// breakDoubt means that the connection ended a response without a length or chunks, and
 	// that the target was not known to run after that.
 	breakDoubt breakReason = "doubt"
+	// breakMalformed means that the target sent what is no event.
+	breakMalformed breakReason = "malformed"
 	// breakClosed means that the connection ended within the response, or that the
 	// response was malformed.
 	breakClosed breakReason = "closed"
@@ -36,14 +39,22 @@
 		return breakCancelled
 	case errStream.Has(err):
 		return breakOrder
-	case liveness.ErrUnknown.Has(err), liveness.ErrUndecided.Has(err):
+	case endInDoubt(err):
 		return breakDoubt
+	case eventstream.ErrMalformed.Has(err):
+		return breakMalformed
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return breakTimeout
 	}
 	return breakClosed
 }
 
+// endInDoubt reports whether a response ended with its connection, of a target that was not
+// known to run after that.
+func endInDoubt(err error) bool {
+	return liveness.ErrUnknown.Has(err) || liveness.ErrUndecided.Has(err)
+}
+
 // recordBreak records in the trace and in the metrics that the target's stream
 // ended early.
 func (e *exchange) recordBreak(err error) {
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -61,7 +61,7 @@
 // prefetched is what a hedge has read of its response: the whole body, or the first
 // event with the reader of the further ones.
 type prefetched struct {
-	reader *eventstream.Reader
+	reader *eventReader
 	event  eventstream.Event
 	err    error
 	body   []byte
@@ -187,8 +187,8 @@
 
 // prefetchEvent reads the first event. It must follow the last one that the client has.
 func (e *exchange) prefetchEvent() *refusal.Error {
-	p := &prefetched{reader: eventstream.NewReader(e.response)}
-	p.event, p.err = p.reader.Next()
+	p := &prefetched{reader: e.newEventReader()}
+	p.event, p.err = p.reader.next(e.lastEventID)
 	p.err = e.checkStreamEnd(p.err)
 	if h := e.settleHedge(p.err == nil || errors.Is(p.err, io.EOF)); h != nil {
 		e.adopt(h)
@@ -197,9 +197,6 @@
 	if p.err != nil && !errors.Is(p.err, io.EOF) {
 		return refusal.MayHaveRun(refusal.CodeBrokenStream, "the target broke the hedge off").WithCause(p.err)
 	}
-	if p.event.ID != "" && !inOrder(e.lastEventID, p.event.ID) {
-		return refusal.MayHaveRun(refusal.CodeBrokenStream, "the hedge sent event id %s after %s", p.event.ID, e.lastEventID)
-	}
 	if p.err == nil {
 		e.observeEvent()
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -81,6 +81,8 @@
 	// refusal.
 	DecodeRequest func(header *fasthttp.RequestHeader, body []byte) (*upstream.Request, error)
 	EncodeRefusal func(header *fasthttp.ResponseHeader, requestID string, retryAfter time.Duration)
+	// EventFields are the fields that events of streams may have beside the standard ones.
+	EventFields []string
 	// Leaving returns how long the instance has been shutting down, or false if it
 	// is not. During shutdown each connection is closed after its response.
 	Leaving func() (time.Duration, bool)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -50,7 +49,7 @@
 // body only if the target completed the stream.
 type stream struct {
 	*exchange
-	reader *eventstream.Reader
+	reader *eventReader
 	// pending holds the bytes of complete events that Read has not returned yet.
 	pending []byte
 	// err is returned by Read after the pending bytes. breakCause is the error that
@@ -68,13 +67,13 @@
 }
 
 // attach makes the exchange's response the source of further events.
-func (s *stream) attach() { s.reader = eventstream.NewReader(s.response) }
+func (s *stream) attach() { s.reader = s.newEventReader() }
 
 // readEvent reads an event from the target or, if that one is silent, from the hedge
 // that was faster.
 func (s *stream) readEvent() (eventstream.Event, error) {
 	if s.prefetched == nil {
-		event, err := s.reader.Next()
+		event, err := s.reader.next(s.lastEventID)
 		err = s.checkStreamEnd(err)
 		h := s.settleHedge(err == nil || errors.Is(err, io.EOF))
 		if h == nil {
@@ -93,8 +92,7 @@
 	return p.event, p.err
 }
 
-// nextEvent reads the next event and advances lastEventID. It returns errStream if
-// the ids of the events do not increase.
+// nextEvent reads the next event and advances lastEventID.
 func (s *stream) nextEvent() (eventstream.Event, error) {
 	event, err := s.readEvent()
 	if err != nil {
@@ -104,12 +102,7 @@
 	if s.events == 0 || s.resumes > 0 {
 		s.tracked.ObserveFirstEvent()
 	}
-	if event.ID != "" {
-		if !inOrder(s.lastEventID, event.ID) {
-			return event, errStream.New("event id %s received after %s", event.ID, s.lastEventID)
-		}
-		s.lastEventID = event.ID
-	}
+	s.lastEventID = event.ID
 	s.bindToTarget()
 	s.recordPause()
 	s.events++
@@ -126,17 +119,6 @@
 	s.lastEventAt = now
 }
 
-// inOrder reports whether an event id may follow another. After a number comes a larger
-// one; after an id that is no number, or none, comes any.
-func inOrder(last, next string) bool {
-	before, err := strconv.ParseUint(last, 10, 64)
-	if err != nil {
-		return true
-	}
-	after, err := strconv.ParseUint(next, 10, 64)
-	return err == nil && after > before
-}
-
 // Read returns bytes of complete events only.
 func (s *stream) Read(p []byte) (int, error) {
 	for len(s.pending) == 0 {
@@ -160,7 +142,7 @@
 		return
 	}
 	if errors.Is(err, io.EOF) {
-		s.err = io.EOF
+		s.pending, s.err = event.Raw, io.EOF
 		return
 	}
 	s.recordBreak(err)
--- a/internal/gatewayinstance/stream_order_test.go
+++ b/internal/gatewayinstance/stream_order_test.go
@@ -81,7 +81,7 @@
 		"an id is no number":              {first: pieces(1, 3) + "id: x\ndata: y\n\n" + pieces(1, 6), second: pieces(4, 6), want: whole, broken: true},
 		"an id is too large":              {first: pieces(1, 3) + "id: 99999999999999999999\ndata: y\n\n" + pieces(1, 6), second: pieces(4, 6), want: whole, broken: true},
 		"an id is negative":               {first: pieces(1, 3) + "id: -1\ndata: y\n\n" + pieces(4, 6), second: pieces(4, 6), want: whole, broken: true},
-		"an id is empty":                  {first: pieces(1, 3) + "id:\ndata: y\n\n" + pieces(4, 6), want: pieces(1, 3) + "id:\ndata: y\n\n" + pieces(4, 6)},
+		"an id is empty":                  {first: pieces(1, 3) + "id:\ndata: y\n\n" + pieces(4, 6), second: pieces(4, 6), want: whole, broken: true},
 		"goes on from the start":          {first: pieces(1, 3) + half, second: whole, broken: true},
 		"goes on at the last event":       {first: pieces(1, 3) + half, second: pieces(3, 6), broken: true},
 		"carriage returns and line feeds": {first: strings.ReplaceAll(whole, "\n", "\r\n"), want: strings.ReplaceAll(whole, "\n", "\r\n")},
