Streams: an answer without an event neither ends nor begins one

New streams ended as complete without any event.

Cause: any success counted as the stream, or as its rest, and its end as the end of the stream, also if the target had sent nothing that follows the last event. The same held for the answer of a hedge beside a silent target.

Change: on a streaming route only a 200 is a stream, of the type of event streams if it states one; another success is an attempt that failed. A response that ends without an event begins no stream. As the rest of one it counts only when a second target has nothing left after the same event either: one of them may have lost the rest, and nothing in the answer tells that from a stream that was whole. A response without a length or chunks whose end is in doubt, between two events, counts as one of the two. Without a second word the stream is broken off, and its client may take it up; a target that has nothing left is not held to have failed.

--- a/internal/gateway/break.go
+++ b/internal/gateway/break.go
@@ -23,6 +23,8 @@
 	breakDoubt breakReason = "doubt"
 	// breakMalformed means that the target sent what is no event.
 	breakMalformed breakReason = "malformed"
+	// breakEmpty means that the target ended its response without an event.
+	breakEmpty breakReason = "empty"
 	// breakClosed means that the connection ended within the response, or that the
 	// response was malformed.
 	breakClosed breakReason = "closed"
@@ -43,6 +45,8 @@
 		return breakDoubt
 	case eventstream.ErrMalformed.Has(err):
 		return breakMalformed
+	case errors.Is(err, errNothingLeft):
+		return breakEmpty
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return breakTimeout
 	}
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/forwarding"
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
@@ -62,6 +63,11 @@
 		e.recordStep("send", e.target.ID, "unsigned")
 		response.Close()
 		return attemptAmbiguous
+	case head.Success() && e.route.Kind == deployment.Streaming && !isStream(head):
+		e.recordStep("send", e.target.ID, "no_stream "+strconv.Itoa(head.Status))
+		s.Detector.RecordAnswer(e.target.ID, true)
+		response.Close()
+		return attemptAmbiguous
 	case head.PromisesNotRun() && !e.route.Repeatable():
 		e.recordStep("send", e.target.ID, "unstated "+strconv.Itoa(head.Status))
 		s.Detector.RecordAnswer(e.target.ID, true)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"slices"
 	"syscall"
 	"time"
@@ -101,7 +100,8 @@
 // recordIncomplete records that the target gave no complete response, unless that is not
 // certain or the exchange has ended.
 func (e *exchange) recordIncomplete(err error) {
-	if e.ctx.Err() == nil && !liveness.ErrUndecided.Has(err) {
+	mayBeComplete := liveness.ErrUndecided.Has(err) || errors.Is(err, errNothingLeft) && e.lastEventID != ""
+	if e.ctx.Err() == nil && !mayBeComplete {
 		e.recordTargetFailure(err)
 	}
 }
@@ -114,22 +114,6 @@
 	}
 }
 
-// checkStreamEnd returns the error of reading an event. The end of the connection ends a
-// stream that states neither a length nor chunks; it is an error if the target sent no event
-// of a stream that begins.
-func (e *exchange) checkStreamEnd(err error) error {
-	switch {
-	case err == nil:
-	case !errors.Is(err, io.EOF):
-		e.observeEnd(err)
-	case !e.firstEventAt.IsZero():
-		e.recordSound()
-	case e.response.Length == upstream.LengthUntilClose && e.lastEventID == "":
-		return upstream.ErrIncompleteResponse.New("the connection ended before the first event")
-	}
-	return err
-}
-
 // observeEvent records that the current target has sent an event.
 func (e *exchange) observeEvent() {
 	e.answering.Store(true)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -3,13 +3,25 @@
 import (
 	"errors"
 	"io"
+	"mime"
+	"net/http"
 	"strconv"
+	"strings"
 
+	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/eventstream"
+	"heatherrelay/internal/upstream"
 )
 
-// maxBlankBytes bounds the comments between two events.
-const maxBlankBytes = 64 << 10
+const (
+	// eventStreamType is the media type of streams.
+	eventStreamType = "text/event-stream"
+	// maxBlankBytes bounds the comments between two events.
+	maxBlankBytes = 64 << 10
+	// confirmingTargets is how many targets must have nothing to send after an event for it
+	// to count as the last one of a stream that broke off after it.
+	confirmingTargets = 2
+)
 
 // eventReader reads the events of one response of a target. What is no event, such as an
 // error text or the head of another response, never leaves it: the reader fails instead.
@@ -65,3 +77,60 @@
 	before, err := strconv.ParseUint(last, 10, 64)
 	return err != nil || after > before
 }
+
+// isStream reports whether a success is a stream of events, as far as its head tells. A head
+// that states no type is judged by its events.
+func isStream(head *upstream.ResponseHead) bool {
+	if head.Status != http.StatusOK {
+		return false
+	}
+	for _, h := range head.Headers {
+		if strings.EqualFold(h.Name, "Content-Type") {
+			mediaType, _, err := mime.ParseMediaType(h.Value)
+			return err == nil && mediaType == eventStreamType
+		}
+	}
+	return true
+}
+
+// errNothingLeft means that a target ended its response without an event.
+var errNothingLeft = upstream.ErrIncompleteResponse.New("the response ended before an event")
+
+// checkStreamEnd returns the error of reading an event of the current target. The end of a
+// response without an event is not the end of a stream: a stream that begins has events, and
+// of one that goes on a target that has nothing to send may have lost the rest. It counts as
+// complete once several targets have nothing left after the last event. One whose end is in
+// doubt counts among them if it ended between two events.
+func (e *exchange) checkStreamEnd(event eventstream.Event, err error) error {
+	switch {
+	case err == nil:
+	case !errors.Is(err, io.EOF):
+		e.observeEnd(err)
+		if e.lastEventID != "" && len(event.Raw) == 0 && endInDoubt(err) {
+			e.recordNothingLeft(e.target.ID, e.lastEventID)
+		}
+	case !e.firstEventAt.IsZero():
+		e.recordSound()
+	case e.lastEventID == "" || e.recordNothingLeft(e.target.ID, e.lastEventID) < confirmingTargets:
+		return errNothingLeft
+	}
+	return err
+}
+
+// streamRest is which targets have nothing to send after an event.
+type streamRest struct {
+	after   string
+	nothing map[deployment.TargetID]bool
+}
+
+// recordNothingLeft records that a target has nothing to send after an event, and returns
+// how many targets have not.
+func (p *progress) recordNothingLeft(target deployment.TargetID, after string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rest.after != after || p.rest.nothing == nil {
+		p.rest = streamRest{after: after, nothing: map[deployment.TargetID]bool{}}
+	}
+	p.rest.nothing[target] = true
+	return len(p.rest.nothing)
+}
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -189,7 +189,7 @@
 func (e *exchange) prefetchEvent() *refusal.Error {
 	p := &prefetched{reader: e.newEventReader()}
 	p.event, p.err = p.reader.next(e.lastEventID)
-	p.err = e.checkStreamEnd(p.err)
+	p.err = e.checkStreamEnd(p.event, p.err)
 	if h := e.settleHedge(p.err == nil || errors.Is(p.err, io.EOF)); h != nil {
 		e.adopt(h)
 		return nil
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -17,6 +17,8 @@
 	possibleRuns int
 	// trace lists the steps of the request, for the log.
 	trace []string
+	// rest is what targets have left of a stream that broke off.
+	rest streamRest
 }
 
 // addAttempt counts an attempt that may have run. It returns the number of attempts
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,7 +74,7 @@
 func (s *stream) readEvent() (eventstream.Event, error) {
 	if s.prefetched == nil {
 		event, err := s.reader.next(s.lastEventID)
-		err = s.checkStreamEnd(err)
+		err = s.checkStreamEnd(event, err)
 		h := s.settleHedge(err == nil || errors.Is(err, io.EOF))
 		if h == nil {
 			return event, err
