Origins: one version counts as the only one when that is confirmed for the resume

Cause: a stream without a record went on at the only version that the instance knew if nobody said that there were several. An instance that had stood still took all others for dead, so it asked nobody; one that was cut off reached nobody. That nobody spoke against its list counted as evidence that the list held. How old the list was did not matter.

The outcome line of a resume has versions_confirmed_by. The messages have one new field each; an instance of the version before does not confirm, and is not believed to have.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -70,6 +70,9 @@
 	regainedAt     time.Time
 	lastCallFailed bool
 	lastRestore    Restore
+	// confirmationTurn holds the time of the last read for a caller of Confirm while nobody
+	// makes one.
+	confirmationTurn chan time.Time
 }
 
 // Restore describes how a replica came from one generation of the store to a newer one.
@@ -143,13 +146,11 @@
 func (f *Follower) step(ctx context.Context, listed *bool) (stepResult, error) {
 	sentAt, from := f.Now(), f.State().Position()
 	if !*listed || f.Store.Generation() > from.Generation {
-		page, err := f.Store.List(ctx, f.Kind, false)
+		page, err := f.list(ctx, sentAt)
 		if err != nil {
 			return stepResult{}, err
 		}
 		*listed = true
-		page.Objects = f.usable(page.Objects)
-		f.update(func(r *Replica) bool { return r.ApplyList(page, sentAt) })
 		behind := page.Generation < f.Store.Generation() || page.Position().Compare(f.State().Position()) < 0
 		return stepResult{hasObjects: true, behind: behind}, nil
 	}
@@ -173,6 +174,17 @@
 	return stepResult{hasObjects: hasObjects, behind: page.Position().Compare(from) < 0}, nil
 }
 
+// list replaces the replica by a listing that is sent now.
+func (f *Follower) list(ctx context.Context, sentAt time.Time) (platformstore.Page, error) {
+	page, err := f.Store.List(ctx, f.Kind, false)
+	if err != nil {
+		return page, err
+	}
+	page.Objects = f.usable(page.Objects)
+	f.update(func(r *Replica) bool { return r.ApplyList(page, sentAt) })
+	return page, nil
+}
+
 // usable checks and sanitizes objects, in place, and returns them. Those that nobody can
 // use become deletions.
 func (f *Follower) usable(objects []platformstore.Object) []platformstore.Object {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -245,7 +245,7 @@
 		allFields = append(allFields, zap.String("request_id", e.request.ID), zap.String("model", e.request.Adapter.Model),
 			zap.String("adapter", e.request.Adapter.Adapter), zap.Strings("prompt_parts", e.request.PromptParts), zap.String("request_digest", e.digest))
 		if e.request.LastEventID != "" {
-			allFields = append(allFields, zap.String("resumes", e.request.ResumedID), zap.String("origin_source", string(e.software.source)))
+			allFields = append(allFields, zap.String("resumes", e.request.ResumedID), zap.String("origin_source", string(e.software.source)), zap.String("versions_confirmed_by", string(e.software.confirmedBy)))
 		}
 	}
 	if e.response != nil && e.response.Limited {
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -20,6 +20,8 @@
 	version string
 	// source is where the version of a stream that the client resumes was found.
 	source peer.OriginSource
+	// confirmedBy is what said that the service has and had one version only.
+	confirmedBy peer.VersionSource
 }
 
 // admits reports whether the exchange's stream may go on at a target, as far as is known
@@ -71,7 +73,7 @@
 	}
 	s := e.server
 	found := s.Network.LookupOrigin(e.ctx, e.request.ResumedID, e.service)
-	e.software.source = found.Source
+	e.software.source, e.software.confirmedBy = found.Source, found.ConfirmedBy
 	if r := found.Record; found.Source != peer.OriginUnknown && (r.Service == e.service || e.routeHas(r.Service)) {
 		e.service, e.software = r.Service, softwareVersion{bound: true, version: r.Version, source: found.Source}
 		r.At = s.Now()
@@ -81,7 +83,11 @@
 	if found.Several {
 		return refusal.NotRun(refusal.CodeNoTarget, "unknown which software version of %s began the stream", e.service).WithRetryAfter(retrySoon)
 	}
-	e.software.version, e.software.bound = s.Network.Versions.Only(e.service)
+	version, known := s.Network.Versions.Only(e.service)
+	if !known || s.Network.Versions.Several(e.service) {
+		return refusal.NotRun(refusal.CodeNoTarget, "the targets of %s have changed", e.service).WithRetryAfter(retrySoon)
+	}
+	e.software.version, e.software.bound = version, true
 	return nil
 }
 
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -104,7 +104,9 @@
 	detector  *outlier.Detector
 	origins   *origin.Table
 	versions  *origin.Versions
-	crashes   *crash.Ledger
+	// versionsReading is when the versions in the store were last read.
+	versionsReading versionsReading
+	crashes         *crash.Ledger
 	// crashDetector finds crashed targets.
 	crashDetector *crash.Detector
 	limits        *throttle.Limiter
--- a/internal/gatewayinstance/origins.go
+++ b/internal/gatewayinstance/origins.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,6 +45,7 @@
 func (i *Instance) assembleOrigins() {
 	i.server.Processes = &origin.Processes{Now: clock.Now}
 	i.client.OnIdentify = i.recordProcess
+	i.network.ConfirmVersions = i.confirmVersions
 	i.network.Archive = &origin.Archive{Store: i.Store, Kind: originKind, WallClock: time.Now, Now: clock.Now, Log: i.Log}
 }
 
@@ -124,6 +126,50 @@
 	return true
 }
 
+// confirmVersionsTimeout bounds the calls to the store that confirm the software versions.
+const confirmVersionsTimeout = 300 * time.Millisecond
+
+// versionsReading is when the software versions in the store were last read to learn of a
+// time in which this instance did not observe the targets. The mutex is held during a
+// reading.
+type versionsReading struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+// confirmVersions reports whether the instance knows of all software versions that had
+// targets at a time or earlier, as the store confirms: the targets are those of that time or
+// later, and where nothing was known of them for a while, the versions that other instances
+// saw meanwhile are known.
+func (i *Instance) confirmVersions(ctx context.Context, since time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmVersionsTimeout)
+	defer cancel()
+	return i.catalog.ConfirmTargets(ctx, since) && i.learnVersions(ctx)
+}
+
+// learnVersions reads the software versions in the store, unless that was done since the
+// targets were last read again after a while.
+func (i *Instance) learnVersions(ctx context.Context) bool {
+	reading := &i.versionsReading
+	reading.mu.Lock()
+	defer reading.mu.Unlock()
+	if !reading.at.Before(i.catalog.TargetsRegainedAt()) {
+		return true
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	readAt := clock.Now()
+	stored, _, err := i.readVersions(ctx)
+	if err != nil {
+		i.Log.Info("software versions not read from the store", zap.Error(err))
+		return false
+	}
+	i.versions.Learn(stored)
+	reading.at = readAt
+	return true
+}
+
 // readVersions returns the stored software versions and their object, which has no name
 // if the store holds none. One that cannot be decoded fails with ErrMalformed and has one.
 func (i *Instance) readVersions(ctx context.Context) (origin.StoredVersions, platformstore.Object, error) {
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -62,6 +62,22 @@
 	v.restored = true
 }
 
+// Learn adds the versions that others saw while this instance did not observe the targets.
+// Those that it knows of are as it observed them.
+func (v *Versions) Learn(stored StoredVersions) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.Now()
+	for service, versions := range stored.Services {
+		for _, s := range versions {
+			since := v.noteGone(service, s, now)
+			if _, known := v.lastListed[service][s.Version]; !known && now.Sub(since) <= Retention {
+				v.touch(service, map[string]bool{s.Version: true}, since)
+			}
+		}
+	}
+}
+
 // Update returns the stored value with what this instance observed, and whether it says
 // more than the present one. An instance that has observed nothing yet adds nothing. A
 // version is removed once this instance has known for Retention that it is gone.
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -84,6 +84,9 @@
 	// services.
 	Origins  *origin.Table
 	Versions *origin.Versions
+	// ConfirmVersions reports whether Versions now knows of all versions that had targets at
+	// a time or earlier, as the store confirms. Nil means that it always does.
+	ConfirmVersions func(ctx context.Context, since time.Time) bool
 	// Archive keeps origins in the store; nil if nothing does.
 	Archive *origin.Archive
 	// OriginLookups counts the look-ups of origins.
--- a/internal/peer/origin_lookup.go
+++ b/internal/peer/origin_lookup.go
@@ -42,8 +42,10 @@
 	origin.Record
 	Source OriginSource
 	// Several is set if the service has or recently had several versions, or if nobody
-	// can say that it had not.
+	// can say that it had not at the time of the look-up.
 	Several bool
+	// ConfirmedBy is what said that it had not; empty unless that mattered.
+	ConfirmedBy VersionSource
 }
 
 // OriginCounters counts look-ups by their result.
@@ -84,7 +86,7 @@
 }
 
 func (n *Network) lookupOrigin(ctx context.Context, requestID, service string) OriginLookup {
-	known := versionKnowledge{several: n.Versions.Several(service), complete: n.Versions.Complete()}
+	askedAt, known, confirmedBy := n.Now(), n.ownKnowledge(service), VersionSource("")
 	for round := range lookupRounds {
 		if r, ok := n.Origins.Get(requestID); ok {
 			return OriginLookup{Record: r, Source: OriginInMemory, Several: known.several}
@@ -94,7 +96,9 @@
 			return OriginLookup{Record: originFrom(atPeer, n.Now()), Source: OriginAtPeer, Several: known.several}
 		}
 		if known.onlyOne() {
-			break
+			if known, confirmedBy = n.confirmVersions(ctx, service, askedAt, known); known.onlyOne() && confirmedBy != VersionsUnconfirmed {
+				return OriginLookup{Source: OriginUnknown, ConfirmedBy: confirmedBy}
+			}
 		}
 		last := !known.several || round+1 == lookupRounds
 		if r, ok := n.findStored(ctx, requestID, last); ok {
@@ -104,7 +108,7 @@
 			break
 		}
 	}
-	return OriginLookup{Source: OriginUnknown, Several: !known.onlyOne()}
+	return OriginLookup{Source: OriginUnknown, Several: true, ConfirmedBy: confirmedBy}
 }
 
 // queryPeers asks the holders of a record and then further instances, unless it is
@@ -127,31 +131,47 @@
 func (n *Network) queryOrigin(ctx context.Context, peers []remote, requestID, service string, timeout time.Duration) (found *v1.StreamOrigin, known versionKnowledge) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	request := &v1.LookupOriginRequest{RequestId: requestID, Service: service}
+	hasOrigin := func(response *v1.LookupOriginResponse) bool { return response.GetOrigin() != nil }
+	for _, response := range n.lookupAtAll(ctx, peers, request, hasOrigin) {
+		known, found = known.merge(knowledgeOf(response)), response.GetOrigin()
+	}
+	return found, known
+}
+
+// lookupAtAll sends a request to instances, all at once. It returns the answers of those that
+// do not fail, up to the first one that is enough.
+func (n *Network) lookupAtAll(ctx context.Context, peers []remote, request *v1.LookupOriginRequest, enough func(*v1.LookupOriginResponse) bool) []*v1.LookupOriginResponse {
 	responses := make(chan *v1.LookupOriginResponse, len(peers))
 	for _, p := range peers {
 		go func() {
-			response, err := p.client.LookupOrigin(ctx, &v1.LookupOriginRequest{RequestId: requestID, Service: service})
+			response, err := p.client.LookupOrigin(ctx, request)
 			if err != nil && ctx.Err() == nil {
 				n.Log.Debug("origin of a stream not looked up", zap.String("peer", p.ID), zap.Error(err))
 			}
 			responses <- response
 		}()
 	}
+	var answers []*v1.LookupOriginResponse
 	for range peers {
 		response := <-responses
-		known = known.merge(versionKnowledge{several: response.GetSeveralVersions(), complete: response.GetVersionsComplete()})
-		if o := response.GetOrigin(); o != nil {
-			return o, known
+		if response == nil {
+			continue
+		}
+		if answers = append(answers, response); enough(response) {
+			break
 		}
 	}
-	return nil, known
+	return answers
 }
 
 // LookupOrigin returns the record of a stream if this instance has it, or finds it in the
 // store if it is asked to.
 func (s *server) LookupOrigin(ctx context.Context, request *v1.LookupOriginRequest) (*v1.LookupOriginResponse, error) {
 	n := s.network
-	response := &v1.LookupOriginResponse{SeveralVersions: n.Versions.Several(request.GetService()), VersionsComplete: n.Versions.Complete()}
+	confirmed := request.GetConfirmVersions() && n.confirmOwnVersions(ctx, n.Now())
+	known := n.ownKnowledge(request.GetService())
+	response := &v1.LookupOriginResponse{SeveralVersions: known.several, VersionsComplete: known.complete, VersionsConfirmed: confirmed}
 	if r, ok := n.Origins.Get(request.GetRequestId()); ok {
 		response.Origin = originMessage(r, n.Now())
 		return response, nil
