--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -244,6 +244,7 @@
 
 // maintain updates what changes by the passage of time.
 func (n *Network) maintain() {
+	n.Meter.Tick()
 	n.updateRole()
 	n.mu.Lock()
 	n.removeExpired()
