Soak: text that is no event, answers without an event, instances that stand still during releases

The stand-in of a target sends text that is no event after an event and ends the stream, or answers a request for the rest of a stream without an event. The soak has engines do both, in the plain and the incident runs, and instances stand still for 3 s while engines of a newer version begin streams and one ends. Each block that a client receives in a stream must be an event, also in one that was broken off; the clients and the stand-ins are outside of the processes.

--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -115,7 +115,7 @@
 
 // strangeFaults are injected among them, unless an earlier version runs too: some of those
 // do not withstand them.
-var strangeFaults = []fault{repeatFault, oddEntryFault}
+var strangeFaults = []fault{repeatFault, oddEntryFault, strayFault, emptyRestFault}
 
 // plannedFaults are the faults of a run with planned work. Silences are as frequent as
 // all others together, since most faults matter only beside them.
@@ -291,7 +291,7 @@
 	}
 	for _, t := range c.targets {
 		t.Inject(func(t *platformtest.Target) {
-			t.RefuseNext, t.LoseNext, t.BreakAfter, t.RepeatRefusals = 0, 0, 0, false
+			t.RefuseNext, t.LoseNext, t.BreakAfter, t.RepeatRefusals, t.StrayAfter, t.EmptyRests = 0, 0, 0, false, 0, 0
 		})
 	}
 	for _, p := range c.Processes {
--- a/internal/soak/incident.go
+++ b/internal/soak/incident.go
@@ -103,7 +103,7 @@
 // incidentFaults are the faults of a run with Cluster.Incident.
 var incidentFaults = []fault{
 	releaseFault, releaseFault, herdKillFault, herdKillFault, signalSeriesFault, repeatFault, repeatFault, repeatFault,
-	crashFault, crashFault, oddEntryFault, oddEntryFault, reportFault, silenceFault, silenceFault, breakFault, loseFault, hangupFault, configurationFault, revocationFault, disturbing(storeFault),
+	crashFault, crashFault, oddEntryFault, oddEntryFault, reportFault, strayFault, emptyRestFault, staleFault, silenceFault, silenceFault, breakFault, loseFault, hangupFault, configurationFault, revocationFault, disturbing(storeFault),
 }
 
 // calm reports whether the run has quiet times after kills.
--- a/internal/soak/joined.go
+++ b/internal/soak/joined.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -79,11 +80,14 @@
 				versions = append(versions, e.version)
 			}
 		}
+		if strings.Contains(rest, "\n\n") {
+			fault = fmt.Sprintf("%s holds %.200q after event %d", r.id, rest, last)
+		}
 		if len(versions) > 1 && r.stream == "" {
 			fault = fmt.Sprintf("%s holds events of %v", r.id, versions)
 		}
 		if r.complete && (rest != "" || last != incidentEvents) {
-			fault = fmt.Sprintf("%s looks complete after event %d and %q", r.id, last, rest)
+			fault = fmt.Sprintf("%s looks complete after event %d and %.200q", r.id, last, rest)
 		}
 	}
 	return fault, versions
--- a/internal/soak/resume.go
+++ b/internal/soak/resume.go
@@ -105,11 +105,11 @@
 		}
 		var e event
 		var piece int
-		if n, err := fmt.Sscanf(text, "id: %d\ndata: piece %d of %s", &e.id, &piece, &e.version); n < 2 {
-			return events, fmt.Sprintf("%q: %v", text, err)
+		if n, _ := fmt.Sscanf(text, "id: %d\ndata: piece %d of %s", &e.id, &piece, &e.version); n < 2 {
+			return events, body
 		}
 		if piece != e.id {
-			return events, text
+			return events, body
 		}
 		events, body = append(events, e), after
 	}
