--- a/internal/gatewayinstance/cut_head_test.go
+++ b/internal/gatewayinstance/cut_head_test.go
@@ -54,58 +54,57 @@
 	return slices.Compact(lengths)
 }
 
+// cutRequest names, in its id, how the first target cuts its answer.
+type cutRequest struct {
+	length, reset int
+	head, path    string
+}
+
+func (r cutRequest) id() string {
+	return fmt.Sprintf("%d/%d/%s%s", r.length, r.reset, strings.ReplaceAll(r.head, " ", "_"), r.path)
+}
+
+// parseCutRequest returns the request with an id, and false if it is not one.
+func parseCutRequest(id string) (cutRequest, bool) {
+	var r cutRequest
+	if _, err := fmt.Sscanf(id, "%d/%d/%s", &r.length, &r.reset, &r.head); err != nil {
+		return r, false
+	}
+	name, _, _ := strings.Cut(r.head, "/")
+	r.head = strings.ReplaceAll(name, "_", " ")
+	return r, true
+}
+
 // TestHeadThatStopsIsNoAnswer guards against a target that stops within the head of its answer
 // and closes, of which a client gets a success, with an empty or short body, or a promise that
 // its request did not run (MIXED, ORDER, REFUSED).
 func TestHeadThatStopsIsNoAnswer(t *testing.T) {
 	t.Parallel()
+	heads := cutHeads()
 	for _, throughPeer := range []bool{false, true} {
 		t.Run(fmt.Sprintf("through a peer: %t", throughPeer), func(t *testing.T) {
 			t.Parallel()
 			c, a := newScriptedCluster(t, 2, 2, func(attempt int, w http.ResponseWriter, r *http.Request) {
-				var name string
-				var length, reset int
-				if _, err := fmt.Sscanf(r.Header.Get("Request-Id"), "%d/%d/%s", &length, &reset, &name); err != nil {
-					return
-				}
-				name, _, _ = strings.Cut(name, "@")
-				if attempt > 1 {
+				request, ok := parseCutRequest(r.Header.Get("Request-Id"))
+				switch {
+				case !ok:
+				case attempt > 1:
 					writeEvents(w, 1, 3)
-					return
+				default:
+					writeCut(w, r, heads[request.head], request.length, request.reset == 1)
 				}
-				writeCut(w, r, cutHeads()[strings.ReplaceAll(name, "_", " ")], length, reset == 1)
 			})
 			through := c.instances[0]
 			if throughPeer {
-				alone, link := c.startCuttableInstance()
-				c.waitForPeers()
-				link.cut(cutHanging)
-				c.waitFor("requests reach both targets through the peer", func() bool {
-					served := 0
-					for range 10 {
-						if c.sendThrough(alone, http.MethodGet, "/read/", nil).status == http.StatusOK {
-							served++
-						}
-					}
-					return served == 10 && c.logs.FilterMessage("services reached through peers changed").Len() > 0
-				})
-				through = alone
+				through = c.startInstanceBehindPeer()
 			}
-			for name, head := range cutHeads() {
+			for name, head := range heads {
 				t.Run(name, func(t *testing.T) {
 					t.Parallel()
 					for n, length := range cutLengths(head) {
 						for _, path := range []string{"/stream/", "/draft/", "/post/", "/read/"} {
-							if throughPeer && n%4 != len(path)%4 {
-								continue
-							}
-							id := fmt.Sprintf("%d/%d/%s@%s", length, n%2, strings.ReplaceAll(name, " ", "_"), path)
-							got := c.sendThrough(through, http.MethodPost, path, func(h http.Header) { h.Set("Request-Id", id) })
-							repeatable := path == "/stream/" || path == "/read/"
-							whole := got.err == nil && got.status == http.StatusOK && got.body == pieces(1, 3)
-							unclear := got.err == nil && (got.status == http.StatusBadGateway || got.status == http.StatusGatewayTimeout) && got.header.Get("Response-Seal") == ""
-							if repeatable && !whole || !repeatable && !unclear {
-								t.Errorf("cut after %d bytes%s: status %d, error %v, body %q; at %v; logged: %s", length, path, got.status, got.err, got.body, a.of(id), c.logged(id))
+							if !throughPeer || n%4 == len(path)%4 {
+								c.checkCut(t, a, through, cutRequest{length: length, reset: n % 2, head: name, path: path})
 							}
 						}
 					}
@@ -114,3 +113,37 @@
 		})
 	}
 }
+
+// startInstanceBehindPeer starts an instance that reaches the targets through the first one.
+func (c *testCluster) startInstanceBehindPeer() *instance {
+	c.t.Helper()
+	alone, link := c.startCuttableInstance()
+	c.waitForPeers()
+	link.cut(cutHanging)
+	c.waitFor("requests reach both targets through the peer", func() bool {
+		served := 0
+		for range 10 {
+			if c.sendThrough(alone, http.MethodGet, "/read/", nil).status == http.StatusOK {
+				served++
+			}
+		}
+		return served == 10 && c.logs.FilterMessage("services reached through peers changed").Len() > 0
+	})
+	return alone
+}
+
+// checkCut sends a request whose first answer is cut. It must get the whole answer of another
+// target if it may be repeated, else an answer that promises nothing.
+func (c *testCluster) checkCut(t *testing.T, a *arrivals, through *instance, r cutRequest) {
+	t.Helper()
+	id := r.id()
+	got := c.sendThrough(through, http.MethodPost, r.path, func(h http.Header) { h.Set("Request-Id", id) })
+	fine := got.err == nil && got.status == http.StatusOK && got.body == pieces(1, 3)
+	if r.path == "/draft/" || r.path == "/post/" {
+		unclear := got.status == http.StatusBadGateway || got.status == http.StatusGatewayTimeout
+		fine = got.err == nil && unclear && got.header.Get("Response-Seal") == ""
+	}
+	if !fine {
+		t.Errorf("cut after %d bytes%s: status %d, error %v, body %q; at %v; logged: %s", r.length, r.path, got.status, got.err, got.body, a.of(id), c.logged(id))
+	}
+}
--- a/internal/quota/pause_test.go
+++ b/internal/quota/pause_test.go
@@ -35,8 +35,8 @@
 }
 
 // serveExcept sends requests through all instances but one for an exchange interval, and has
-// these exchange reports. It returns how many were refused.
-func (f *fleet) serveExcept(except int, demand float64) (refused int) {
+// these exchange reports.
+func (f *fleet) serveExcept(except int, demand float64) {
 	const cost = 1500.0
 	requests := int(demand * testTeam.RatePerSecond * exchangeInterval.Seconds() / cost)
 	nextTick := f.now.Add(tickInterval)
@@ -52,8 +52,6 @@
 		}
 		if ok, _ := f.meters[i].Admit(testTeam, quota.Request{Cost: cost}); ok {
 			f.admitted = append(f.admitted, admission{at: f.now, tokens: cost})
-		} else {
-			refused++
 		}
 	}
 	for i := range f.meters {
@@ -61,7 +59,6 @@
 			f.publish(i)
 		}
 	}
-	return refused
 }
 
 // pause has an instance stand still while the others serve; reports to it come later.
@@ -73,6 +70,27 @@
 	f.partitioned[i] = false
 }
 
+// checkServes sends requests of a team that is within its rate through one instance for some
+// seconds, and fails the test if more than a tenth are refused.
+func (f *fleet) checkServes(t *testing.T, i int) {
+	t.Helper()
+	refused, sent := 0, 0
+	for range 10 {
+		for range 8 {
+			f.now = f.now.Add(exchangeInterval / 8)
+			f.tick(-1)
+			sent++
+			if ok, _ := f.meters[i].Admit(testTeam, quota.Request{Cost: 1500}); !ok {
+				refused++
+			}
+		}
+		f.exchange()
+	}
+	if refused*10 > sent {
+		t.Errorf("%d of %d requests refused, level %.0f", refused, sent, f.meters[i].Level(testTeam))
+	}
+}
+
 // TestInstanceThatStoodStillRefusesNoTeamWithinItsRate guards against an instance that, after it
 // stood still, has a team pay once more for what the others admitted meanwhile, out of an
 // allowance that did not grow beyond its bound in that time, and refuses it for seconds (LOST).
@@ -84,21 +102,7 @@
 		// A request that waited is served before the reports arrive.
 		f.meters[4].Admit(testTeam, quota.Request{Cost: 1500})
 		f.exchange()
-		refused, sent := 0, 0
-		for range 10 {
-			for range 8 {
-				f.now = f.now.Add(exchangeInterval / 8)
-				f.tick(-1)
-				sent++
-				if ok, _ := f.meters[4].Admit(testTeam, quota.Request{Cost: 1500}); !ok {
-					refused++
-				}
-			}
-			f.exchange()
-		}
-		if refused*10 > sent {
-			t.Errorf("after %s: %d of %d requests refused, level %.0f", span, refused, sent, f.meters[4].Level(testTeam))
-		}
+		f.checkServes(t, 4)
 	}
 }
 
@@ -113,21 +117,7 @@
 	}
 	f.partitioned[4] = false
 	f.exchange()
-	refused, sent := 0, 0
-	for range 10 {
-		for range 8 {
-			f.now = f.now.Add(exchangeInterval / 8)
-			f.tick(-1)
-			sent++
-			if ok, _ := f.meters[4].Admit(testTeam, quota.Request{Cost: 1500}); !ok {
-				refused++
-			}
-		}
-		f.exchange()
-	}
-	if refused*10 > sent {
-		t.Errorf("%d of %d requests refused, level %.0f", refused, sent, f.meters[4].Level(testTeam))
-	}
+	f.checkServes(t, 4)
 }
 
 // TestTeamStaysWithinItsAllowanceBesidePauses sends several times a team's rate while instances
