--- a/internal/gatewayinstance/software_version_restart_test.go
+++ b/internal/gatewayinstance/software_version_restart_test.go
@@ -349,3 +349,43 @@
 	}
 	streams.checkNotMixed()
 }
+
+// TestStreamsOutlastSeveralLossesOfAllInstances guards against streams of a service with several
+// software versions that are mixed, or can't be taken up, after all instances were killed more
+// than once, also before the first ones that came back had done anything.
+func TestStreamsOutlastSeveralLossesOfAllInstances(t *testing.T) {
+	t.Parallel()
+	for name, k := range map[string]struct {
+		instances, losses int
+		versions          []string
+		between           time.Duration
+	}{
+		"one instance, twice":                   {instances: 1, losses: 2, versions: []string{oldVersion, oldVersion, newVersion, newVersion}},
+		"three instances, twice at once":        {instances: 3, losses: 2, versions: []string{oldVersion, oldVersion, newVersion, newVersion}},
+		"three instances, thrice, three apart":  {instances: 3, losses: 3, versions: []string{oldVersion, oldVersion, newVersion, newVersion, "v2", "v2"}, between: 500 * time.Millisecond},
+		"two instances, five times, one engine": {instances: 2, losses: 5, versions: []string{oldVersion, newVersion}, between: 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newVersionCluster(t, k.versions...)
+			start := func() []*instance {
+				var started []*instance
+				for range k.instances {
+					started = append(started, cluster.startKillableInstance())
+				}
+				return started
+			}
+			running := start()
+			cluster.waitForPeers()
+			streams := newClientStreams(cluster, streamCount)
+			streams.beginAnywhere(running[0], eventsAtBreak)
+			for range k.losses {
+				kill(t, running...)
+				cluster.instances = nil
+				running = start()
+				time.Sleep(k.between)
+			}
+			streams.checkMostGoOn(streams.resume(0, running...))
+		})
+	}
+}
