Streams: one that ends within an event is not whole, also where its end is in doubt

Callers saw a stream that ended as complete after event 3 although its target had sent a part of event 4 and closed (ORDER): a target that the instance had just met, which ends its stream with the connection, and no other target to go on at.

Cause: of an answer without a length that ends so soon it is not known whether its process runs on. The error says so, and the reader of events returned it in place of the one that an event was cut; a stream in that doubt counts as complete when it can't go on elsewhere. Class: a doubt about the end hides what is certain, that something is missing.

Change: the reader of a gateway's streams returns "cut within an event" when bytes of an event were read before an end in doubt.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -41,13 +41,15 @@
 
 // next returns the next event, which must follow the one with the id last. Its raw bytes
 // begin with the comments before it. At the end of the stream it returns io.EOF and the
-// comments after the last event.
+// comments after the last event. An end that is in doubt is none within an event.
 func (r *eventReader) next(last string) (eventstream.Event, error) {
 	for {
 		event, err := r.reader.Next()
 		switch {
 		case errors.Is(err, io.EOF):
 			return eventstream.Event{Raw: r.blank}, err
+		case err != nil && len(event.Raw) > 0 && endInDoubt(err):
+			return event, eventstream.ErrTruncated.New("%d bytes before the end of the connection", len(event.Raw))
 		case err != nil:
 			return event, err
 		case event.Blank():
--- a/internal/gatewayinstance/stream_end_test.go
+++ b/internal/gatewayinstance/stream_end_test.go
@@ -143,3 +143,24 @@
 		})
 	}
 }
+
+// TestStreamCutWithinAnEventIsNotWhole guards against a stream that ends as complete although its
+// only target, of which nothing is known yet, closed within an event (ORDER).
+func TestStreamCutWithinAnEventIsNotWhole(t *testing.T) {
+	t.Parallel()
+	for _, begun := range []string{"", pieces(1, 3)} {
+		for _, rest := range []string{"i", "id: 4", "id: 4\n", "id: 4\ndata: pie", "id: 4\ndata: piece 4\n", ": comm"} {
+			t.Run(fmt.Sprintf("%d, %q", len(begun), rest), func(t *testing.T) {
+				t.Parallel()
+				c, a := newScriptedCluster(t, 1, 2, func(_ int, w http.ResponseWriter, r *http.Request) {
+					if r.Header.Get("Request-Id") == "cut" {
+						writeRaw(w, r, byConnection, begun+rest, false)
+					}
+				})
+				if got := c.sendTimed(http.MethodPost, "/stream/", "cut", streamDeadline); got.err == nil && got.status == http.StatusOK || got.body != begun && got.status == http.StatusOK {
+					t.Errorf("status %d, error %v, body %q; at %v; logged: %s", got.status, got.err, got.body, a.of("cut"), c.logged("cut"))
+				}
+			})
+		}
+	}
+}
