Streams: the answer to HEAD on a streaming route has no events to wait for

Found by TestHeadOfStreamHasNoBody in a run of the whole package; it passes again, with the tests of streams' ends and hedges (twice). Such an answer is passed on like any other one with a head only, also when a hedge brings it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -129,7 +129,7 @@
 		e.finishFailed(refused)
 		return
 	}
-	if e.route.Kind == deployment.Streaming && e.response.Success() {
+	if e.wantsEvents() && e.response.Success() {
 		e.forwardStream()
 		return
 	}
--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/forwarding"
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
@@ -63,7 +62,7 @@
 		e.recordStep("send", e.target.ID, "unsigned")
 		response.Close()
 		return attemptAmbiguous
-	case head.Success() && e.route.Kind == deployment.Streaming && !isStream(head):
+	case head.Success() && e.wantsEvents() && !isStream(head):
 		e.recordStep("send", e.target.ID, "no_stream "+strconv.Itoa(head.Status))
 		s.Detector.RecordAnswer(e.target.ID, true)
 		response.Close()
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -80,6 +80,11 @@
 	return err != nil || after > before
 }
 
+// wantsEvents reports whether the request asks for the events of a stream.
+func (e *exchange) wantsEvents() bool {
+	return e.route.Kind == deployment.Streaming && e.request.Method != http.MethodHead
+}
+
 // isStream reports whether a success is a stream of events, as far as its head tells. A head
 // that states no type is judged by its events.
 func isStream(head *upstream.ResponseHead) bool {
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -169,7 +169,7 @@
 	if e.prefetched != nil {
 		return nil
 	}
-	if e.route.Kind == deployment.Streaming && e.response.Success() {
+	if e.wantsEvents() && e.response.Success() {
 		return e.prefetchEvent()
 	}
 	body, err := e.readBody()
