Origins: odd text in the place of the versions starves no resume after a cut

Where another writer had left text that can't be decoded, it confirmed nothing from then on, and refused each stream that had begun elsewhere: instances write that object when what they see changes only. Found in reading the diff.

Change: it replaces such text by what it observed, as other readings do, and the next reading counts.

Evidence: TestOddVersionsObjectStarvesNoResume fails without the change (no stream goes on in 10 s) and passes with it.

--- a/internal/gatewayinstance/origins.go
+++ b/internal/gatewayinstance/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -148,7 +149,8 @@
 }
 
 // learnVersions reads the software versions in the store, unless that was done since the
-// targets were last read again after a while.
+// targets were last read again after a while. What cannot be decoded there it replaces by what
+// this instance observed.
 func (i *Instance) learnVersions(ctx context.Context) bool {
 	reading := &i.versionsReading
 	reading.mu.Lock()
@@ -161,6 +163,10 @@
 	}
 	readAt := clock.Now()
 	stored, _, err := i.readVersions(ctx)
+	if platformstore.ErrMalformed.Has(err) {
+		// The next reading finds what is written now.
+		err = errors.Join(err, i.writeVersions(ctx))
+	}
 	if err != nil {
 		i.Log.Info("software versions not read from the store", zap.Error(err))
 		return false
--- a/internal/gatewayinstance/stale_instance_test.go
+++ b/internal/gatewayinstance/stale_instance_test.go
@@ -204,6 +204,27 @@
 	}
 }
 
+// TestOddVersionsObjectStarvesNoResume guards against an instance that, reached again after a
+// cut, refuses all streams that began elsewhere since another writer has left odd text in the
+// place of the versions (LOST).
+func TestOddVersionsObjectStarvesNoResume(t *testing.T) {
+	t.Parallel()
+	cluster := newVersionCluster(t, oldVersion, oldVersion)
+	first := cluster.startInstance()
+	var isCut atomic.Bool
+	alone := cluster.startInformed(func() *instance { return cluster.startCutInstance(&isCut) })
+	cluster.waitForPeers()
+	first.stopAndWait(t)
+	isCut.Store(true)
+	time.Sleep(4 * time.Second)
+	cluster.store.PutText("heatherrelay-versions", "services", `{"services":7}`)
+	isCut.Store(false)
+	cluster.waitFor("a stream that began elsewhere goes on", func() bool {
+		stream := cluster.begunElsewhere(oldVersion)[:1]
+		return stream.resume(0, alone)[0] == nil
+	})
+}
+
 // TestResumesGoOnWithoutTheStoreWhileAllAgree guards against refusing all streams that are
 // resumed at another instance, in a service with one version, while the store answers nobody
 // (LOST): no instance has learned of another version, so none has begun a stream there.
