--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -85,6 +85,12 @@
 // seed. Tests with a fleet run one after the other: several fleets at once exceed the
 // processors of a small machine, where exchanges time out.
 func newFleet(t *testing.T, size int) []*member {
+	t.Helper()
+	return newFleetWith(t, size, func(int, *member) {})
+}
+
+// newFleetWith is newFleet of instances that edit changes before they run.
+func newFleetWith(t *testing.T, size int, edit func(i int, m *member)) []*member {
 	t.Helper()
 	var seed netip.AddrPort
 	var fleet []*member
@@ -99,6 +105,7 @@
 		}
 		listener = &stallingListener{Listener: listener}
 		m := newMember(peer.Member{ID: fmt.Sprintf("instance-%02d", i), Zone: fmt.Sprint("zone-", i%3), Address: address, Capacity: float64(i % 5)}, seed)
+		edit(i, m)
 		ctx, cancel := context.WithCancel(context.Background())
 		m.stop, m.done, m.listener = cancel, make(chan struct{}), listener.(*stallingListener)
 		go func() {
