--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -39,6 +39,14 @@
 	5200,
 }
 
+// incidentSeeds are seeds with two software versions that found faults, run with the default
+// sizes of cmd/soak.
+var incidentSeeds = []uint64{
+	// A stream ended as complete since its engine crashed between two events and the next one
+	// had nothing to send of the rest (gateway.checkStreamEnd).
+	38107,
+}
+
 // runSeed runs the cluster and reports its violations as test errors.
 func runSeed(t *testing.T, c *soak.Cluster) {
 	t.Helper()
@@ -96,4 +104,7 @@
 func TestSoakIncident(t *testing.T) {
 	binary := buildBinary(t)
 	runSeed(t, &soak.Cluster{Seed: incidentSeed, Binary: binary, Dir: t.TempDir(), Instances: 6, Clients: 36, FaultDuration: 12 * time.Second, Incident: true})
+	for _, seed := range incidentSeeds {
+		runSeed(t, &soak.Cluster{Seed: seed, Binary: binary, Dir: t.TempDir(), Instances: 6, Clients: 36, FaultDuration: 10 * time.Second, Incident: true})
+	}
 }
