Allowances: what was admitted while ticks were late is not left to others as well

Where only its ticks were late (a starved process) it had admitted requests meanwhile, so the allowance of that time counted twice, and a team got more than its rate and burst (QUOTA).

Change: the time since a bucket was last refilled counts, which each request does.

Evidence: TestTeamStaysWithinItsAllowanceBesideLateTicks fails without the change (666,000 and 922,500 tokens in a window at 1.5 and 4 times the rate, 605,000 are allowed) and passes with it; so do the tests of instances that stood still.

--- a/internal/quota/pause.go
+++ b/internal/quota/pause.go
@@ -25,9 +25,9 @@
 }
 
 // now returns the time, after it has accounted for a time in which the instance stood still.
-// The others may have used the allowance of that time, of which they report later; until then
-// as little of it is available as to an instance that has just started. The caller holds the
-// lock.
+// The others may have used the allowance since each bucket was last refilled, of which they
+// report later; until then as little of it is available as to an instance that has just started.
+// The caller holds the lock.
 func (m *Meter) now() time.Time {
 	now := m.Now()
 	pause := now.Sub(m.lastTickAt)
@@ -35,7 +35,7 @@
 		return now
 	}
 	for _, b := range m.buckets {
-		b.forgo(pause.Seconds()*b.rate, now)
+		b.forgo(max(now.Sub(b.refilledAt).Seconds(), 0)*b.rate, now)
 		b.level, b.refilledAt = min(b.level, b.depth*initialFraction), now
 	}
 	m.lastTickAt = now
--- a/internal/quota/pause_test.go
+++ b/internal/quota/pause_test.go
@@ -139,3 +139,28 @@
 		}
 	}
 }
+
+// TestTeamStaysWithinItsAllowanceBesideLateTicks guards against an allowance that counts twice,
+// as used here and as left to others, at instances that serve while their ticks are late.
+func TestTeamStaysWithinItsAllowanceBesideLateTicks(t *testing.T) {
+	t.Parallel()
+	limit := testTeam.RatePerSecond*testWindow.Seconds() + testTeam.Burst
+	for _, demand := range []float64{0.9, 1.5, 4} {
+		f := newBusyFleet(9, demand)
+		nextTick := f.now.Add(pauseBetweenTicks)
+		for range 100 {
+			f.run(exchangeInterval, demand)
+			f.exchange()
+			if !f.now.Before(nextTick) {
+				f.tick(-1)
+				nextTick = f.now.Add(pauseBetweenTicks)
+			}
+		}
+		if most := f.maxWindowTokens(); most > limit*(1+overshoot)+slack {
+			t.Errorf("demand %.1f: %.0f tokens admitted in a window, limit is %.0f", demand, most, limit)
+		}
+	}
+}
+
+// pauseBetweenTicks is a time between two ticks after which an instance counts as paused.
+const pauseBetweenTicks = 1300 * time.Millisecond
