--- a/internal/quota/pause_test.go
+++ b/internal/quota/pause_test.go
@@ -11,9 +11,12 @@
 // tickInterval is the time between two calls of Tick.
 const tickInterval = 50 * time.Millisecond
 
-// newBusyFleet returns a fleet whose instances have served a team at a part of its rate.
-func newBusyFleet(instances int, demand float64) *fleet {
-	f := newFleet(instances)
+// busyInstances is the number of instances of newBusyFleet.
+const busyInstances = 9
+
+// newBusyFleet returns a fleet whose instances have served a team at a multiple of its rate.
+func newBusyFleet(demand float64) *fleet {
+	f := newFleet(busyInstances)
 	for _, m := range f.meters {
 		m.Prepare([]*deployment.Team{testTeam})
 	}
@@ -97,7 +100,7 @@
 func TestInstanceThatStoodStillRefusesNoTeamWithinItsRate(t *testing.T) {
 	t.Parallel()
 	for _, span := range []time.Duration{1500 * time.Millisecond, 3 * time.Second, 8 * time.Second} {
-		f := newBusyFleet(9, 0.8)
+		f := newBusyFleet(0.8)
 		f.pause(4, span, 0.8)
 		// A request that waited is served before the reports arrive.
 		f.meters[4].Admit(testTeam, quota.Request{Cost: 1500})
@@ -110,7 +113,7 @@
 // was cut off from all others, and admitted no more than its part meanwhile.
 func TestInstanceThatWasAloneRefusesNoTeamWithinItsRate(t *testing.T) {
 	t.Parallel()
-	f := newBusyFleet(9, 0.8)
+	f := newBusyFleet(0.8)
 	f.partitioned[4] = true
 	for range 10 {
 		f.serveExcept(-1, 0.8)
@@ -126,7 +129,7 @@
 	t.Parallel()
 	limit := testTeam.RatePerSecond*testWindow.Seconds() + testTeam.Burst
 	for _, demand := range []float64{0.9, 1.5, 4} {
-		f := newBusyFleet(9, demand)
+		f := newBusyFleet(demand)
 		for n := range 12 {
 			f.pause(n%3, time.Duration(1+n%4)*time.Second, demand)
 			f.exchange()
@@ -146,7 +149,7 @@
 	t.Parallel()
 	limit := testTeam.RatePerSecond*testWindow.Seconds() + testTeam.Burst
 	for _, demand := range []float64{0.9, 1.5, 4} {
-		f := newBusyFleet(9, demand)
+		f := newBusyFleet(demand)
 		nextTick := f.now.Add(pauseBetweenTicks)
 		for range 100 {
 			f.run(exchangeInterval, demand)
