Streams: a response that broke off ends as complete on nobody's word

A client saw a stream end as complete after event 17 of 25 (ORDER): its engine ended, and the next two had nothing to send of the rest.

Change: in such a response an answer without an event never ends the stream. It is broken off; when its client takes it up, two targets decide, as before. A stream that seems whole, of a process of which nothing is known, still ends when the next target has nothing left.

Evidence: the cases "broken off at the end" and "before it" of TestStreamWithNothingLeftIsConfirmed end as complete without the change; all eight pass now, twice, with the tests of pieces, cuts and hedges. The test has new cases for clients that take a stream up, at its end and before it.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -108,15 +108,19 @@
 // response without an event is not the end of a stream: a stream that begins has events, and
 // of one that goes on a target that has nothing to send may have lost the rest. It counts as
 // complete once several targets have nothing left after the last event. One that ended between
-// two events, and of whose process nothing is known, counts among them; one whose process seems
-// to have ended does not.
+// two events, and of whose process nothing is known, counts among them. After one that broke off
+// nobody's word counts in this response: its client may take the stream up.
 func (e *exchange) checkStreamEnd(event eventstream.Event, err error) error {
 	switch {
 	case err == nil:
 	case !errors.Is(err, io.EOF):
 		e.observeEnd(err)
-		if e.lastEventID != "" && len(event.Raw) == 0 && liveness.ErrUndecided.Has(err) {
+		switch {
+		case e.lastEventID == "" || e.firstEventAt.IsZero():
+		case len(event.Raw) == 0 && liveness.ErrUndecided.Has(err):
 			e.recordNothingLeft(e.target.ID, e.lastEventID)
+		default:
+			e.recordCut(e.lastEventID)
 		}
 	case !e.firstEventAt.IsZero():
 		e.recordSound()
@@ -130,15 +134,27 @@
 type streamRest struct {
 	after   string
 	nothing map[deployment.TargetID]bool
+	// cutAfter is the event after which a target broke the stream off.
+	cutAfter string
+}
+
+// recordCut records that a target broke the stream off after an event.
+func (p *progress) recordCut(after string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rest.cutAfter = after
 }
 
 // recordNothingLeft records that a target has nothing to send after an event, and returns
-// how many targets have not.
+// how many targets have not, as far as their word counts.
 func (p *progress) recordNothingLeft(target deployment.TargetID, after string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.rest.after != after || p.rest.nothing == nil {
-		p.rest = streamRest{after: after, nothing: map[deployment.TargetID]bool{}}
+		p.rest = streamRest{after: after, nothing: map[deployment.TargetID]bool{}, cutAfter: p.rest.cutAfter}
+	}
+	if p.rest.cutAfter == after {
+		return 0
 	}
 	p.rest.nothing[target] = true
 	return len(p.rest.nothing)
--- a/internal/gatewayinstance/stream_end_test.go
+++ b/internal/gatewayinstance/stream_end_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -85,35 +86,48 @@
 }
 
 // TestStreamWithNothingLeftIsConfirmed guards against streams that end as complete on the word
-// of one target that has nothing to send, and against refusing those with nothing left: a
-// second target decides.
+// of one target that has nothing to send, or on any word in a response that was broken off, and
+// against refusing those with nothing left: when their clients take them up, two targets decide.
 func TestStreamWithNothingLeftIsConfirmed(t *testing.T) {
 	t.Parallel()
 	cases := map[string]struct {
+		// after is the event after which the client takes the stream up; 0 for a new one.
+		after int
 		// answers are what the targets send, in the order in which they get the request.
 		answers []string
 		want    string
+		broken  bool
 	}{
-		"nothing left":             {answers: []string{pieces(1, 6), "", ""}, want: pieces(1, 6)},
+		"broken off at the end":    {answers: []string{pieces(1, 6), "", ""}, want: pieces(1, 6), broken: true},
+		"broken off before it":     {answers: []string{pieces(1, 3), "", ""}, want: pieces(1, 3), broken: true},
 		"the third goes on":        {answers: []string{pieces(1, 3), "", pieces(4, 6)}, want: pieces(1, 6)},
-		"the third is foreign":     {answers: []string{pieces(1, 3), "", "error\n\n"}},
-		"the third breaks off":     {answers: []string{pieces(1, 3), "", pieces(4, 5) + "id: 6\nda"}},
+		"the third is foreign":     {answers: []string{pieces(1, 3), "", "error\n\n"}, want: pieces(1, 3), broken: true},
+		"the third breaks off":     {answers: []string{pieces(1, 3), "", pieces(4, 5) + "id: 6\nda"}, want: pieces(1, 5), broken: true},
 		"goes on, then is foreign": {answers: []string{pieces(1, 3), pieces(4, 5) + "error\n\n", pieces(6, 6)}, want: pieces(1, 6)},
+		"taken up at the end":      {after: 6, answers: []string{"", ""}},
+		"taken up before it":       {after: 3, answers: []string{"", pieces(4, 6)}, want: pieces(4, 6)},
 	}
 	c, a := newScriptedCluster(t, 3, 3, func(attempt int, w http.ResponseWriter, r *http.Request) {
 		name, framing, _ := strings.Cut(r.Header.Get("Request-Id"), "/")
 		if k, ok := cases[name]; ok && attempt <= len(k.answers) {
-			writeRaw(w, r, framing, k.answers[attempt-1], attempt == 1)
+			writeRaw(w, r, framing, k.answers[attempt-1], attempt == 1 && k.after == 0)
 		}
 	})
+	informed := c.startInformed(c.startInstance)
 	for name, k := range cases {
 		for _, framing := range []string{byChunks, byLength} {
 			t.Run(name+", "+framing, func(t *testing.T) {
 				t.Parallel()
 				id := name + "/" + framing
-				got := c.sendTimed(http.MethodPost, "/stream/", id, streamDeadline)
-				if complete := got.err == nil; complete != (k.want != "") || complete && got.body != k.want {
-					t.Errorf("error %v, body %q, want %q; at %v; logged: %s", got.err, got.body, k.want, a.of(id), c.logged(id))
+				got := c.sendThrough(informed, http.MethodPost, "/stream/", func(h http.Header) {
+					h.Set("Request-Id", id)
+					if k.after > 0 {
+						h.Set("Last-Event-Id", strconv.Itoa(k.after))
+						h.Set("Resumes", "elsewhere")
+					}
+				})
+				if broken := got.err != nil; broken != k.broken || got.status != http.StatusOK || got.body != k.want {
+					t.Errorf("status %d, error %v, body %q, want %q; at %v; logged: %s", got.status, got.err, got.body, k.want, a.of(id), c.logged(id))
 				}
 			})
 		}
