--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -244,7 +244,6 @@
 
 // maintain updates what changes by the passage of time.
 func (n *Network) maintain() {
-	n.Meter.Tick()
 	n.updateRole()
 	n.mu.Lock()
 	n.removeExpired()
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -40,10 +40,6 @@
 	// unpublished is what this instance admitted since it last called Publish.
 	unpublished float64
 	createdAt   time.Time
-	// forgone is what this instance left to others in a time in which it heard of none of
-	// them. What they report until settledAt is charged to it first.
-	forgone   float64
-	settledAt time.Time
 	// resuming is the cost of the resumed streams that this instance refused and that
 	// are not due back yet.
 	resuming float64
@@ -126,8 +122,6 @@
 	Now     func() time.Time
 
 	mu sync.Mutex
-	// lastTickAt is when Tick was last called.
-	lastTickAt time.Time
 	// admittingSince is when the first bucket was created.
 	admittingSince time.Time
 	// buckets and admitted, which is this instance's own usage, are by team.
@@ -182,8 +176,9 @@
 func (m *Meter) admit(team *deployment.Team, r Request, fraction float64, members int) (ok bool, wait time.Duration, publish bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now, b := m.now(), m.bucket(team)
-	m.refill(b, now, fraction, members)
+	b := m.bucket(team)
+	now := m.Now()
+	b.refill(now, fraction, members)
 	if b.level >= b.needed(r, now, fraction) {
 		b.level -= r.Cost
 		b.unpublished += r.Cost
@@ -297,7 +292,6 @@
 func (m *Meter) Observe(id, incarnation string, admittingFor time.Duration, admitted map[string]float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.now()
 	if m.peers == nil {
 		m.peers = map[string][]*incarnationUsage{}
 	}
@@ -311,11 +305,11 @@
 		if admittingFor > 0 {
 			m.deductFirst(admittingFor, admitted)
 		} else {
-			m.deduct(nil, admitted, now)
+			m.deduct(nil, admitted)
 		}
 		m.peers[id] = append(incarnations[max(len(incarnations)+1-maxIncarnations, 0):], &incarnationUsage{incarnation: incarnation, admitted: maps.Clone(admitted)})
 	default:
-		m.deduct(incarnations[i].admitted, admitted, now)
+		m.deduct(incarnations[i].admitted, admitted)
 		maps.Copy(incarnations[i].admitted, admitted)
 	}
 }
@@ -336,10 +330,10 @@
 
 // deduct subtracts from the buckets what was admitted since the previous report. The
 // caller holds the lock.
-func (m *Meter) deduct(previous, admitted map[string]float64, now time.Time) {
+func (m *Meter) deduct(previous, admitted map[string]float64) {
 	for team, total := range admitted {
 		if b, ok := m.buckets[team]; ok {
-			b.charge(total-previous[team], now)
+			b.level -= total - previous[team]
 		}
 	}
 }
