Versions: what peers said of earlier ones outlasts the own reading of the store

What callers saw: a client that resumed a stream, of which no record was found, at an instance that had started while the store held no record of versions was refused, though every peer could tell that its service had one version only (LOST).

Cause: since the instance confirms its list of targets in the store before it goes on without a record. It then went by its own knowledge alone and dropped what the peers had just said: that they know all versions from before it started, or that there was a second one.

Change: the confirmation adds to what is known.

Evidence: TestWordsOfPeersCompleteAConfirmedList fails without the change ("peers had one version": several true, confirmed by "store", want false) and passes with it, twice with the race detector. Found by reading.

--- a/internal/peer/origin_confirm.go
+++ b/internal/peer/origin_confirm.go
@@ -30,7 +30,7 @@
 // then, and the source of the confirmation.
 func (n *Network) confirmVersions(ctx context.Context, service string, at time.Time, known versionKnowledge) (versionKnowledge, VersionSource) {
 	if n.confirmOwnVersions(ctx, at) {
-		return n.ownKnowledge(service), VersionsByStore
+		return known.merge(n.ownKnowledge(service)), VersionsByStore
 	}
 	holders := n.rankedPeers(n.Self.ID, originHolders)
 	answers := n.askVersions(ctx, holders, service, true)
--- a/internal/peer/origin_confirm_test.go
+++ b/internal/peer/origin_confirm_test.go
@@ -60,3 +60,35 @@
 		})
 	}
 }
+
+// TestWordsOfPeersCompleteAConfirmedList guards against an instance that cannot tell by itself
+// which versions there were before it, lists the targets anew, and forgets what its peers told it
+// of that time: resumes are refused though the fleet can tell (LOST), or go on though a peer knows
+// of another version (ORDER).
+func TestWordsOfPeersCompleteAConfirmedList(t *testing.T) {
+	for name, k := range map[string]struct {
+		others  []string
+		several bool
+	}{
+		"peers had one version":   {others: []string{"v1"}},
+		"peers had a second, too": {others: []string{"v1", "v2"}, several: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newFleetWith(t, 3, func(i int, m *member) {
+				if i > 0 {
+					m.Versions.Restore(origin.StoredVersions{})
+					m.Versions.Observe(versionsOf(k.others...))
+				}
+				m.Versions.Observe(versionsOf("v1"))
+				m.ConfirmVersions = func(context.Context, time.Time) bool { return true }
+			})
+			await(t, "instances know each other", func() bool {
+				return allInstances(fleet, func(m *member) bool { return m.MemberCount() == 3 })
+			})
+			found := fleet[0].LookupOrigin(context.Background(), "begun elsewhere", "s")
+			if found.Several != k.several {
+				t.Errorf("several %t, confirmed by %q, want %t", found.Several, found.ConfirmedBy, k.several)
+			}
+		})
+	}
+}
