--- a/internal/connection/http_client.go
+++ b/internal/connection/http_client.go
@@ -32,6 +32,11 @@
 	// Timeout bounds the time from the start of the request to the end of the
 	// response.
 	Timeout time.Duration
+	// Answers reports whether a response can be the one to this request; nil if each can.
+	// If not, it may be a late one to an earlier request on its connection, and the
+	// request, which has to be safe to repeat, is sent once more, on a connection of its
+	// own. The response to that one counts, whatever it is.
+	Answers func(Response) bool
 }
 
 // Response is the response to a request.
@@ -43,7 +48,8 @@
 }
 
 // HTTPClient sends short HTTP requests over pooled connections. Each request is
-// sent at most once: the HTTP library retries just those of which nothing was written. A
+// sent at most once, unless it names what can answer it: the HTTP library retries just those
+// of which nothing was written. A
 // response takes memory only for bytes that have arrived, whatever lengths it names, and
 // fails once its body exceeds the bound. Set the exported fields before the first call of
 // Do. It is safe for concurrent use.
@@ -67,10 +73,19 @@
 
 	once sync.Once
 	http *fasthttp.Client
+	// single makes requests on connections of their own.
+	single *fasthttp.Client
 }
 
-func (c *HTTPClient) client() *fasthttp.Client {
+func (c *HTTPClient) init() {
 	c.once.Do(func() {
+		c.single = &fasthttp.Client{
+			Dial:                      c.Dialer.Dial,
+			MaxConnsPerHost:           c.MaxConnections,
+			MaxIdemponentCallAttempts: 1,
+			StreamResponseBody:        true,
+			NoDefaultUserAgentHeader:  true,
+		}
 		c.http = &fasthttp.Client{
 			Dial:                      c.dial,
 			MaxConnsPerHost:           c.MaxConnections,
@@ -82,7 +97,6 @@
 			NoDefaultUserAgentHeader: true,
 		}
 	})
-	return c.http
 }
 
 func (c *HTTPClient) dial(address string) (net.Conn, error) {
@@ -105,7 +119,7 @@
 	}
 	outcomes := make(chan outcome, 1)
 	go func() {
-		response, err := c.send(ctx, request)
+		response, err := c.sendUntilAnswered(ctx, request)
 		outcomes <- outcome{response, err}
 	}()
 	select {
@@ -116,7 +130,20 @@
 	}
 }
 
-func (c *HTTPClient) send(ctx context.Context, request Request) (Response, error) {
+func (c *HTTPClient) sendUntilAnswered(ctx context.Context, request Request) (Response, error) {
+	c.init()
+	deadline := time.Now().Add(request.Timeout)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		deadline = d
+	}
+	response, err := c.send(c.http, request, deadline)
+	if err != nil || request.Answers == nil || request.Answers(response) {
+		return response, err
+	}
+	return c.send(c.single, request, deadline)
+}
+
+func (c *HTTPClient) send(client *fasthttp.Client, request Request, deadline time.Time) (Response, error) {
 	httpRequest, httpResponse := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(httpRequest)
 	defer fasthttp.ReleaseResponse(httpResponse)
@@ -129,12 +156,11 @@
 		httpRequest.Header.SetContentType("application/json")
 		httpRequest.SetBody(request.Body)
 	}
-	deadline := time.Now().Add(request.Timeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
+	if client == c.single {
+		httpRequest.SetConnectionClose()
 	}
 	c.Calls.Add(1)
-	if err := c.client().DoDeadline(httpRequest, httpResponse, deadline); err != nil {
+	if err := client.DoDeadline(httpRequest, httpResponse, deadline); err != nil {
 		return Response{}, c.failed(err)
 	}
 	body, err := c.readBody(httpResponse)
@@ -173,7 +199,10 @@
 }
 
 // CloseIdle closes the idle connections to all addresses.
-func (c *HTTPClient) CloseIdle() { c.client().CloseIdleConnections() }
+func (c *HTTPClient) CloseIdle() {
+	c.init()
+	c.http.CloseIdleConnections()
+}
 
 // failed returns the error of a request without a response.
 func (c *HTTPClient) failed(err error) error {
--- a/internal/connection/stale_test.go
+++ b/internal/connection/stale_test.go
@@ -132,3 +132,43 @@
 		}
 	}
 }
+
+// TestCallThatNamesItsAnswerGetsIt guards against calls that fail because a kept connection
+// gave them the answer to an earlier call, which came late: whenever the next call is made,
+// also before the late bytes are there.
+func TestCallThatNamesItsAnswerGetsIt(t *testing.T) {
+	const calls = 10
+	for name, c := range map[string]struct {
+		before bool
+		pause  time.Duration
+	}{
+		"copy after each answer, at once":       {},
+		"copy after each answer, a pause":       {pause: 2 * afterAnswer},
+		"copy before the next answer, at once":  {before: true},
+		"copy before the next answer, a pause":  {before: true, pause: 2 * afterAnswer},
+		"copy before the next answer, half one": {before: true, pause: afterAnswer / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := &numberServer{before: c.before, written: make(chan struct{}, 2*calls)}
+			address := server.start(t)
+			client := &connection.HTTPClient{Dialer: connection.Dialer{ConnectTimeout: time.Second}, MaxIdleTime: time.Minute}
+			for n := range calls {
+				path := fmt.Sprint("/", n)
+				response, err := client.Do(context.Background(), connection.Request{
+					Method: http.MethodGet, URI: address + path, Timeout: time.Second,
+					Answers: func(r connection.Response) bool { return string(r.Body) == path },
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if string(response.Body) != path {
+					t.Errorf("call %s got the answer %s", path, response.Body)
+				}
+				time.Sleep(c.pause)
+			}
+			if sent := client.Calls.Load(); sent > 2*calls {
+				t.Errorf("%d calls were sent %d times", calls, sent)
+			}
+		})
+	}
+}
