--- a/internal/deployment/configuration.go
+++ b/internal/deployment/configuration.go
@@ -146,8 +146,9 @@
 	// MaxBodyBytes is the largest request body that is accepted; zero means no limit.
 	MaxBodyBytes int
 
-	// byHost is built by Index.
-	byHost map[string][]*Route
+	// byHost and runOnce are built by Index.
+	byHost  map[string][]*Route
+	runOnce map[string]bool
 }
 
 // Index builds the index that Route uses. Call it once, after the fields are set
@@ -158,8 +159,37 @@
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 	}
+	c.runOnce = c.urgentRunOnce()
 }
 
+// urgentRunOnce returns the services whose most urgent streaming routes have one that is
+// tried once and is not resumable.
+func (c *Configuration) urgentRunOnce() map[string]bool {
+	urgent := map[string]int{}
+	runOnce := map[string]bool{}
+	for _, r := range c.Routes {
+		if r.Kind != Streaming {
+			continue
+		}
+		once := !r.Resumable && r.MaxAttempts <= 1
+		for _, b := range r.Backends {
+			priority, known := urgent[b.Service]
+			switch {
+			case !known || r.Priority < priority:
+				urgent[b.Service], runOnce[b.Service] = r.Priority, once
+			case r.Priority == priority:
+				runOnce[b.Service] = runOnce[b.Service] || once
+			}
+		}
+	}
+	return runOnce
+}
+
+// UrgentStreamsRunOnce reports whether, of the most urgent streaming routes to a service,
+// one is tried once and is not resumable: what becomes of its requests is decided with the
+// first choice of a target.
+func (c *Configuration) UrgentStreamsRunOnce(service string) bool { return c.runOnce[service] }
+
 // Route returns the route of a host whose path prefix is the longest that matches
 // path, or nil. The case of host and a port in it are ignored.
 func (c *Configuration) Route(host, path string) *Route {
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -43,16 +43,13 @@
 	attempt := &upstream.Attempt{
 		Target:      target.ID,
 		Deadline:    e.remaining(),
-		Priority:    e.route.Priority,
+		Priority:    e.priority(),
 		LastEventID: e.lastEventID,
 
 		PossibleCauses: e.possibleCauses(),
 	}
 	if e.team != nil {
 		attempt.Team = e.team.Name
-		if e.team.Priority != nil {
-			attempt.Priority = *e.team.Priority
-		}
 	}
 	if _, possibleRuns := e.counts(); possibleRuns+1 < e.route.MaxAttempts {
 		attempt.Repeatable, attempt.Streaming = e.route.Repeatable(), e.route.Kind == deployment.Streaming
@@ -62,6 +59,14 @@
 	return attempt
 }
 
+// priority returns the request's rank: its team's if that has one, or else its route's.
+func (e *exchange) priority() int {
+	if e.team != nil && e.team.Priority != nil {
+		return *e.team.Priority
+	}
+	return e.route.Priority
+}
+
 // prepareEngine chooses an engine and has the adapter loaded there if the engine
 // lacks it.
 func (e *exchange) prepareEngine(service *deployment.Service) (*upstream.Attempt, *refusal.Error) {
@@ -71,9 +76,14 @@
 		Version:    s.Catalog.NewestVersion(e.request.Adapter),
 		Tokens:     e.request.PromptTokens + e.request.OutputTokens,
 		Zone:       s.Zone,
+		Priority:   e.priority(),
+		Objective:  e.route.LatencyObjective,
+		Remaining:  e.remaining(),
 		Repeatable: e.route.Repeatable(),
 		Random:     rand.IntN,
 		Now:        s.Now(),
+
+		PromptTokens: e.request.PromptTokens,
 	}
 	candidates := e.engineCandidates(service)
 	request.WantedCopies = s.Demand.WantedCopies(request.Adapter, len(candidates))
--- a/internal/gatewayinstance/settings.go
+++ b/internal/gatewayinstance/settings.go
@@ -15,6 +15,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/settings"
 )
 
@@ -57,6 +58,40 @@
 	// burst.
 	AllowanceWindow settings.Duration `toml:"allowance_window"`
 	Retry           Retry             `toml:"retry"`
+	Decisions       Decisions         `toml:"decisions"`
+}
+
+// Decisions says which optional decisions the instance makes.
+type Decisions struct {
+	// Admission is for requests that compete for too little room, Speeds for targets of
+	// unlike speed, PromptCache for prompts whose beginning an engine still holds.
+	Admission   Mode `toml:"admission"`
+	Speeds      Mode `toml:"speeds"`
+	PromptCache Mode `toml:"prompt_cache"`
+}
+
+// Mode says for which services an optional decision is made.
+type Mode string
+
+// The modes; a setting that is missing means ModeOff.
+const (
+	ModeOff Mode = "off"
+	// ModeAuto is for the services whose most urgent streams may run once only, so that
+	// the first choice of a target is the last one.
+	ModeAuto Mode = "auto"
+	// ModeOn is for all services.
+	ModeOn Mode = "on"
+)
+
+// valid reports whether the mode is known.
+func (m Mode) valid() bool { return m == "" || m == ModeOff || m == ModeAuto || m == ModeOn }
+
+// For returns the function that reports whether the decision is made for a service of a
+// configuration.
+func (m Mode) For() func(configuration *deployment.Configuration, service string) bool {
+	return func(configuration *deployment.Configuration, service string) bool {
+		return m == ModeOn || m == ModeAuto && configuration != nil && configuration.UrgentStreamsRunOnce(service)
+	}
 }
 
 // Listen holds the addresses that an instance listens on.
@@ -134,6 +169,9 @@
 	require(s.ShutdownGrace.Duration > minShutdownGrace, "shutdown_grace", fmt.Sprintf("must be more than %s", minShutdownGrace))
 	require(s.AllowanceWindow.Duration > 0, "allowance_window", "must be more than 0s")
 	require(s.MemoryMB >= 0, "memory_mb", "must not be negative")
+	for path, mode := range map[string]Mode{"decisions.admission": s.Decisions.Admission, "decisions.speeds": s.Decisions.Speeds, "decisions.prompt_cache": s.Decisions.PromptCache} {
+		require(mode.valid(), path, `must be "off", "auto" or "on"`)
+	}
 	require(s.Retry.Ratio >= 0, "retry.ratio", "must not be negative")
 	require(s.Retry.Extra >= 0, "retry.extra", "must not be negative")
 	return problems
--- a/internal/gatewayinstance/settings_test.go
+++ b/internal/gatewayinstance/settings_test.go
@@ -43,6 +43,7 @@
 		"no peers":       {`peers = "10.0.0.5:7600"`, "", "listen.peers"},
 		"negative ratio": {"ratio = 0.2", "ratio = -1", "retry.ratio"},
 		"memory":         {"unknown_field = 7", "memory_mb = -1", "memory_mb"},
+		"unknown mode":   {"[listen]", "[decisions]\nspeeds = \"some\"\n[listen]", "decisions.speeds"},
 		"no window":      {`allowance_window = "8s"`, "", "allowance_window"},
 	}
 	for name, c := range cases {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -59,8 +59,15 @@
 	Adapter deployment.AdapterName
 	// Version is the minimum version of the adapter; zero accepts any.
 	Version uint64
-	Tokens  int
-	Zone    string
+	// Tokens are those of the prompt and the output, PromptTokens those of the prompt.
+	Tokens       int
+	PromptTokens int
+	Zone         string
+	// Priority is the request's rank, 0 is the most urgent. Objective is the time within
+	// which the first event is wanted, Remaining the time left until the deadline; zero
+	// is unknown.
+	Priority             int
+	Objective, Remaining time.Duration
 	// Repeatable requests may be retried on another target.
 	Repeatable bool
 	// WantedCopies is the number of engines that should hold the adapter, according
@@ -94,6 +101,21 @@
 	Warm bool
 	// ColdWait is the expected wait before a load from the weight store begins.
 	ColdWait time.Duration
+	// Speed is what is known of how fast the target works.
+	Speed Speed
+	// CachedTokens is how many of the prompt's tokens the engine still has in its KV
+	// cache, so that it need not prefill them.
+	CachedTokens int
+}
+
+// Speed is how fast a target works. The zero value is that of a usual target.
+type Speed struct {
+	// PrefillTokensPerMS is the rate at which an engine prefills prompts while it also
+	// decodes; zero is the usual rate.
+	PrefillTokensPerMS float64
+	// Slowness is how many times as long as a usual target the target takes for all else;
+	// zero counts as 1.
+	Slowness float64
 }
 
 // loadDelay estimates the time until the adapter is loaded.
