Allowances: a team beyond its rate is admitted by each instance's own part

Cause: instances learn some hundred milliseconds late what the others admit. Each time the allowance refills all of them admit whatever comes until the reports arrive; at seven times the rate that is many times the allowance, and a window that ends at such a moment holds too much. It grows with demand times the delay, not with the fleet. Change: while a team is beyond its allowance each instance admits only its part of the rate, which is its part of what was admitted lately.

--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -46,6 +46,7 @@
 	// reserved is in force while a part of the bucket is left to resumed streams that this
 	// instance refused.
 	reserved reservation.Reservation
+	pace     pace
 }
 
 // publishFraction is the part of a bucket's depth that an instance may admit before
@@ -62,9 +63,19 @@
 		b.level = min(limit, b.level+elapsed*b.rate*fraction)
 	}
 	b.resuming = max(b.resuming-elapsed*b.rate*fraction*resumeShare/float64(members), 0)
+	b.pace.refill(now, now.Sub(b.refilledAt), b.rate*fraction, members)
+	if b.level < 0 {
+		b.pace.begin(now)
+	}
 	b.refilledAt = now
 }
 
+// admits reports whether a request may be admitted now. Resumed streams are not paced: they
+// were told when there will be room for them.
+func (b *bucket) admits(r Request, now time.Time, fraction float64) bool {
+	return b.level >= b.needed(r, now, fraction) && (r.Resumed || b.pace.allows(now))
+}
+
 // needed returns the level that admits a request. New requests leave a part to resumed
 // streams that are due back; what they have cost so far would be lost with them.
 func (b *bucket) needed(r Request, now time.Time, fraction float64) float64 {
@@ -86,6 +97,9 @@
 		// All that was refused is due back after the longest reservation.
 		b.resuming = min(b.resuming+r.Cost, reservation.Longest.Seconds()*rate*resumeShare/float64(members))
 	}
+	if !r.Resumed {
+		seconds = max(seconds, b.pace.wait(now, rate, members).Seconds())
+	}
 	wait := time.Duration(min(max(seconds, minRetryAfter.Seconds()), maxRetryAfter.Seconds()) * float64(time.Second))
 	if r.Resumed {
 		b.reserved.Extend(now, wait)
@@ -179,8 +193,9 @@
 	b := m.bucket(team)
 	now := m.Now()
 	b.refill(now, fraction, members)
-	if b.level >= b.needed(r, now, fraction) {
+	if b.admits(r, now, fraction) {
 		b.level -= r.Cost
+		b.pace.spend(r.Cost, now)
 		b.unpublished += r.Cost
 		m.admitted[team.Name] += r.Cost
 		publish = b.unpublished > publishFraction*b.depth
@@ -199,7 +214,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.bucket(team).level += cost
+	b := m.bucket(team)
+	b.level += cost
+	b.pace.spend(-cost, m.Now())
 	m.admitted[team.Name] -= cost
 }
 
@@ -331,9 +348,11 @@
 // deduct subtracts from the buckets what was admitted since the previous report. The
 // caller holds the lock.
 func (m *Meter) deduct(previous, admitted map[string]float64) {
+	now := m.Now()
 	for team, total := range admitted {
 		if b, ok := m.buckets[team]; ok {
 			b.level -= total - previous[team]
+			b.pace.others.add(total-previous[team], now)
 		}
 	}
 }
