Prompts: the lease holder of a zone assigns them to engines

Prompts of several instances meet at one engine, which prefills them in a row; the counts that instances exchange are some 200 ms old and cannot tell. Change: where decisions.prompts asks for it, the instance that holds the lease for a zone's engines chooses among the engines that can start a request and reserves the time there. The rate of prefilling is learned from first events.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,6 +64,8 @@
 	// expectedStart is the estimated delay until the chosen engine starts the
 	// request.
 	expectedStart time.Duration
+	// assignedTo is the engine's assignment to the prompt; the zero value if it has none.
+	assignedTo assignedEngine
 	// waitedForLoad is set when the request waited for its adapter to load before
 	// this attempt.
 	waitedForLoad bool
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -91,6 +91,8 @@
 	if refused != nil {
 		return nil, refused
 	}
+	assigned := e.assignEngine(request, candidates, choice)
+	choice = assigned.Choice
 	target := candidates[choice.Index].Target
 	e.expectedStart = choice.Delay
 	if choice.NeedsLoad {
@@ -108,9 +110,7 @@
 	if !e.waitForAdapter(target, request, attempt) {
 		return nil, nil
 	}
-	if s.StreamPauses.Frequent() {
-		e.pacePrompt(target, attempt)
-	}
+	e.pacePrompt(assigned, request, candidates, attempt)
 	if !s.Availability.Available(target) {
 		e.recordStep("select", target.ID, "unavailable")
 		return nil, nil
@@ -118,19 +118,6 @@
 	return attempt, nil
 }
 
-// pacePrompt reserves time on the engine for the prompt and delays the attempt
-// until the engine should have processed the prompts reserved before it.
-func (e *exchange) pacePrompt(target deployment.Target, attempt *upstream.Attempt) {
-	delay := e.server.Network.ReservePrompt(e.ctx, target, e.request.PromptTokens)
-	if delay > 0 {
-		e.recordStep("pace", target.ID, delay.String())
-		// The sleep ends early only if the exchange is cancelled, which the attempt
-		// itself detects.
-		_ = wait.Sleep(e.ctx, delay)
-	}
-	attempt.Deadline = e.remaining()
-}
-
 // requestCopy requests the load of an additional copy of an adapter, for later
 // requests. It does not wait for the load.
 func (e *exchange) requestCopy(target deployment.Target, request placement.Request) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -67,6 +67,9 @@
 	// if many did, prompts are paced.
 	StreamPauses placement.PauseMonitor
 	Upstream     *upstream.Client
+	// AssignsPrompts reports whether prompts for a service's engines are assigned by the
+	// instance that holds the lease for them; nil means for none.
+	AssignsPrompts func(configuration *deployment.Configuration, service string) bool
 	// Send sends a request to a target once, and returns the response once its head has
 	// arrived.
 	Send func(ctx context.Context, target deployment.Target, request *upstream.Request, attempt *upstream.Attempt) (*upstream.Response, error)
@@ -92,6 +95,7 @@
 
 	connections activeConnections
 	scarcity    scarcity
+	promptRates promptRates
 }
 
 // Serve serves clients on a listener until the listener is closed. Connections that
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,6 +102,9 @@
 	if s.events == 0 || s.resumes > 0 {
 		s.tracked.ObserveFirstEvent()
 	}
+	if s.events == 0 {
+		s.observePrompt(s.server.Now())
+	}
 	s.lastEventID = event.ID
 	s.bindToTarget()
 	s.recordPause()
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -262,6 +262,7 @@
 	i.server.Catalog, i.server.Network, i.server.Meter, i.server.Budget = i.catalog, i.network, i.meter, i.budget
 	i.server.Detector, i.server.Tracker, i.server.Directory, i.server.Upstream = i.detector, tracker, i.directory, i.client
 	i.server.Demand = &placement.Demand{Now: clock.Now}
+	i.server.AssignsPrompts = s.Decisions.Prompts.For()
 	i.server.Leaving, i.server.Now, i.server.Log = i.leavingFor, clock.Now, i.Log
 	i.server.Metrics = gateway.NewMetrics(i.Registry)
 	i.server.Crashes, i.server.CrashDetector = i.crashes, i.crashDetector
--- a/internal/gatewayinstance/settings.go
+++ b/internal/gatewayinstance/settings.go
@@ -64,8 +64,10 @@
 // Decisions says which optional decisions the instance makes.
 type Decisions struct {
 	// Admission is for requests that compete for too little room, Speeds for targets of
-	// unlike speed, PromptCache for prompts whose beginning an engine still holds.
+	// unlike speed, PromptCache for prompts whose beginning an engine still holds, Prompts
+	// for prompts that one instance of a zone assigns to engines.
 	Admission   Mode `toml:"admission"`
+	Prompts     Mode `toml:"prompts"`
 	Speeds      Mode `toml:"speeds"`
 	PromptCache Mode `toml:"prompt_cache"`
 }
@@ -169,7 +171,7 @@
 	require(s.ShutdownGrace.Duration > minShutdownGrace, "shutdown_grace", fmt.Sprintf("must be more than %s", minShutdownGrace))
 	require(s.AllowanceWindow.Duration > 0, "allowance_window", "must be more than 0s")
 	require(s.MemoryMB >= 0, "memory_mb", "must not be negative")
-	for path, mode := range map[string]Mode{"decisions.admission": s.Decisions.Admission, "decisions.speeds": s.Decisions.Speeds, "decisions.prompt_cache": s.Decisions.PromptCache} {
+	for path, mode := range map[string]Mode{"decisions.admission": s.Decisions.Admission, "decisions.speeds": s.Decisions.Speeds, "decisions.prompts": s.Decisions.Prompts, "decisions.prompt_cache": s.Decisions.PromptCache} {
 		require(mode.valid(), path, `must be "off", "auto" or "on"`)
 	}
 	require(s.Retry.Ratio >= 0, "retry.ratio", "must not be negative")
--- a/internal/gen/heatherrelay/v1/heatherrelayv1connect/fleet.connect.go
+++ b/internal/gen/heatherrelay/v1/heatherrelayv1connect/fleet.connect.go
@@ -43,6 +43,9 @@
 	// FleetServiceReservePromptProcedure is the fully-qualified name of the FleetService's
 	// ReservePrompt RPC.
 	FleetServiceReservePromptProcedure = "/heatherrelay.v1.FleetService/ReservePrompt"
+	// FleetServiceAssignPromptProcedure is the fully-qualified name of the FleetService's AssignPrompt
+	// RPC.
+	FleetServiceAssignPromptProcedure = "/heatherrelay.v1.FleetService/AssignPrompt"
 	// FleetServiceRecordOriginsProcedure is the fully-qualified name of the FleetService's
 	// RecordOrigins RPC.
 	FleetServiceRecordOriginsProcedure = "/heatherrelay.v1.FleetService/RecordOrigins"
@@ -62,6 +65,9 @@
 	// ReservePrompt reserves time on an engine for a prompt at the engine's lease
 	// holder, which spaces the prompts of all instances.
 	ReservePrompt(context.Context, *v1.ReservePromptRequest) (*v1.ReservePromptResponse, error)
+	// AssignPrompt chooses the engine for a prompt at the lease holder of the engines'
+	// zone, which knows the prompts that all instances have sent there.
+	AssignPrompt(context.Context, *v1.AssignPromptRequest) (*v1.AssignPromptResponse, error)
 	// RecordOrigins has the receiver hold records of which software version began
 	// a stream.
 	RecordOrigins(context.Context, *v1.RecordOriginsRequest) (*v1.RecordOriginsResponse, error)
@@ -98,6 +104,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("ReservePrompt")),
 			connect.WithClientOptions(opts...),
 		),
+		assignPrompt: connect.NewClient[v1.AssignPromptRequest, v1.AssignPromptResponse](
+			httpClient,
+			baseURL+FleetServiceAssignPromptProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("AssignPrompt")),
+			connect.WithClientOptions(opts...),
+		),
 		recordOrigins: connect.NewClient[v1.RecordOriginsRequest, v1.RecordOriginsResponse](
 			httpClient,
 			baseURL+FleetServiceRecordOriginsProcedure,
@@ -118,6 +130,7 @@
 	exchange      *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	loadAdapter   *connect.Client[v1.LoadAdapterRequest, v1.LoadAdapterResponse]
 	reservePrompt *connect.Client[v1.ReservePromptRequest, v1.ReservePromptResponse]
+	assignPrompt  *connect.Client[v1.AssignPromptRequest, v1.AssignPromptResponse]
 	recordOrigins *connect.Client[v1.RecordOriginsRequest, v1.RecordOriginsResponse]
 	lookupOrigin  *connect.Client[v1.LookupOriginRequest, v1.LookupOriginResponse]
 }
@@ -149,6 +162,15 @@
 	return nil, err
 }
 
+// AssignPrompt calls heatherrelay.v1.FleetService.AssignPrompt.
+func (c *fleetServiceClient) AssignPrompt(ctx context.Context, req *v1.AssignPromptRequest) (*v1.AssignPromptResponse, error) {
+	response, err := c.assignPrompt.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // RecordOrigins calls heatherrelay.v1.FleetService.RecordOrigins.
 func (c *fleetServiceClient) RecordOrigins(ctx context.Context, req *v1.RecordOriginsRequest) (*v1.RecordOriginsResponse, error) {
 	response, err := c.recordOrigins.CallUnary(ctx, connect.NewRequest(req))
@@ -178,6 +200,9 @@
 	// ReservePrompt reserves time on an engine for a prompt at the engine's lease
 	// holder, which spaces the prompts of all instances.
 	ReservePrompt(context.Context, *v1.ReservePromptRequest) (*v1.ReservePromptResponse, error)
+	// AssignPrompt chooses the engine for a prompt at the lease holder of the engines'
+	// zone, which knows the prompts that all instances have sent there.
+	AssignPrompt(context.Context, *v1.AssignPromptRequest) (*v1.AssignPromptResponse, error)
 	// RecordOrigins has the receiver hold records of which software version began
 	// a stream.
 	RecordOrigins(context.Context, *v1.RecordOriginsRequest) (*v1.RecordOriginsResponse, error)
@@ -210,6 +235,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("ReservePrompt")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceAssignPromptHandler := connect.NewUnaryHandlerSimple(
+		FleetServiceAssignPromptProcedure,
+		svc.AssignPrompt,
+		connect.WithSchema(fleetServiceMethods.ByName("AssignPrompt")),
+		connect.WithHandlerOptions(opts...),
+	)
 	fleetServiceRecordOriginsHandler := connect.NewUnaryHandlerSimple(
 		FleetServiceRecordOriginsProcedure,
 		svc.RecordOrigins,
@@ -230,6 +261,8 @@
 			fleetServiceLoadAdapterHandler.ServeHTTP(w, r)
 		case FleetServiceReservePromptProcedure:
 			fleetServiceReservePromptHandler.ServeHTTP(w, r)
+		case FleetServiceAssignPromptProcedure:
+			fleetServiceAssignPromptHandler.ServeHTTP(w, r)
 		case FleetServiceRecordOriginsProcedure:
 			fleetServiceRecordOriginsHandler.ServeHTTP(w, r)
 		case FleetServiceLookupOriginProcedure:
@@ -255,6 +288,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("heatherrelay.v1.FleetService.ReservePrompt is not implemented"))
 }
 
+func (UnimplementedFleetServiceHandler) AssignPrompt(context.Context, *v1.AssignPromptRequest) (*v1.AssignPromptResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("heatherrelay.v1.FleetService.AssignPrompt is not implemented"))
+}
+
 func (UnimplementedFleetServiceHandler) RecordOrigins(context.Context, *v1.RecordOriginsRequest) (*v1.RecordOriginsResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("heatherrelay.v1.FleetService.RecordOrigins is not implemented"))
 }
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -68,8 +68,9 @@
 	stated bool
 	// memberListSentAt is when the instance was last sent the member list.
 	memberListSentAt time.Time
-	// lastFailureAt is when a load request to the instance last failed.
-	lastFailureAt time.Time
+	// lastFailureAt is when a load request to the instance last failed,
+	// lastAssignFailureAt when it last did not assign an engine to a prompt.
+	lastFailureAt, lastAssignFailureAt time.Time
 	// unansweredAt is when the instance last did not answer a probe.
 	unansweredAt time.Time
 	// uses is what the instance itself reported in flight, at lastReceivedAt.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -84,6 +85,21 @@
 	return &v1.ReservePromptResponse{DelayMs: delay.Milliseconds()}, nil
 }
 
+// AssignPrompt chooses the engine for a prompt out of those that this instance assigns
+// prompts to.
+func (s *server) AssignPrompt(_ context.Context, request *v1.AssignPromptRequest) (*v1.AssignPromptResponse, error) {
+	offers, err := offersFrom(request)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	a := s.network.Prompts.Assign(offers, placement.AssignmentLimits{
+		Gap:      time.Duration(request.GetGapMs()) * time.Millisecond,
+		MaxDelay: time.Duration(request.GetMaxDelayMs()) * time.Millisecond,
+		MaxWait:  time.Duration(request.GetMaxWaitMs()) * time.Millisecond,
+	})
+	return &v1.AssignPromptResponse{Index: uint32(a.Index), DelayMs: a.Delay.Milliseconds(), WaitMs: a.Wait.Milliseconds(), Assigned: a.Assigned}, nil
+}
+
 // replicaStates describes how new this instance's replicas are.
 func (n *Network) replicaStates() []*v1.BeliefState {
 	var states []*v1.BeliefState
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -118,6 +118,14 @@
 	Slowness float64
 }
 
+// Factor returns how many times as long as a usual target the target takes.
+func (s Speed) Factor() float64 {
+	if s.Slowness <= 0 {
+		return 1
+	}
+	return s.Slowness
+}
+
 // loadDelay estimates the time until the adapter is loaded.
 func (c *Candidate) loadDelay() time.Duration {
 	if c.Warm {
