--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -50,6 +50,9 @@
 	// Crashes is the kind of the reports on crashed targets, which instances write;
 	// empty for none.
 	Crashes platformstore.Kind
+	// Evacuations is the kind of the objects that each name a zone whose targets are to get
+	// nothing; empty for none.
+	Evacuations platformstore.Kind
 	// ConfigurationName is the name of the configuration object.
 	ConfigurationName string
 }
@@ -80,6 +83,10 @@
 	// configuration and of the targets must be applied.
 	ConfigurationLimit time.Duration
 	TargetsLimit       time.Duration
+	// EvacuationLimit is the time within which the evacuation of a zone must be in force.
+	EvacuationLimit time.Duration
+	// OnEvacuationsChange is called with the evacuated zones after each change.
+	OnEvacuationsChange func(zones map[string]bool)
 	// OnTargetsChange is called with all targets after each change; may be nil.
 	OnTargetsChange func(map[deployment.TargetID]deployment.Target)
 	// SanitizeCrashes replaces the value of an object of the kind Crashes that cannot be
@@ -96,6 +103,7 @@
 	targetsFollower       Follower
 	versionsFollower      Follower
 	crashesFollower       Follower
+	evacuationsFollower   Follower
 
 	activeConfiguration atomic.Pointer[deployment.Configuration]
 	// configurationMu guards changes of activeConfiguration and the fields below.
@@ -115,6 +123,9 @@
 	// uses them, which never runs concurrently.
 	unlisted map[deployment.TargetID]bool
 	leaving  map[deployment.TargetID]leavingTarget
+	// evacuated holds the evacuated zones. Only applyEvacuations uses it, which never runs
+	// concurrently.
+	evacuated map[string]bool
 }
 
 func (c *Catalog) init() {
@@ -131,6 +142,9 @@
 			c.crashesFollower = c.follower(c.Kinds.Crashes, crashesLimit, c.OnCrashesChange)
 			c.crashesFollower.Sanitize = c.SanitizeCrashes
 		}
+		if c.Kinds.Evacuations != "" {
+			c.initEvacuations()
+		}
 		c.versionByName.Store(&map[deployment.AdapterName]uint64{})
 		c.targetByID.Store(&map[deployment.TargetID]deployment.Target{})
 		c.unlisted = map[deployment.TargetID]bool{}
@@ -182,6 +196,9 @@
 	if c.Kinds.Crashes != "" {
 		group.Go(func() { c.crashesFollower.Run(ctx) })
 	}
+	if c.Kinds.Evacuations != "" {
+		group.Go(func() { c.evacuationsFollower.Run(ctx) })
+	}
 	group.Wait()
 }
 
@@ -196,6 +213,9 @@
 	if c.Kinds.Crashes != "" {
 		followers[c.Kinds.Crashes] = &c.crashesFollower
 	}
+	if c.Kinds.Evacuations != "" {
+		followers[c.Kinds.Evacuations] = &c.evacuationsFollower
+	}
 	return followers
 }
 
--- a/internal/forwarding/direct.go
+++ b/internal/forwarding/direct.go
@@ -24,10 +24,32 @@
 	Limits   *throttle.Limiter
 	// Liveness tells whether a target still runs whose answer ended with its connection.
 	Liveness *liveness.Monitor
+	// Withheld returns why a target gets no requests at present; empty if it does. Nil means
+	// that all targets do.
+	Withheld func(deployment.Target) string
+}
+
+// errWithheld is the class of errors of an attempt that was not sent since its target is to
+// get none.
+var errWithheld = errs.Class("no requests for the target at present")
+
+// checkWithheld returns an error if a target is to get no requests. That says nothing about
+// the target itself.
+func (d *Direct) checkWithheld(target deployment.Target) error {
+	if d.Withheld == nil {
+		return nil
+	}
+	if reason := d.Withheld(target); reason != "" {
+		return upstream.ErrNotSent.Wrap(ErrPeer.Wrap(errWithheld.New("%s", reason)))
+	}
+	return nil
 }
 
 // Do sends a request to a target once and returns the response once its head has arrived.
 func (d *Direct) Do(ctx context.Context, target deployment.Target, request *upstream.Request, attempt *upstream.Attempt) (*upstream.Response, error) {
+	if err := d.checkWithheld(target); err != nil {
+		return nil, err
+	}
 	risk, ok := d.Limits.Risk(target)
 	if !ok {
 		return nil, upstream.ErrNotSent.Wrap(errNoRoom.New("target %s", target.ID))
--- a/internal/forwarding/sender.go
+++ b/internal/forwarding/sender.go
@@ -23,6 +23,9 @@
 
 // Do sends a request to a target once and returns the response once its head has arrived.
 func (s *Sender) Do(ctx context.Context, target deployment.Target, request *upstream.Request, attempt *upstream.Attempt) (*upstream.Response, error) {
+	if err := s.Direct.checkWithheld(target); err != nil {
+		return nil, err
+	}
 	if s.Reach.Cut(target) {
 		response, err := s.Peers.Do(ctx, target, request, attempt)
 		if !noPeer(err) {
@@ -31,7 +34,7 @@
 	}
 	response, err := s.Direct.Do(ctx, target, request, attempt)
 	switch {
-	case err == nil, ctx.Err() != nil, upstream.ErrOtherProcess.Has(err):
+	case err == nil, ctx.Err() != nil, upstream.ErrOtherProcess.Has(err), errWithheld.Has(err):
 		return response, err
 	case errNoRoom.Has(err):
 		return s.doWithoutRoom(ctx, target, request, attempt, err)
--- a/internal/forwarding/server.go
+++ b/internal/forwarding/server.go
@@ -131,7 +131,7 @@
 func (s *Server) sendError(stream *connect.ServerStream[v1.ForwardResponse], target deployment.Target, err error) error {
 	s.Log.Debug("forwarded attempt failed", zap.String("target", string(target.ID)), zap.Error(err))
 	switch {
-	case errNoRoom.Has(err):
+	case errNoRoom.Has(err), errWithheld.Has(err):
 		return sendEnd(stream, v1.ForwardEnd_RESULT_DECLINED, err.Error())
 	case upstream.ErrOtherProcess.Has(err):
 		return sendEnd(stream, v1.ForwardEnd_RESULT_OTHER_PROCESS, err.Error())
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -171,6 +171,9 @@
 		if attempt == nil {
 			continue
 		}
+		if !e.stillOpen() {
+			continue
+		}
 		if !e.server.Limits.Take(e.target) {
 			e.recordStep("select", e.target.ID, "limit")
 			continue
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,7 @@
 	firstEvent   prometheus.Histogram
 	responseTime prometheus.Histogram
 	loadWait     prometheus.Histogram
+	withheld     *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms, in seconds.
@@ -51,6 +52,9 @@
 		responseTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "heatherrelay_gateway_answer_seconds", Help: "Time to the end of an answer.", Buckets: latencyBuckets,
 		}),
+		withheld: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherrelay_gateway_withheld_total", Help: "Choices of a target that left out targets of a zone, by cause.",
+		}, []string{"zone", "cause"}),
 		loadWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "heatherrelay_gateway_load_wait_seconds", Help: "Time that a request waited for its adapter.", Buckets: latencyBuckets,
 		}),
@@ -58,7 +62,7 @@
 	inFlight := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "heatherrelay_gateway_requests_underway", Help: "Requests that are being answered.",
 	}, func() float64 { return float64(m.inFlight.Load()) })
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.hedges, m.firstEvent, m.responseTime, m.loadWait, inFlight)
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.hedges, m.firstEvent, m.responseTime, m.loadWait, m.withheld, inFlight)
 	return m
 }
 
@@ -73,6 +77,8 @@
 
 func (m *Metrics) countBreak(reason breakReason) { m.breaks.WithLabelValues(string(reason)).Inc() }
 
+func (m *Metrics) countWithheld(zone, cause string) { m.withheld.WithLabelValues(zone, cause).Inc() }
+
 func (m *Metrics) countHedge(outcome string) { m.hedges.WithLabelValues(outcome).Inc() }
 
 func (m *Metrics) countAttempt(outcome string) { m.attempts.WithLabelValues(outcome).Inc() }
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -209,8 +209,9 @@
 func (e *exchange) candidates(service *deployment.Service) []placement.Candidate {
 	s := e.server
 	var candidates []placement.Candidate
+	withheld := s.newWithheld()
 	for id, t := range s.Catalog.Targets() {
-		if t.Service != service.Name || t.Draining || e.excluded[id] || !e.admits(t) || !s.Availability.Available(t) || s.Limits.Wait(t) > 0 {
+		if t.Service != service.Name || t.Draining || e.excluded[id] || !e.admits(t) || !s.Availability.Available(t) || withheld.skips(t) || s.Limits.Wait(t) > 0 {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{
@@ -221,6 +222,7 @@
 			Slots:      t.Slots,
 		})
 	}
+	e.recordWithheld(withheld, len(candidates))
 	return candidates
 }
 
@@ -231,10 +233,15 @@
 func (e *exchange) retryAfter(service *deployment.Service, delay time.Duration) time.Duration {
 	s := e.server
 	var delays []time.Duration
+	withheld := s.newWithheld()
 	for _, t := range s.Catalog.Targets() {
 		if t.Service != service.Name || t.Draining || !e.admits(t) || s.Availability.Leaving(t) {
 			continue
 		}
+		if withheld.skips(t) {
+			delays = append(delays, withheldRetry)
+			continue
+		}
 		pause := max(s.Availability.PausedFor(t), s.Limits.Wait(t))
 		if pause == 0 || pause == throttle.OthersOnly {
 			pause = delay
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,6 +15,7 @@
 	"heatherrelay/internal/catalog"
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/evacuation"
 	"heatherrelay/internal/inflight"
 	"heatherrelay/internal/origin"
 	"heatherrelay/internal/outlier"
@@ -59,10 +60,12 @@
 	// Processes knows which processes of targets run, as far as they were met.
 	Processes *origin.Processes
 	// Limits holds the limits that targets state.
-	Limits    *throttle.Limiter
-	Tracker   *inflight.Tracker
-	Directory *placement.Directory
-	Demand    *placement.Demand
+	Limits *throttle.Limiter
+	// Evacuations knows the zones whose targets get nothing.
+	Evacuations *evacuation.Zones
+	Tracker     *inflight.Tracker
+	Directory   *placement.Directory
+	Demand      *placement.Demand
 	// StreamPauses records whether streams paused for longer than their objective;
 	// if many did, prompts are paced.
 	StreamPauses placement.PauseMonitor
--- a/internal/gatewayinstance/cluster_test.go
+++ b/internal/gatewayinstance/cluster_test.go
@@ -50,6 +50,8 @@
 	client    *http.Client
 	// retry bounds the retries of the instances that startInstance starts.
 	retry gatewayinstance.Retry
+	// evacuationLimit is the setting of these instances.
+	evacuationLimit time.Duration
 	// logs holds the log entries of all instances.
 	logs *observer.ObservedLogs
 	log  *zap.Logger
@@ -170,6 +172,7 @@
 		ShutdownGrace:      settings.Duration{Duration: 5 * time.Second},
 		AllowanceWindow:    settings.Duration{Duration: 8 * time.Second},
 		Retry:              c.retry,
+		EvacuationLimit:    settings.Duration{Duration: c.evacuationLimit},
 	}
 }
 
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -21,6 +21,7 @@
 	"heatherrelay/internal/clock"
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/evacuation"
 	"heatherrelay/internal/forwarding"
 	"heatherrelay/internal/gateway"
 	"heatherrelay/internal/inflight"
@@ -110,6 +111,9 @@
 	// crashDetector finds crashed targets.
 	crashDetector *crash.Detector
 	limits        *throttle.Limiter
+	evacuations   *evacuation.Zones
+	// evacuatedZones is a gauge for each evacuated zone.
+	evacuatedZones *prometheus.GaugeVec
 	// reach knows the targets that this instance reaches only through peers.
 	// forwardClient has peers carry out attempts at these, forwardServer carries out
 	// those of peers.
@@ -205,6 +209,9 @@
 	i.crashDetector = &crash.Detector{Ledger: i.crashes, Now: clock.Now}
 	kinds := i.Kinds
 	kinds.Crashes = crashKind
+	if s.EvacuationLimit.Duration <= 0 {
+		kinds.Evacuations = ""
+	}
 	i.catalog = &catalog.Catalog{
 		Kinds:               kinds,
 		SanitizeCrashes:     i.sanitizeCrashes,
@@ -215,11 +222,13 @@
 		DecodeTarget:        i.Platform.Decoders.DecodeTarget,
 		DecodeVersion:       i.Platform.Decoders.DecodeVersion,
 		OnTargetsChange:     i.applyTargets,
+		OnEvacuationsChange: i.applyEvacuations,
 		TrimTarget:          i.Platform.Decoders.TrimTarget,
 		ReadsForPeers:       func() bool { return i.network.ReadsStore() },
 		Bootstrap:           s.Bootstrap,
 		ConfigurationLimit:  s.ConfigurationLimit.Duration,
 		TargetsLimit:        s.TargetsLimit.Duration,
+		EvacuationLimit:     s.EvacuationLimit.Duration,
 		Now:                 clock.Now,
 		Log:                 i.Log,
 	}
@@ -268,6 +277,7 @@
 	i.assembleOrigins()
 	i.assembleCrashes()
 	i.assembleLimits()
+	i.assembleEvacuations()
 	i.assembleForwarding()
 	i.registerMetrics()
 }
@@ -385,10 +395,10 @@
 // leaving reports whether the instance is shutting down.
 func (i *Instance) leaving() bool { return i.shutdownStartedAt.Load() != nil }
 
-// isReady reports whether requests can be served: the configuration and targets are
-// known, and the instance is not shutting down.
+// isReady reports whether requests can be served: the configuration, the targets and the
+// evacuated zones are known, and the instance is not shutting down.
 func (i *Instance) isReady() bool {
-	ready := !i.leaving() && i.catalog.Configuration() != nil && len(i.catalog.Targets()) > 0
+	ready := !i.leaving() && i.catalog.Configuration() != nil && len(i.catalog.Targets()) > 0 && i.evacuations.Known()
 	if i.lastReady.Swap(ready) != ready {
 		i.Log.Info("readiness changed", zap.Bool("ready", ready))
 	}
@@ -426,6 +436,7 @@
 			return
 		case <-ticker.C:
 		}
+		i.evacuations.Beat()
 		i.client.CloseExpiredIdle(time.Now())
 		i.origins.RemoveExpired()
 		i.crashes.Maintain()
--- a/internal/gatewayinstance/settings.go
+++ b/internal/gatewayinstance/settings.go
@@ -42,6 +42,9 @@
 	// was stored.
 	ConfigurationLimit settings.Duration `toml:"configuration_limit"`
 	TargetsLimit       settings.Duration `toml:"targets_limit"`
+	// EvacuationLimit is the time within which no more requests reach the targets of a zone
+	// that the operators have evacuated; zero if they evacuate none.
+	EvacuationLimit settings.Duration `toml:"evacuation_limit"`
 	// OrderQuietTime is the least time between the orders of two lease holders to one
 	// engine.
 	OrderQuietTime settings.Duration `toml:"order_quiet_time"`
@@ -165,6 +168,7 @@
 	require(s.KeyLimit.Duration > keyMargin, "key_limit", fmt.Sprintf("must be more than %s", keyMargin))
 	require(s.ConfigurationLimit.Duration > 0, "configuration_limit", "must be more than 0s")
 	require(s.TargetsLimit.Duration > 0, "targets_limit", "must be more than 0s")
+	require(s.EvacuationLimit.Duration >= 0, "evacuation_limit", "must not be negative")
 	require(s.OrderQuietTime.Duration >= 0, "order_quiet_time", "must not be negative")
 	require(s.ShutdownGrace.Duration > minShutdownGrace, "shutdown_grace", fmt.Sprintf("must be more than %s", minShutdownGrace))
 	require(s.AllowanceWindow.Duration > 0, "allowance_window", "must be more than 0s")
