--- a/internal/gatewayinstance/evacuation_test.go
+++ b/internal/gatewayinstance/evacuation_test.go
@@ -95,7 +95,8 @@
 		if took := time.Since(startedAt); took > time.Second {
 			t.Errorf("refused after %s", took)
 		}
-		time.Sleep(20 * time.Millisecond)
+		// Longer, for all requests together, than the time between two reports of an engine.
+		time.Sleep(90 * time.Millisecond)
 	}
 	if got := received(c.engine1, c.engine2, c.plain); got != before {
 		t.Errorf("%d requests and calls reached the evacuated zone", got-before)
@@ -203,6 +204,37 @@
 	}
 }
 
+// TestStartedInstanceWaitsForTheEvacuations guards against an instance that knows the
+// configuration and the targets, but not yet the evacuations, and already sends.
+func TestStartedInstanceWaitsForTheEvacuations(t *testing.T) {
+	t.Parallel()
+	c, others := newZonesCluster(t, 0)
+	var known atomic.Bool
+	early := make(chan reply, 1)
+	c.startInstanceWith(func(i *gatewayinstance.Instance) {
+		list := i.Store.List
+		i.Store.List = func(ctx context.Context, kind platformstore.Kind, stale bool) (platformstore.Page, error) {
+			if kind == evacuationKind && !known.Load() {
+				return platformstore.Page{}, platformstore.ErrUnavailable.New("turned away")
+			}
+			return list(ctx, kind, stale)
+		}
+		time.AfterFunc(time.Second, func() {
+			early <- c.sendThrough(&instance{settings: i.Settings}, http.MethodGet, "/read/", nil)
+			known.Store(true)
+		})
+	})
+	if !known.Load() {
+		t.Error("ready before the evacuations are known")
+	}
+	if got := <-early; got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d before the evacuations are known: %s %v", got.status, got.body, got.err)
+	}
+	if got := received(append(others, c.plain)...); got != 0 {
+		t.Errorf("%d requests were sent before the evacuations were known", got)
+	}
+}
+
 // TestInstanceThatStoodStillLearnsOfAnEvacuationFirst guards against an instance that stood
 // still while a zone was evacuated and sends there when it goes on.
 func TestInstanceThatStoodStillLearnsOfAnEvacuationFirst(t *testing.T) {
