--- a/internal/gatewayinstance/evacuation_test.go
+++ b/internal/gatewayinstance/evacuation_test.go
@@ -168,10 +168,36 @@
 	cut.Store(true)
 	c.evacuate(testZone)
 	evacuatedAt := time.Now()
-	c.awaitEvacuated(away)
+	c.waitFor("evacuation in force", func() bool { return away.evacuated(t, testZone) })
 	if after := time.Since(evacuatedAt); after > evacuationLimit {
 		t.Errorf("the evacuation was in force after %s", after)
 	}
+	before := received(c.plain)
+	for range 20 {
+		if got := c.sendThrough(away, http.MethodGet, "/read/", nil); got.status != http.StatusOK {
+			t.Errorf("status %d, the other zone has targets: %s %v", got.status, got.body, got.err)
+		}
+	}
+	if got := received(c.plain); got != before {
+		t.Errorf("%d requests reached the evacuated zone", got-before)
+	}
+}
+
+// evacuated reports whether an instance shows that a zone is evacuated.
+func (i *instance) evacuated(t *testing.T, zone string) bool {
+	t.Helper()
+	families, err := i.registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		for _, m := range family.GetMetric() {
+			if family.GetName() == "heatherrelay_gateway_evacuated_zone" && m.GetLabel()[0].GetValue() == zone {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // TestRestartOfAllInstancesDuringAnEvacuation guards against instances that have just started
