Regions: a request runs, and is held, only where its route and team allow it

Routes and teams may name regions. The choice of a target leaves out those in zones of other regions, and a request is forwarded only to instances in these; one that no allowed region can take is refused at once. The settings hold the region of each zone. Without the field nothing changes.

--- a/internal/deployment/configuration.go
+++ b/internal/deployment/configuration.go
@@ -49,6 +49,8 @@
 	// Resumable is set when another target can continue a broken stream after its
 	// last event.
 	Resumable bool
+	// Regions are those in which the route's requests may run.
+	Regions Regions
 }
 
 // Repeatable reports whether a request that may have run can be retried.
@@ -126,6 +128,8 @@
 	// RatePerSecond and Burst are the allowance, in tokens or requests.
 	RatePerSecond float64
 	Burst         float64
+	// Regions are those in which the team's requests may run.
+	Regions Regions
 }
 
 // Unlimited reports whether the team has no rate limit.
--- a/internal/forwarding/client.go
+++ b/internal/forwarding/client.go
@@ -45,6 +45,8 @@
 	Address netip.AddrPort
 	// SameZone is set when the peer is in this instance's availability zone.
 	SameZone bool
+	// Region is the peer's region; empty if it is not known.
+	Region string
 }
 
 // Client has peers carry out the attempts of this instance. It is safe for concurrent use.
@@ -81,7 +83,7 @@
 	asked := map[string]bool{}
 	failure := upstream.ErrNotSent.Wrap(ErrPeer.New("no peer to ask"))
 	for range maxPeers {
-		peer, ok := c.choose(target.Service, asked)
+		peer, ok := c.choose(target.Service, attempt.Regions, asked)
 		if !ok {
 			break
 		}
@@ -104,15 +106,15 @@
 	return nil, failure
 }
 
-// choose returns the peer to ask next: of those in the same zone, or of all if there is
+// choose returns the peer to ask next in one of the regions: of those in the same zone, or of all if there is
 // none there, the one with fewer attempts of two that are picked at random.
-func (c *Client) choose(service string, asked map[string]bool) (Peer, bool) {
+func (c *Client) choose(service string, regions deployment.Regions, asked map[string]bool) (Peer, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var near, all []Peer
 	now := c.Now()
 	for _, p := range c.Peers(service) {
-		if l, ok := c.links[p.ID]; asked[p.ID] || ok && now.Sub(l.failedAt) < peerFailureTime {
+		if l, ok := c.links[p.ID]; asked[p.ID] || !regions.Allows(p.Region) || ok && now.Sub(l.failedAt) < peerFailureTime {
 			continue
 		}
 		all = append(all, p)
@@ -229,7 +231,7 @@
 	asked := map[string]bool{}
 	outcomes := make(chan error, maxProbePeers)
 	for range maxProbePeers {
-		p, ok := c.choose(target.Service, asked)
+		p, ok := c.choose(target.Service, nil, asked)
 		if !ok {
 			break
 		}
--- a/internal/forwarding/forwarding_test.go
+++ b/internal/forwarding/forwarding_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -343,3 +344,55 @@
 		}
 	}
 }
+
+// TestBodyStaysInItsRegions guards against a request whose body is sent to an instance in a
+// region in which it may not be held, also when no other could carry it out.
+func TestBodyStaysInItsRegions(t *testing.T) {
+	at := addressOf(newTarget(t, answer))
+	near, far := newPeer(t, at), newPeer(t, at)
+	c := newClient(near, far)
+	peers := c.Peers
+	c.Peers = func(service string) []forwarding.Peer {
+		known := slices.Clone(peers(service))
+		known[0].Region, known[1].Region = "leon", "sofia"
+		return known
+	}
+	for region, want := range map[string]bool{"leon": true, "sofia": true, "elsewhere": false} {
+		r, a := request()
+		a.Regions = deployment.Regions{region}
+		asked := ""
+		for name, p := range map[string]*testPeer{"leon": near, "sofia": far} {
+			p.Unable = func() string { asked += name; return "" }
+		}
+		response, err := c.Do(context.Background(), target, r, a)
+		if (err == nil) != want || want && asked != region || !want && asked != "" {
+			t.Errorf("region %s: error %v, asked were the peers in %q", region, err, asked)
+		}
+		if err == nil {
+			response.Close()
+		}
+	}
+}
+
+// TestPeerSendsNothingToAWithheldTarget checks that neither a peer nor an instance itself sends
+// to a target that is to get no requests, and that this does not count against the target.
+func TestPeerSendsNothingToAWithheldTarget(t *testing.T) {
+	var arrived atomic.Int64
+	at := addressOf(newTarget(t, func(w http.ResponseWriter, r *http.Request) { arrived.Add(1); answer(w, r) }))
+	p := newPeer(t, at)
+	p.Direct.Withheld = func(deployment.Target) string { return "zone north is evacuated" }
+	r, a := request()
+	withheld := target
+	withheld.Address = at
+	for name, send := range map[string]func() error{
+		"peer":     func() error { _, err := newClient(p).Do(context.Background(), target, r, a); return err },
+		"instance": func() error { _, err := p.Direct.Do(context.Background(), withheld, r, a); return err },
+	} {
+		if err := send(); !upstream.ErrNotSent.Has(err) || !forwarding.ErrPeer.Has(err) {
+			t.Errorf("%s: error %v, want one that says that nothing was sent, for no fault of the target", name, err)
+		}
+	}
+	if n := arrived.Load(); n != 0 {
+		t.Errorf("%d requests arrived", n)
+	}
+}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -44,6 +44,7 @@
 		Target:      target.ID,
 		Deadline:    e.remaining(),
 		Priority:    e.priority(),
+		Regions:     e.regions(),
 		LastEventID: e.lastEventID,
 
 		PossibleCauses: e.possibleCauses(),
@@ -209,7 +210,7 @@
 func (e *exchange) candidates(service *deployment.Service) []placement.Candidate {
 	s := e.server
 	var candidates []placement.Candidate
-	withheld := s.newWithheld()
+	withheld := e.newWithheld()
 	for id, t := range s.Catalog.Targets() {
 		if t.Service != service.Name || t.Draining || e.excluded[id] || !e.admits(t) || !s.Availability.Available(t) || withheld.skips(t) || s.Limits.Wait(t) > 0 {
 			continue
@@ -233,13 +234,13 @@
 func (e *exchange) retryAfter(service *deployment.Service, delay time.Duration) time.Duration {
 	s := e.server
 	var delays []time.Duration
-	withheld := s.newWithheld()
+	withheld := e.newWithheld()
 	for _, t := range s.Catalog.Targets() {
 		if t.Service != service.Name || t.Draining || !e.admits(t) || s.Availability.Leaving(t) {
 			continue
 		}
 		if withheld.skips(t) {
-			delays = append(delays, withheldRetry)
+			delays = append(delays, withheld.retryAfter(t, delay))
 			continue
 		}
 		pause := max(s.Availability.PausedFor(t), s.Limits.Wait(t))
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -61,6 +61,8 @@
 	Processes *origin.Processes
 	// Limits holds the limits that targets state.
 	Limits *throttle.Limiter
+	// RegionOf holds the region of each zone.
+	RegionOf map[string]string
 	// Evacuations knows the zones whose targets get nothing.
 	Evacuations *evacuation.Zones
 	Tracker     *inflight.Tracker
--- a/internal/gateway/withheld.go
+++ b/internal/gateway/withheld.go
@@ -8,38 +8,64 @@
 )
 
 // withheldRetry is when a client is to come back whose request only targets in evacuated
-// zones could take. An evacuation lasts as long as the operators want.
+// zones, or in none of its regions, could take. Both last until the operators end them.
 const withheldRetry = time.Second
 
-// withheld leaves out the targets of a choice that get no requests since their zone is
-// evacuated.
+// outsideRegions is why a target is left out that is in none of the request's regions.
+const outsideRegions = "region"
+
+// withheld leaves out the targets of a choice that may not get the request whatever their
+// load, since their zone is evacuated or in no region in which the request may run.
 type withheld struct {
-	status func(zone string) evacuation.Status
+	regions  deployment.Regions
+	regionOf map[string]string
+	status   func(zone string) evacuation.Status
 	// causes holds why targets of a zone were left out.
-	causes map[string]evacuation.Status
+	causes map[string]string
 }
 
-func (s *Server) newWithheld() *withheld {
-	return &withheld{status: s.Evacuations.Statuses(), causes: map[string]evacuation.Status{}}
+func (e *exchange) newWithheld() *withheld {
+	return &withheld{regions: e.regions(), regionOf: e.server.RegionOf, status: e.server.Evacuations.Statuses(), causes: map[string]string{}}
+}
+
+// regions returns the regions in which the request may run.
+func (e *exchange) regions() deployment.Regions {
+	if e.team == nil {
+		return e.route.Regions
+	}
+	return e.route.Regions.And(e.team.Regions)
 }
 
 // skips reports whether a target is left out.
 func (w *withheld) skips(t deployment.Target) bool {
+	if !w.regions.Allows(w.regionOf[t.Zone]) {
+		w.causes[t.Zone] = outsideRegions
+		return true
+	}
 	status := w.status(t.Zone)
 	if status == evacuation.Open {
 		return false
 	}
-	w.causes[t.Zone] = status
+	w.causes[t.Zone] = string(status)
 	return true
 }
 
+// retryAfter returns when a client should come back for a target that is left out: after the
+// given delay if this instance will soon know that it may be used.
+func (w *withheld) retryAfter(t deployment.Target, delay time.Duration) time.Duration {
+	if w.causes[t.Zone] == string(evacuation.Unconfirmed) {
+		return delay
+	}
+	return withheldRetry
+}
+
 // recordWithheld counts the zones whose targets were left out of a choice, and notes them in
 // the trace if no candidate is left.
 func (e *exchange) recordWithheld(w *withheld, candidates int) {
 	for zone, cause := range w.causes {
-		e.server.Metrics.countWithheld(zone, string(cause))
+		e.server.Metrics.countWithheld(zone, cause)
 		if candidates == 0 {
-			e.recordStep("select", "", zone+" "+string(cause))
+			e.recordStep("select", "", zone+" "+cause)
 		}
 	}
 }
--- a/internal/gatewayinstance/forwarding.go
+++ b/internal/gatewayinstance/forwarding.go
@@ -73,7 +73,7 @@
 func (i *Instance) forwardingPeers(service string) []forwarding.Peer {
 	var peers []forwarding.Peer
 	for _, m := range i.network.ReachingService(service) {
-		peers = append(peers, forwarding.Peer{ID: m.ID, Address: m.Address, SameZone: m.Zone == i.Settings.Zone})
+		peers = append(peers, forwarding.Peer{ID: m.ID, Address: m.Address, SameZone: m.Zone == i.Settings.Zone, Region: i.Settings.Zones[m.Zone]})
 	}
 	return peers
 }
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -272,7 +272,7 @@
 	i.client = i.Platform.Client
 	i.server = i.Platform.Gateway
 	i.server.Availability.Now, i.server.Availability.Log = clock.Now, i.Log
-	i.server.Zone, i.server.KeyLimit = s.Zone, s.KeyLimit.Duration-keyMargin
+	i.server.Zone, i.server.RegionOf, i.server.KeyLimit = s.Zone, s.Zones, s.KeyLimit.Duration-keyMargin
 	i.server.Catalog, i.server.Network, i.server.Meter, i.server.Budget = i.catalog, i.network, i.meter, i.budget
 	i.server.Detector, i.server.Tracker, i.server.Directory, i.server.Upstream = i.detector, tracker, i.directory, i.client
 	i.server.Demand = &placement.Demand{Now: clock.Now}
--- a/internal/gatewayinstance/settings.go
+++ b/internal/gatewayinstance/settings.go
@@ -24,7 +24,10 @@
 type Settings struct {
 	InstanceID string `toml:"instance_id"`
 	Zone       string `toml:"zone"`
-	LogLevel   string `toml:"log_level"`
+	// Zones holds the region of each availability zone. Requests that are bound to regions
+	// run in none of the other zones.
+	Zones    map[string]string `toml:"zones"`
+	LogLevel string            `toml:"log_level"`
 	// Listen holds the addresses that the instance listens on.
 	Listen Listen `toml:"listen"`
 	// Store is the address of the platform's store.
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -72,6 +72,8 @@
 	// LastEventID is the id of the event after which the stream resumes; empty if
 	// it starts from the beginning.
 	LastEventID string
+	// Regions are those of the instances to which the request may be forwarded.
+	Regions deployment.Regions
 	// PossibleCauses are what is to blame if the target crashes: the digest of the request
 	// and the shared parts of its prompt. They are not sent to the target.
 	PossibleCauses []string
