--- a/internal/gatewayinstance/cold.go
+++ b/internal/gatewayinstance/cold.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"heatherrelay/internal/clock"
+	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/warmup"
@@ -15,11 +16,17 @@
 	if i.Settings.ColdOver <= 0 {
 		return
 	}
-	i.cold = &warmup.Targets{Service: i.service, WokeWithin: i.beats.WokeWithin, Now: clock.Now, Log: i.Log}
+	i.cold = &warmup.Targets{Service: i.service, WokeWithin: i.beats.WokeWithin, Restarted: i.restarted, Now: clock.Now, Log: i.Log}
 	i.limits.Cold, i.evacuations.OnEnd = i.coldLimit, i.cold.ZonesReturned
 	i.Registry.MustRegister(coldTargets{i.cold})
 }
 
+// restarted reports whether the process that a target's entry names is known to have ended.
+func (i *Instance) restarted(t deployment.Target) bool {
+	_, crashed := i.crashes.LearnedAt(crash.Process{Target: t.ID, Generation: t.Generation})
+	return crashed || i.server.Processes.Replaced(t)
+}
+
 // coldLimit returns the limit of a target that is cold, and false for one that is warm.
 func (i *Instance) coldLimit(t deployment.Target) (throttle.ColdLimit, bool) {
 	perSecond, cold := i.cold.PerSecond(t)
--- a/internal/gatewayinstance/evacuation_test.go
+++ b/internal/gatewayinstance/evacuation_test.go
@@ -230,6 +230,24 @@
 	}
 }
 
+// TestEvacuationBesideInstancesThatKnowOfNone guards against an instance that relies on peers for
+// the evacuations which hold none, such as those of the version before.
+func TestEvacuationBesideInstancesThatKnowOfNone(t *testing.T) {
+	t.Parallel()
+	c, _ := newZonesCluster(t, 0)
+	none := func(i *gatewayinstance.Instance) { i.Settings.EvacuationLimit.Duration = 0 }
+	c.startInstanceWith(none)
+	c.startInstanceWith(none)
+	i := c.startInstance()
+	c.waitForPeers()
+	c.evacuate(testZone)
+	evacuatedAt := time.Now()
+	c.waitFor("evacuation in force", func() bool { return i.evacuated(t, testZone) })
+	if after := time.Since(evacuatedAt); after > evacuationLimit {
+		t.Errorf("the evacuation was in force after %s", after)
+	}
+}
+
 // TestStartedInstanceWaitsForTheEvacuations guards against an instance that knows the
 // configuration and the targets, but not yet the evacuations, and already sends.
 func TestStartedInstanceWaitsForTheEvacuations(t *testing.T) {
--- a/internal/warmup/targets.go
+++ b/internal/warmup/targets.go
@@ -28,8 +28,11 @@
 	// WokeWithin reports whether the process was suspended until less than a time ago; nil
 	// means that it was not.
 	WokeWithin func(time.Duration) bool
-	Now        func() time.Time
-	Log        *zap.Logger
+	// Restarted reports whether the process that a target's entry names is known to have ended,
+	// so that its successor may answer before the entry says so; nil means that none is.
+	Restarted func(deployment.Target) bool
+	Now       func() time.Time
+	Log       *zap.Logger
 
 	mu sync.Mutex
 	// listed holds the listed targets; nil before the first listing.
@@ -113,7 +116,7 @@
 	if service == nil || service.ColdPerSecond <= 0 {
 		return 0, false
 	}
-	if w.WokeWithin != nil && w.WokeWithin(wakeTime) {
+	if w.WokeWithin != nil && w.WokeWithin(wakeTime) || w.Restarted != nil && w.Restarted(t) {
 		return service.ColdPerSecond, true
 	}
 	w.mu.Lock()
--- a/internal/warmup/targets_test.go
+++ b/internal/warmup/targets_test.go
@@ -128,6 +128,20 @@
 	w.check("warm", target, false)
 }
 
+// TestRestartedTargetIsColdBeforeItsEntrySaysSo guards against a burst at a target that crashed
+// and is back under its id, from instances that still hold the entry of the process before.
+func TestRestartedTargetIsColdBeforeItsEntrySaysSo(t *testing.T) {
+	w := newTargets(t)
+	target, other := w.list("a", "models", 1, 0), w.list("b", "models", 1, 0)
+	w.now = w.now.Add(coldStart)
+	w.Restarted = func(t deployment.Target) bool { return t.ID == "a" && t.Generation == 1 }
+	w.check("crashed", target, true)
+	w.check("not crashed", other, false)
+	w.check("after its new entry", w.list("a", "models", 2, time.Second), true)
+	w.now = w.now.Add(time.Second)
+	w.check("warm", w.listed["a"], false)
+}
+
 // TestSuspendedInstanceTakesAllForCold guards against a burst from an instance that was
 // suspended, at targets that turned cold meanwhile.
 func TestSuspendedInstanceTakesAllForCold(t *testing.T) {
