--- a/internal/evacuation/zones.go
+++ b/internal/evacuation/zones.go
@@ -4,8 +4,6 @@
 package evacuation
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -127,10 +125,3 @@
 
 // Known reports whether the evacuated zones are known.
 func (z *Zones) Known() bool { return z == nil || z.Limit <= 0 || !z.ConfirmedAt().IsZero() }
-
-// Evacuated returns the evacuated zones, sorted.
-func (z *Zones) Evacuated() []string {
-	z.mu.Lock()
-	defer z.mu.Unlock()
-	return slices.Sorted(maps.Keys(z.evacuated))
-}
--- a/internal/warmup/targets.go
+++ b/internal/warmup/targets.go
@@ -69,7 +69,9 @@
 			w.logCold(t, "started")
 		case known.ColdRemaining != t.ColdRemaining:
 			known.statedUntil, known.returnedAt = now.Add(t.ColdRemaining), time.Time{}
-			w.logCold(t, "stated")
+			if known.ColdRemaining == 0 {
+				w.logCold(t, "stated")
+			}
 		}
 		known.Target = t
 		targets[id] = known
