--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -21,6 +21,7 @@
 	"heatherrelay/internal/clock"
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/evacuation"
 	"heatherrelay/internal/forwarding"
 	"heatherrelay/internal/gateway"
 	"heatherrelay/internal/inflight"
@@ -35,6 +36,7 @@
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/internal/wait"
+	"heatherrelay/internal/warmup"
 )
 
 // The kinds of the objects that instances write to the store.
@@ -110,6 +112,13 @@
 	// crashDetector finds crashed targets.
 	crashDetector *crash.Detector
 	limits        *throttle.Limiter
+	// beats notices suspensions of the process.
+	beats       clock.Beats
+	evacuations *evacuation.Zones
+	// cold knows the cold targets; nil if these are not limited.
+	cold *warmup.Targets
+	// evacuatedZones is a gauge for each evacuated zone.
+	evacuatedZones *prometheus.GaugeVec
 	// reach knows the targets that this instance reaches only through peers.
 	// forwardClient has peers carry out attempts at these, forwardServer carries out
 	// those of peers.
@@ -205,6 +214,9 @@
 	i.crashDetector = &crash.Detector{Ledger: i.crashes, Now: clock.Now}
 	kinds := i.Kinds
 	kinds.Crashes = crashKind
+	if s.EvacuationLimit.Duration <= 0 {
+		kinds.Evacuations = ""
+	}
 	i.catalog = &catalog.Catalog{
 		Kinds:               kinds,
 		SanitizeCrashes:     i.sanitizeCrashes,
@@ -215,11 +227,13 @@
 		DecodeTarget:        i.Platform.Decoders.DecodeTarget,
 		DecodeVersion:       i.Platform.Decoders.DecodeVersion,
 		OnTargetsChange:     i.applyTargets,
+		OnEvacuationsChange: i.applyEvacuations,
 		TrimTarget:          i.Platform.Decoders.TrimTarget,
 		ReadsForPeers:       func() bool { return i.network.ReadsStore() },
 		Bootstrap:           s.Bootstrap,
 		ConfigurationLimit:  s.ConfigurationLimit.Duration,
 		TargetsLimit:        s.TargetsLimit.Duration,
+		EvacuationLimit:     s.EvacuationLimit.Duration,
 		Now:                 clock.Now,
 		Log:                 i.Log,
 	}
@@ -258,7 +272,7 @@
 	i.client = i.Platform.Client
 	i.server = i.Platform.Gateway
 	i.server.Availability.Now, i.server.Availability.Log = clock.Now, i.Log
-	i.server.Zone, i.server.KeyLimit = s.Zone, s.KeyLimit.Duration-keyMargin
+	i.server.Zone, i.server.RegionOf, i.server.KeyLimit = s.Zone, s.Zones, s.KeyLimit.Duration-keyMargin
 	i.server.Catalog, i.server.Network, i.server.Meter, i.server.Budget = i.catalog, i.network, i.meter, i.budget
 	i.server.Detector, i.server.Tracker, i.server.Directory, i.server.Upstream = i.detector, tracker, i.directory, i.client
 	i.server.Demand = &placement.Demand{Now: clock.Now}
@@ -269,6 +283,8 @@
 	i.assembleOrigins()
 	i.assembleCrashes()
 	i.assembleLimits()
+	i.assembleEvacuations()
+	i.assembleCold()
 	i.assembleForwarding()
 	i.registerMetrics()
 }
@@ -302,6 +318,9 @@
 	i.detector.Retain(listed)
 	i.crashDetector.RecordTargets(listed)
 	i.limits.Retain(listed)
+	if i.cold != nil {
+		i.cold.Apply(listed)
+	}
 	i.server.Availability.Retain(listed)
 	i.observeVersions(listed)
 }
@@ -386,10 +405,10 @@
 // leaving reports whether the instance is shutting down.
 func (i *Instance) leaving() bool { return i.shutdownStartedAt.Load() != nil }
 
-// isReady reports whether requests can be served: the configuration and targets are
-// known, and the instance is not shutting down.
+// isReady reports whether requests can be served: the configuration, the targets and the
+// evacuated zones are known, and the instance is not shutting down.
 func (i *Instance) isReady() bool {
-	ready := !i.leaving() && i.catalog.Configuration() != nil && len(i.catalog.Targets()) > 0
+	ready := !i.leaving() && i.catalog.Configuration() != nil && len(i.catalog.Targets()) > 0 && i.evacuations.Known()
 	if i.lastReady.Swap(ready) != ready {
 		i.Log.Info("readiness changed", zap.Bool("ready", ready))
 	}
@@ -427,6 +446,7 @@
 			return
 		case <-ticker.C:
 		}
+		i.beats.Beat()
 		i.client.CloseExpiredIdle(time.Now())
 		i.origins.RemoveExpired()
 		i.crashes.Maintain()
--- a/internal/gatewayinstance/settings.go
+++ b/internal/gatewayinstance/settings.go
@@ -24,7 +24,10 @@
 type Settings struct {
 	InstanceID string `toml:"instance_id"`
 	Zone       string `toml:"zone"`
-	LogLevel   string `toml:"log_level"`
+	// Zones holds the region of each availability zone. Requests that are bound to regions
+	// run in none of the other zones.
+	Zones    map[string]string `toml:"zones"`
+	LogLevel string            `toml:"log_level"`
 	// Listen holds the addresses that the instance listens on.
 	Listen Listen `toml:"listen"`
 	// Store is the address of the platform's store.
@@ -42,6 +45,9 @@
 	// was stored.
 	ConfigurationLimit settings.Duration `toml:"configuration_limit"`
 	TargetsLimit       settings.Duration `toml:"targets_limit"`
+	// EvacuationLimit is the time within which no more requests reach the targets of a zone
+	// that the operators have evacuated; zero if they evacuate none.
+	EvacuationLimit settings.Duration `toml:"evacuation_limit"`
 	// OrderQuietTime is the least time between the orders of two lease holders to one
 	// engine.
 	OrderQuietTime settings.Duration `toml:"order_quiet_time"`
@@ -57,8 +63,13 @@
 	// AllowanceWindow is the time over which a team may use its rate and, once, its
 	// burst.
 	AllowanceWindow settings.Duration `toml:"allowance_window"`
-	Retry           Retry             `toml:"retry"`
-	Decisions       Decisions         `toml:"decisions"`
+	// ColdOver and ColdSlack bound the requests at a cold target: in any second all
+	// instances together send at most ColdOver times the rate that its service states for
+	// cold targets, and ColdSlack more. Cold targets are not limited if ColdOver is zero.
+	ColdOver  float64   `toml:"cold_over"`
+	ColdSlack float64   `toml:"cold_slack"`
+	Retry     Retry     `toml:"retry"`
+	Decisions Decisions `toml:"decisions"`
 }
 
 // Decisions says which optional decisions the instance makes.
@@ -167,9 +178,12 @@
 	require(s.KeyLimit.Duration > keyMargin, "key_limit", fmt.Sprintf("must be more than %s", keyMargin))
 	require(s.ConfigurationLimit.Duration > 0, "configuration_limit", "must be more than 0s")
 	require(s.TargetsLimit.Duration > 0, "targets_limit", "must be more than 0s")
+	require(s.EvacuationLimit.Duration >= 0, "evacuation_limit", "must not be negative")
 	require(s.OrderQuietTime.Duration >= 0, "order_quiet_time", "must not be negative")
 	require(s.ShutdownGrace.Duration > minShutdownGrace, "shutdown_grace", fmt.Sprintf("must be more than %s", minShutdownGrace))
 	require(s.AllowanceWindow.Duration > 0, "allowance_window", "must be more than 0s")
+	require(s.ColdOver >= 0, "cold_over", "must not be negative")
+	require(s.ColdSlack >= 0, "cold_slack", "must not be negative")
 	require(s.MemoryMB >= 0, "memory_mb", "must not be negative")
 	for path, mode := range map[string]Mode{"decisions.admission": s.Decisions.Admission, "decisions.speeds": s.Decisions.Speeds, "decisions.prompts": s.Decisions.Prompts, "decisions.prompt_cache": s.Decisions.PromptCache} {
 		require(mode.valid(), path, `must be "off", "auto" or "on"`)
