Prompt cache: hot beginnings prefer no engine; what filled an engine since counts its peaks

A cache that running requests filled for a moment still counted as kept. Change: each instance's share of requests with a beginning says whether all engines with the adapter are used for it often enough to keep it; then none is preferred. The peak of what entered and what was in flight bounds what is kept. Tests: restarts, loads, memory pressure, silence for 10 s, a hot part, a holder with waits, a plain LRU cache as oracle, bounded memory, order of parts.

--- a/internal/gateway/promptcache.go
+++ b/internal/gateway/promptcache.go
@@ -48,7 +48,7 @@
 	prompt := promptcache.NewPrompt(e.request.Adapter, e.request.PromptParts, e.request.PromptPartTokens)
 	s.PromptCache.Fill(&prompt, candidates)
 	hash, tokens := prompt.Shared()
-	request.Shared = &placement.SharedPrompt{Hash: hash, Tokens: tokens}
+	request.Shared = &placement.SharedPrompt{Hash: hash, Tokens: tokens, Share: s.PromptCache.Share(&prompt)}
 	e.cached.prompt = &prompt
 }
 
--- a/internal/placement/cached.go
+++ b/internal/placement/cached.go
@@ -20,6 +20,9 @@
 	// a multiple of the mean of the engines with the adapter, plus cacheLoadExtra.
 	cacheLoadFactor = 1.25
 	cacheLoadExtra  = 1.0
+	// minUses is how often a copy is used for a beginning, while its KV cache fills once, if
+	// it is expected to hold the beginning in any case.
+	minUses = 2.0
 )
 
 // homeConfidence is how much of a beginning the engines that hashing prefers are expected to
@@ -32,6 +35,16 @@
 	Hash uint64
 	// Tokens are those of the beginning.
 	Tokens int
+	// Share is the share of all requests that have the beginning.
+	Share float64
+}
+
+// heldByAll reports whether all copies should hold the beginning, since each of them is used
+// for it again and again before its KV cache has been filled by others.
+func (r *Request) heldByAll(candidates []Candidate, copies []Choice) bool {
+	perCopy := r.Shared.Share * float64(len(candidates)) / float64(len(copies))
+	fill := float64(candidates[copies[0].Index].KVCacheTokens) / float64(max(r.Tokens, 1))
+	return perCopy*fill >= minUses
 }
 
 // cheapest returns the copy on which the request costs least, out of the one that is
@@ -40,16 +53,15 @@
 // the time until the request starts, its prompt prefilled, and the time that the others on
 // the engine wait for that.
 func cheapest(request Request, candidates []Candidate, copies []Choice) Choice {
+	if len(copies) == 1 || request.heldByAll(candidates, copies) {
+		return soonest(request, copies)
+	}
 	preferred, confidence := preferredCopy(request, candidates, copies)
-	if preferred < 0 || len(copies) == 1 {
+	if preferred < 0 {
 		return soonest(request, copies)
 	}
 	best := copies[preferred]
-	others := append(slices.Clone(copies[:preferred]), copies[preferred+1:]...)
-	other := soonest(request, others)
-	if request.Random != nil {
-		other = others[request.Random(len(others))]
-	}
+	other := request.anotherCopy(copies, preferred)
 	cost := best.Delay + candidates[best.Index].promptCost(request, confidence)
 	if other.Delay+candidates[other.Index].promptCost(request, 0) < cost && !other.Full {
 		return other
@@ -58,6 +70,19 @@
 	return best
 }
 
+// anotherCopy returns a copy other than that at a position, picked at random, or the soonest
+// one without a source of randomness.
+func (r *Request) anotherCopy(copies []Choice, position int) Choice {
+	if r.Random == nil {
+		return soonest(*r, slices.Concat(copies[:position], copies[position+1:]))
+	}
+	i := r.Random(len(copies) - 1)
+	if i >= position {
+		i++
+	}
+	return copies[i]
+}
+
 // preferredCopy returns the position of the copy that is preferred for what it holds, and
 // which part of the beginning it is expected to hold if that is not known; -1 if there is
 // none. It is the one that is known to hold most, or else the first one in the order of the
--- a/internal/placement/demand.go
+++ b/internal/placement/demand.go
@@ -21,18 +21,20 @@
 	copyInterval = time.Second
 )
 
-// decayedCount is a number of requests that decays exponentially.
-type decayedCount struct {
+// DecayedCount is a number of requests that decays exponentially. The zero value counts none.
+type DecayedCount struct {
 	requests  float64
 	updatedAt time.Time
 }
 
-func (c *decayedCount) value(now time.Time) float64 {
+// Value returns the count as of now.
+func (c *DecayedCount) Value(now time.Time) float64 {
 	return c.requests * math.Exp2(-now.Sub(c.updatedAt).Seconds()/demandHalfLife.Seconds())
 }
 
-func (c *decayedCount) add(now time.Time) {
-	c.requests = c.value(now) + 1
+// Add counts a request.
+func (c *DecayedCount) Add(now time.Time) {
+	c.requests = c.Value(now) + 1
 	c.updatedAt = now
 }
 
@@ -43,8 +45,8 @@
 	Now func() time.Time
 
 	mu       sync.Mutex
-	total    decayedCount
-	adapters map[deployment.AdapterName]*decayedCount
+	total    DecayedCount
+	adapters map[deployment.AdapterName]*DecayedCount
 	copiedAt map[deployment.AdapterName]time.Time
 }
 
@@ -53,17 +55,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.adapters == nil {
-		d.adapters = map[deployment.AdapterName]*decayedCount{}
+		d.adapters = map[deployment.AdapterName]*DecayedCount{}
 	}
 	now := d.Now()
-	d.total.add(now)
+	d.total.Add(now)
 	c, ok := d.adapters[name]
 	if !ok {
 		d.sweep(now)
-		c = &decayedCount{updatedAt: now}
+		c = &DecayedCount{updatedAt: now}
 		d.adapters[name] = c
 	}
-	c.add(now)
+	c.Add(now)
 }
 
 // sweep removes rarely requested adapters. The caller holds the lock.
@@ -72,7 +74,7 @@
 		return
 	}
 	for name, c := range d.adapters {
-		if c.value(now) < minDemand {
+		if c.Value(now) < minDemand {
 			delete(d.adapters, name)
 		}
 	}
@@ -95,8 +97,14 @@
 		return 0
 	}
 	now := d.Now()
-	requests := c.value(now)
-	return (requests - math.Sqrt(requests)) / d.total.value(now) * float64(engines)
+	return c.Share(&d.total, now) * float64(engines)
+}
+
+// Share returns the share of a total that the count has. One standard deviation is
+// subtracted.
+func (c *DecayedCount) Share(total *DecayedCount, now time.Time) float64 {
+	requests := c.Value(now)
+	return (requests - math.Sqrt(requests)) / total.Value(now)
 }
 
 // AllowCopy reports whether this instance may request a further copy of an adapter
--- a/internal/promptcache/fleet_test.go
+++ b/internal/promptcache/fleet_test.go
@@ -53,8 +53,12 @@
 	// uses is the truth, seen what instances know; freeAt is when an engine has prefilled
 	// all prompts so far.
 	uses, seen []inflight.Use
-	seenAt     time.Time
-	freeAt     []time.Time
+	// own is what each instance has in flight, ownSeen what of it is counted in seen.
+	own, ownSeen [][]inflight.Use
+	seenAt       time.Time
+	// silent has instances hear nothing of each other's requests any more.
+	silent bool
+	freeAt []time.Time
 
 	sharedTokens, keptTokens, expected, wrong float64
 	delays                                    []time.Duration
@@ -72,6 +76,7 @@
 		})
 	}
 	for range instances {
+		f.own, f.ownSeen = append(f.own, make([]inflight.Use, engines)), append(f.ownSeen, make([]inflight.Use, engines))
 		f.states = append(f.states, &promptcache.State{Now: func() time.Time { return f.now }})
 	}
 	return f
@@ -95,19 +100,23 @@
 
 // request sends a request through a random instance.
 func (f *fleet) request(ranks [3]int) {
-	if f.now.Sub(f.seenAt) > useDelay {
+	if !f.silent && f.now.Sub(f.seenAt) > useDelay {
 		copy(f.seen, f.uses)
+		for i := range f.own {
+			copy(f.ownSeen[i], f.own[i])
+		}
 		f.seenAt = f.now
 	}
 	name := deployment.AdapterName{Model: "base", Adapter: fmt.Sprint("a", ranks[0])}
 	parts := []string{fmt.Sprint("first-", ranks[1]), fmt.Sprint("second-", ranks[1], "-", ranks[2]), fmt.Sprint("own-", f.random.Uint64())}
-	prompt, state := promptcache.NewPrompt(name, parts, partTokens), f.states[f.random.IntN(len(f.states))]
+	instance := f.random.IntN(len(f.states))
+	prompt, state := promptcache.NewPrompt(name, parts, partTokens), f.states[instance]
 	keys := []string{name.Adapter + parts[0], name.Adapter + parts[0] + parts[1], parts[2]}
-	candidates := f.candidates(name, ranks[0])
+	candidates := f.candidates(instance, name, ranks[0])
 	request := placement.Request{Adapter: name, Tokens: 1460 + outputTokens, PromptTokens: 1460, Zone: "zone", Random: f.random.IntN, Now: f.now}
 	if f.policy != noCache {
 		hash, tokens := prompt.Shared()
-		request.Shared = &placement.SharedPrompt{Hash: hash, Tokens: tokens}
+		request.Shared = &placement.SharedPrompt{Hash: hash, Tokens: tokens, Share: state.Share(&prompt)}
 	}
 	switch f.policy {
 	case product:
@@ -119,44 +128,52 @@
 	if !ok {
 		panic("no engine")
 	}
-	f.send(f.index(&candidates[choice.Index]), candidates[choice.Index], state, &prompt, keys)
+	f.send(choice.Index, candidates[choice.Index], instance, &prompt, keys)
 }
 
 // fillFromCaches sets the cached tokens of two random ones of the engines that hold most.
 func (f *fleet) fillFromCaches(candidates []placement.Candidate, keys []string) {
-	held := func(i int) int { return f.caches[f.index(&candidates[i])].held(keys, partTokens) }
-	order := f.random.Perm(len(candidates))
+	held := func(i int) int { return f.caches[i].held(keys, partTokens) }
+	order := slices.DeleteFunc(f.random.Perm(engines), func(i int) bool { return candidates[i].Resident == nil })
 	slices.SortStableFunc(order, func(a, b int) int { return held(b) - held(a) })
 	for _, i := range order[:min(2, len(order))] {
 		candidates[i].CachedTokens = held(i)
 	}
 }
 
-// candidates returns the engines that hold an adapter: as many as its share calls for.
-func (f *fleet) candidates(name deployment.AdapterName, rank int) []placement.Candidate {
-	var candidates []placement.Candidate
-	copies := max(1, int(2.5*engines*adapterShare(rank)+0.5))
-	for i := range copies {
-		c := f.targets[(rank*7+i)%engines]
-		c.Use, c.Resident = f.seen[(rank*7+i)%engines], &placement.Resident{AdapterName: name, Version: 1}
-		candidates = append(candidates, c)
+// candidates returns the engines, of which as many as its share calls for hold an adapter.
+func (f *fleet) candidates(instance int, name deployment.AdapterName, rank int) []placement.Candidate {
+	candidates := slices.Clone(f.targets)
+	for i := range candidates {
+		candidates[i].Use = f.seen[i]
+		own, seen := f.own[instance][i], f.ownSeen[instance][i]
+		candidates[i].Add(inflight.Use{Requests: own.Requests - seen.Requests, WaitingTokens: own.WaitingTokens - seen.WaitingTokens, Tokens: own.Tokens - seen.Tokens})
+	}
+	for i := range max(1, int(2.5*engines*adapterShare(rank)+0.5)) {
+		candidates[(rank*7+i)%engines].Resident = &placement.Resident{AdapterName: name, Version: 1}
 	}
 	return candidates
 }
 
-func (f *fleet) index(c *placement.Candidate) int {
-	return slices.IndexFunc(f.targets, func(t placement.Candidate) bool { return t.ID == c.ID })
+// restart empties the engines from the first one up to a number.
+func (f *fleet) restart(n int) {
+	for i := range n {
+		f.caches[i] = &lruCache{capacity: cacheTokens}
+		f.targets[i].Generation++
+	}
 }
 
 // send has an engine read the prompt once it is free, and run the request.
-func (f *fleet) send(i int, c placement.Candidate, state *promptcache.State, prompt *promptcache.Prompt, keys []string) {
+func (f *fleet) send(i int, c placement.Candidate, instance int, prompt *promptcache.Prompt, keys []string) {
 	kept := f.caches[i].held(keys, partTokens)
 	if f.now.Sub(time.Unix(1000, 0)) > warmUp {
 		f.sharedTokens, f.keptTokens = f.sharedTokens+350, f.keptTokens+float64(kept)
 		f.expected, f.wrong = f.expected+float64(c.CachedTokens), f.wrong+float64(max(c.CachedTokens-kept, 0))
 	}
 	f.served[i]++
-	f.uses[i].Add(inflight.Use{Requests: 1, WaitingTokens: 1460, Tokens: 1460 + outputTokens})
+	state, use, own := f.states[instance], &f.uses[i], &f.own[instance][i]
+	add := func(u inflight.Use) { use.Add(u); own.Add(u) }
+	add(inflight.Use{Requests: 1, WaitingTokens: 1460, Tokens: 1460 + outputTokens})
 	sentAt, start := f.now, f.now
 	if f.freeAt[i].After(start) {
 		start = f.freeAt[i]
@@ -165,12 +182,12 @@
 	f.freeAt[i] = start
 	f.caches[i].read(keys, partTokens, f.uses[i].Tokens)
 	heap.Push(&f.pending, event{start, func() {
-		f.uses[i].WaitingTokens -= 1460
+		add(inflight.Use{WaitingTokens: -1460})
 		f.delays = append(f.delays, f.now.Sub(sentAt))
 		state.RecordStart(&c.Target, 1, prompt)
 	}})
 	heap.Push(&f.pending, event{start.Add(decodeTime), func() {
-		f.uses[i].Add(inflight.Use{Requests: -1, Tokens: -1460 - outputTokens})
+		add(inflight.Use{Requests: -1, Tokens: -1460 - outputTokens})
 		state.RecordRun(f.now.Sub(sentAt))
 	}})
 }
@@ -246,3 +263,50 @@
 		}
 	}
 }
+
+// TestSilenceAndRestartsCostNoMore covers ten seconds in which instances hear nothing of each
+// other, and then the restart of half of the engines: requests start as soon as without
+// regard to the caches, and little is expected that is not held.
+func TestSilenceAndRestartsCostNoMore(t *testing.T) {
+	late := map[policy]time.Duration{}
+	for _, p := range []policy{noCache, product} {
+		f := newFleet(p, 8)
+		f.run(25*time.Second, 386, usualRanks)
+		f.silent, f.delays = true, nil
+		f.run(10*time.Second, 386, usualRanks)
+		silence := f.delay(0.99)
+		f.silent, f.delays = false, nil
+		f.restart(engines / 2)
+		f.run(10*time.Second, 386, usualRanks)
+		late[p] = max(silence, f.delay(0.99))
+		t.Logf("%s: p99 of the start %s in silence, %s after restarts; %.3f kept, expected %.3f, of that wrong %.3f", p, silence, f.delay(0.99), f.hitRate(), f.expected/f.sharedTokens, f.wrong/max(f.expected, 1))
+		if f.wrong > 0.1*f.expected {
+			t.Errorf("%s: %.0f of %.0f expected tokens were not held", p, f.wrong, f.expected)
+		}
+	}
+	if late[product] > late[noCache]*11/10 {
+		t.Errorf("p99 of the start %s, without regard to the caches %s", late[product], late[noCache])
+	}
+}
+
+// TestHotPartIsSpread covers a beginning that a third of all requests share, for an adapter
+// that as many engines hold: no engine gets far more than the others.
+func TestHotPartIsSpread(t *testing.T) {
+	hot := func(r *rand.Rand) [3]int {
+		if r.IntN(3) == 0 {
+			return [3]int{0, 0, 0}
+		}
+		return usualRanks(r)
+	}
+	late := map[policy]time.Duration{}
+	for _, p := range []policy{noCache, product} {
+		f := newFleet(p, 66)
+		f.run(40*time.Second, 386, hot)
+		late[p] = f.delay(0.99)
+		busiest := float64(slices.Max(f.served)) * engines / float64(len(f.delays))
+		t.Logf("%s: p99 of the start %s, busiest engine %.2f of the mean, %.3f kept", p, late[p], busiest, f.hitRate())
+	}
+	if late[product] > late[noCache]*11/10 {
+		t.Errorf("p99 of the start %s, without regard to the caches %s", late[product], late[noCache])
+	}
+}
--- a/internal/promptcache/state.go
+++ b/internal/promptcache/state.go
@@ -15,7 +15,7 @@
 	// are remembered for one of them.
 	maxBeginnings = 4096
 	maxHolders    = 4
-	// usableRoom is the part of an engine's free KV cache that beginnings count as kept in.
+	// usableRoom is the part of an engine's KV cache that is expected to be used in full.
 	// What other instances send there is known late, and roughly.
 	usableRoom = 0.8
 	// maxAge is how long a beginning that was not used again counts as kept.
@@ -29,10 +29,11 @@
 )
 
 // State is what this instance knows of the KV caches of engines. A beginning is known to be
-// kept from the moment at which a request that has it began to answer there, until as many
-// tokens have entered the engine as there is room beside its running requests, until the
-// engine restarts, or until its model or adapter is unloaded or replaced. What enters is
-// estimated from the tokens in flight of all instances and the mean time of a run.
+// kept from the moment at which a request that has it began to answer there, until the tokens
+// that have entered the engine since then, together with those in flight at any time since
+// then, take up its KV cache, until the engine restarts, or until its model or adapter is
+// unloaded or replaced. What enters is estimated from the tokens in flight of all instances and
+// the mean time of a run.
 //
 // The state is bounded whatever requests contain; the least recently used beginnings are
 // forgotten first. It is safe for concurrent use. Set Now before the first use.
@@ -43,6 +44,8 @@
 
 	mu      sync.Mutex
 	runTime time.Duration
+	// requests counts the requests of this instance.
+	requests placement.DecayedCount
 	engines map[deployment.TargetID]*engine
 	// known holds the elements of order, whose values are *record, by hash. order has the
 	// most recently used beginning first.
@@ -53,17 +56,21 @@
 // engine is what is known of the KV cache of one engine as a whole.
 type engine struct {
 	generation int64
-	// entered estimates how many tokens have entered the cache so far, as of observedAt.
-	entered    float64
-	observedAt time.Time
+	// entered estimates how many tokens have entered the cache so far, as of observedAt, when
+	// inFlight were in flight. peak is the largest sum of both so far.
+	entered, inFlight, peak float64
+	observedAt              time.Time
 	// emptiedAt is when the engine was last found without the base model.
 	emptiedAt time.Time
 }
 
-// record lists the engines that hold a beginning, as far as known.
+// record lists the engines that hold a beginning, as far as known, and counts the requests of
+// this instance that have it.
 type record struct {
-	hash    uint64
-	holders []holder
+	hash     uint64
+	holders  []holder
+	requests placement.DecayedCount
+	usedAt   time.Time
 }
 
 // holder is an engine on which a request with the beginning began.
@@ -130,13 +137,15 @@
 	}
 	if e, ok := s.known[hash]; ok {
 		s.order.MoveToFront(e)
-		return e.Value.(*record)
+		r := e.Value.(*record)
+		r.usedAt = s.Now()
+		return r
 	}
 	if s.order.Len() >= maxBeginnings {
 		s.Evictions.Add(1)
 		s.remove(s.order.Back())
 	}
-	r := &record{hash: hash}
+	r := &record{hash: hash, usedAt: s.Now()}
 	s.known[hash] = s.order.PushFront(r)
 	return r
 }
@@ -164,6 +173,21 @@
 	r.holders[0] = h
 }
 
+// Share counts a request and returns the share of this instance's requests, which are a sample
+// of all, that have the longest beginning that others may have too.
+func (s *State) Share(prompt *Prompt) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	s.requests.Add(now)
+	if prompt.shared == 0 {
+		return 0
+	}
+	r := s.record(prompt.beginnings[prompt.shared-1].hash)
+	r.requests.Add(now)
+	return r.requests.Share(&s.requests, now)
+}
+
 // Fill sets CachedTokens of the candidates for a request with the prompt: the tokens of the
 // leading parts that the engine still holds. It also takes account of what is in flight on
 // them.
@@ -192,10 +216,12 @@
 // observe advances the count of what has entered a candidate. The caller holds the lock.
 func (s *State) observe(c *placement.Candidate, now time.Time) {
 	e := s.engine(&c.Target)
+	inFlight := float64(c.Tokens)
 	if elapsed := now.Sub(e.observedAt); elapsed > 0 {
-		e.entered += float64(c.Tokens) * elapsed.Seconds() / s.meanRunTime().Seconds()
+		e.entered += (e.inFlight + inFlight) / 2 * elapsed.Seconds() / s.meanRunTime().Seconds()
 		e.observedAt = now
 	}
+	e.inFlight, e.peak = inFlight, max(e.peak, e.entered+inFlight)
 	if !c.HasModel {
 		e.emptiedAt = now
 	}
@@ -208,9 +234,9 @@
 			continue
 		}
 		e := s.engines[c.ID]
-		room := usableRoom * float64(c.KVCacheTokens-c.Tokens)
+		room := usableRoom * float64(c.KVCacheTokens)
 		return h.generation == c.Generation && e.generation == c.Generation && h.at.After(e.emptiedAt) &&
-			h.sameWeights(c, adapted) && now.Sub(h.at) <= maxAge && e.entered-h.entered < room
+			h.sameWeights(c, adapted) && now.Sub(h.at) <= maxAge && e.peak-h.entered < room
 	}
 	return false
 }
@@ -240,7 +266,7 @@
 			delete(s.engines, id)
 		}
 	}
-	for e := s.order.Back(); e != nil && s.Now().Sub(e.Value.(*record).holders[0].at) > maxAge; e = s.order.Back() {
+	for e := s.order.Back(); e != nil && s.Now().Sub(e.Value.(*record).usedAt) > maxAge; e = s.order.Back() {
 		s.remove(e)
 	}
 }
