Prompt cache: sessions return also where their beginning is held everywhere

Cause: a beginning that all engines with the adapter should hold preferred none, so that a session with a long part of its own lost its engine. Change: only what an engine holds beyond such a beginning counts. An engine that holds a longer beginning counts as holding the shorter ones, which were used with it.

--- a/internal/placement/cached.go
+++ b/internal/placement/cached.go
@@ -51,19 +51,21 @@
 // preferred for what it holds and another one that is picked at random. More would have all
 // instances send to the same engine until they learn of each other's requests. The cost is
 // the time until the request starts, its prompt prefilled, and the time that the others on
-// the engine wait for that.
+// the engine wait for that. A beginning that all copies should hold makes no difference, what
+// one of them holds beyond it does.
 func cheapest(request Request, candidates []Candidate, copies []Choice) Choice {
-	if len(copies) == 1 || request.heldByAll(candidates, copies) {
-		return soonest(request, copies)
+	usual := 0
+	if request.heldByAll(candidates, copies) {
+		usual = request.Shared.Tokens
 	}
-	preferred, confidence := preferredCopy(request, candidates, copies)
-	if preferred < 0 {
+	preferred, expected := preferredCopy(request, candidates, copies, usual)
+	if preferred < 0 || len(copies) == 1 {
 		return soonest(request, copies)
 	}
 	best := copies[preferred]
 	other := request.anotherCopy(copies, preferred)
-	cost := best.Delay + candidates[best.Index].promptCost(request, confidence)
-	if other.Delay+candidates[other.Index].promptCost(request, 0) < cost && !other.Full {
+	cost := best.Delay + candidates[best.Index].promptCost(request, expected)
+	if other.Delay+candidates[other.Index].promptCost(request, usual) < cost && !other.Full {
 		return other
 	}
 	best.Home = candidates[best.Index].CachedTokens == 0
@@ -83,18 +85,17 @@
 	return copies[i]
 }
 
-// preferredCopy returns the position of the copy that is preferred for what it holds, and
-// which part of the beginning it is expected to hold if that is not known; -1 if there is
-// none. It is the one that is known to hold most, or else the first one in the order of the
-// hash. Copies that are full, not healthy, or have many more requests than the mean are left
-// out.
-func preferredCopy(request Request, candidates []Candidate, copies []Choice) (position int, confidence float64) {
+// preferredCopy returns the position of the copy that is preferred for what it holds, and the
+// tokens of that; -1 if no copy is expected to hold more than usual. It is the one that is
+// known to hold most, or the first one in the order of the hash. Copies that are full, not
+// healthy, or have many more requests than the mean are left out.
+func preferredCopy(request Request, candidates []Candidate, copies []Choice, usual int) (position, tokens int) {
 	limit := cacheLoadFactor*meanRequests(candidates, copies) + cacheLoadExtra
 	eligible := func(choice Choice) bool {
 		c := &candidates[choice.Index]
 		return !choice.Full && c.Health == outlier.Healthy && float64(c.Requests) <= limit
 	}
-	position, tokens := -1, 0
+	position, tokens = -1, usual
 	for i, choice := range copies {
 		if held := candidates[choice.Index].CachedTokens; held > tokens && eligible(choice) {
 			position, tokens = i, held
@@ -103,18 +104,17 @@
 	for rank, home := range preferredHomes(request.Shared.Hash, candidates, copies) {
 		expected := int(homeConfidence[rank] * float64(request.Shared.Tokens))
 		if home >= 0 && expected > tokens && eligible(copies[home]) {
-			return home, homeConfidence[rank]
+			return home, expected
 		}
 	}
-	return position, 0
+	return position, tokens
 }
 
 // promptCost returns the time for which the engine prefills what it does not hold of the
-// prompt, and for which its other requests wait meanwhile. It is expected to hold a part of
-// the beginning of the prompt at least.
-func (c *Candidate) promptCost(request Request, confidence float64) time.Duration {
-	cached := max(float64(c.CachedTokens), confidence*float64(request.Shared.Tokens))
-	prefill := max(float64(request.PromptTokens)-cached, 0) / prefillTokensPerMS * float64(time.Millisecond)
+// prompt, and for which its other requests wait meanwhile. It is expected to hold so many
+// tokens of the prompt at least.
+func (c *Candidate) promptCost(request Request, expected int) time.Duration {
+	prefill := float64(max(request.PromptTokens-max(c.CachedTokens, expected), 0)) / prefillTokensPerMS * float64(time.Millisecond)
 	return time.Duration(prefill * (1 + promptShare*float64(c.Requests)))
 }
 
--- a/internal/promptcache/state.go
+++ b/internal/promptcache/state.go
@@ -46,6 +46,8 @@
 	runTime time.Duration
 	// requests counts the requests of this instance.
 	requests placement.DecayedCount
+	// fills counts the calls of Fill.
+	fills   uint64
 	engines map[deployment.TargetID]*engine
 	// known holds the elements of order, whose values are *record, by hash. order has the
 	// most recently used beginning first.
@@ -62,6 +64,9 @@
 	observedAt              time.Time
 	// emptiedAt is when the engine was last found without the base model.
 	emptiedAt time.Time
+	// In the call of Fill with number fill, the engine is the candidate with this index.
+	fill      uint64
+	candidate int
 }
 
 // record lists the engines that hold a beginning, as far as known, and counts the requests of
@@ -195,26 +200,32 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
+	s.fills++
 	for i := range candidates {
-		s.observe(&candidates[i], now)
+		e := s.observe(&candidates[i], now)
+		e.fill, e.candidate = s.fills, i
 	}
-	parts := make([]uint8, len(candidates))
-	for depth, b := range prompt.beginnings {
+	// An engine that holds a beginning holds the shorter ones too, which were used with it.
+	for _, b := range prompt.beginnings {
 		element, ok := s.known[b.hash]
 		if !ok {
-			return
+			continue
 		}
-		r := element.Value.(*record)
-		for i := range candidates {
-			if c := &candidates[i]; int(parts[i]) == depth && s.holds(r, c, prompt.adapted, now) {
-				c.CachedTokens, parts[i] = b.tokens, parts[i]+1
+		for _, h := range element.Value.(*record).holders {
+			e, ok := s.engines[h.target]
+			if !ok || e.fill != s.fills {
+				continue
+			}
+			if c := &candidates[e.candidate]; e.holds(&h, c, prompt.adapted, now) {
+				c.CachedTokens = b.tokens
 			}
 		}
 	}
 }
 
-// observe advances the count of what has entered a candidate. The caller holds the lock.
-func (s *State) observe(c *placement.Candidate, now time.Time) {
+// observe advances the count of what has entered a candidate, and returns its engine. The
+// caller holds the lock.
+func (s *State) observe(c *placement.Candidate, now time.Time) *engine {
 	e := s.engine(&c.Target)
 	inFlight := float64(c.Tokens)
 	if elapsed := now.Sub(e.observedAt); elapsed > 0 {
@@ -225,20 +236,14 @@
 	if !c.HasModel {
 		e.emptiedAt = now
 	}
+	return e
 }
 
-// holds reports whether a candidate still holds a beginning. The caller holds the lock.
-func (s *State) holds(r *record, c *placement.Candidate, adapted bool, now time.Time) bool {
-	for _, h := range r.holders {
-		if h.target != c.ID {
-			continue
-		}
-		e := s.engines[c.ID]
-		room := usableRoom * float64(c.KVCacheTokens)
-		return h.generation == c.Generation && e.generation == c.Generation && h.at.After(e.emptiedAt) &&
-			h.sameWeights(c, adapted) && now.Sub(h.at) <= maxAge && e.peak-h.entered < room
-	}
-	return false
+// holds reports whether the engine, which is the candidate c, still holds the beginning that h
+// is about.
+func (e *engine) holds(h *holder, c *placement.Candidate, adapted bool, now time.Time) bool {
+	return h.generation == c.Generation && e.generation == c.Generation && h.at.After(e.emptiedAt) && h.sameWeights(c, adapted) &&
+		now.Sub(h.at) <= maxAge && e.peak-h.entered < usableRoom*float64(c.KVCacheTokens)
 }
 
 // sameWeights reports whether the candidate has had the model, and the version of the
