--- a/internal/promptcache/fleet_test.go
+++ b/internal/promptcache/fleet_test.go
@@ -36,6 +36,8 @@
 	outputTokens  = 80
 	warmUp        = 20 * time.Second
 	adapterPlaces = 900
+
+	requestsPerSecond = 386
 )
 
 var partTokens = []int{200, 150, 1110}
@@ -82,12 +84,12 @@
 	return f
 }
 
-// run simulates Poisson arrivals at a rate; ranks returns the ranks of an adapter, of a first
+// run simulates Poisson arrivals; ranks returns the ranks of an adapter, of a first
 // and of a second part.
-func (f *fleet) run(duration time.Duration, perSecond float64, ranks func(*rand.Rand) [3]int) {
+func (f *fleet) run(duration time.Duration, ranks func(*rand.Rand) [3]int) {
 	end := f.now.Add(duration)
 	for f.now.Before(end) {
-		next := f.now.Add(time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second)))
+		next := f.now.Add(time.Duration(f.random.ExpFloat64() / requestsPerSecond * float64(time.Second)))
 		for len(f.pending) > 0 && f.pending[0].at.Before(next) {
 			e := heap.Pop(&f.pending).(event)
 			f.now = e.at
@@ -204,10 +206,10 @@
 	return sum / time.Duration(len(f.delays))
 }
 
-// delay returns a quantile of the delays until requests began.
-func (f *fleet) delay(q float64) time.Duration {
+// lateStart returns the 99th percentile of the delays until requests began.
+func (f *fleet) lateStart() time.Duration {
 	sort.Slice(f.delays, func(i, j int) bool { return f.delays[i] < f.delays[j] })
-	return f.delays[int(q*float64(len(f.delays)-1))]
+	return f.delays[len(f.delays)*99/100]
 }
 
 // skewed returns a rank below n, of which low ones are frequent.
@@ -251,8 +253,8 @@
 		rate, late := map[policy]float64{}, map[policy]time.Duration{}
 		for _, p := range []policy{noCache, product, allCaches} {
 			f := newFleet(p, instances)
-			f.run(60*time.Second, 386, usualRanks)
-			rate[p], late[p] = f.hitRate(), f.delay(0.99)
+			f.run(60*time.Second, usualRanks)
+			rate[p], late[p] = f.hitRate(), f.lateStart()
 			t.Logf("%d instances, %s: %.3f of the shared tokens kept, expected %.3f, of that wrong %.3f; start mean %s p99 %s; busiest engine %.2f of the mean",
 				instances, p, rate[p], f.expected/f.sharedTokens, f.wrong/max(f.expected, 1), f.meanDelay(), late[p], float64(slices.Max(f.served))*engines/float64(len(f.delays)))
 		}
@@ -271,15 +273,15 @@
 	late := map[policy]time.Duration{}
 	for _, p := range []policy{noCache, product} {
 		f := newFleet(p, 8)
-		f.run(25*time.Second, 386, usualRanks)
+		f.run(25*time.Second, usualRanks)
 		f.silent, f.delays = true, nil
-		f.run(10*time.Second, 386, usualRanks)
-		silence := f.delay(0.99)
+		f.run(10*time.Second, usualRanks)
+		silence := f.lateStart()
 		f.silent, f.delays = false, nil
 		f.restart(engines / 2)
-		f.run(10*time.Second, 386, usualRanks)
-		late[p] = max(silence, f.delay(0.99))
-		t.Logf("%s: p99 of the start %s in silence, %s after restarts; %.3f kept, expected %.3f, of that wrong %.3f", p, silence, f.delay(0.99), f.hitRate(), f.expected/f.sharedTokens, f.wrong/max(f.expected, 1))
+		f.run(10*time.Second, usualRanks)
+		late[p] = max(silence, f.lateStart())
+		t.Logf("%s: p99 of the start %s in silence, %s after restarts; %.3f kept, expected %.3f, of that wrong %.3f", p, silence, f.lateStart(), f.hitRate(), f.expected/f.sharedTokens, f.wrong/max(f.expected, 1))
 		if f.wrong > 0.1*f.expected {
 			t.Errorf("%s: %.0f of %.0f expected tokens were not held", p, f.wrong, f.expected)
 		}
@@ -301,8 +303,8 @@
 	late := map[policy]time.Duration{}
 	for _, p := range []policy{noCache, product} {
 		f := newFleet(p, 66)
-		f.run(40*time.Second, 386, hot)
-		late[p] = f.delay(0.99)
+		f.run(40*time.Second, hot)
+		late[p] = f.lateStart()
 		busiest := float64(slices.Max(f.served)) * engines / float64(len(f.delays))
 		t.Logf("%s: p99 of the start %s, busiest engine %.2f of the mean, %.3f kept", p, late[p], busiest, f.hitRate())
 	}
