Configuration check: a configuration is checked before it is sent

Cause: the operators want to know of errors, entries that can never match, limits that contradict each other, and what differs from the version in force, before they send it. Not checked: regions, what runs at the moment, deadlines.

--- a/cmd/heatherrelay/root.go
+++ b/cmd/heatherrelay/root.go
@@ -47,6 +47,7 @@
 		gatewayCommand(),
 		versionCommand(),
 		configCommand(),
+		configurationCommand(),
 		reportCommand(),
 	)
 	return root
