--- a/internal/gateway/assign.go
+++ b/internal/gateway/assign.go
@@ -78,8 +78,8 @@
 		return unchanged
 	}
 	rate := e.promptRate().TokensPerMS()
-	home := placement.Offers(request, candidates, request.Zone, rate)
-	away := placement.Offers(request, candidates, placement.NearestOtherZone(request, candidates), rate)
+	home := placement.Offers(request, candidates, choice, request.Zone, rate)
+	away := placement.Offers(request, candidates, choice, placement.NearestOtherZone(request, candidates), rate)
 	limits := e.assignmentLimits()
 	first := limits
 	if len(away) > 0 {
@@ -146,7 +146,7 @@
 		a, _ := e.server.Network.AssignPrompt(e.ctx, target.Zone, []placement.Offer{offer}, e.assignmentLimits())
 		delay = a.Delay
 	case e.server.StreamPauses.Frequent():
-		delay = e.server.Network.ReservePrompt(e.ctx, target, request.PromptTokens)
+		delay = e.server.Network.ReservePrompt(e.ctx, target, e.prefillTokens())
 	default:
 		return
 	}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -88,6 +88,7 @@
 	}
 	candidates := e.engineCandidates(service)
 	request.WantedCopies = s.Demand.WantedCopies(request.Adapter, len(candidates))
+	e.chooseByCache(&request, candidates)
 	candidates, choice, refused := e.chooseEngine(service, request, candidates)
 	if refused != nil {
 		return nil, refused
@@ -96,6 +97,7 @@
 	choice = assigned.Choice
 	target := candidates[choice.Index].Target
 	e.expectedStart = choice.Delay
+	e.recordCacheChoice(candidates, choice)
 	if choice.NeedsLoad {
 		result := s.Network.Load(e.ctx, e.request.ID, target, request.Adapter, request.Version)
 		e.recordStep("load", target.ID, result.String())
@@ -112,6 +114,7 @@
 		return nil, nil
 	}
 	e.pacePrompt(assigned, request, candidates, attempt)
+	e.cached.setVersion(attempt)
 	if !s.Availability.Available(target) {
 		e.recordStep("select", target.ID, "unavailable")
 		return nil, nil
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -92,8 +92,9 @@
 }
 
 // Offers returns the engines of a zone on which a request can start without a load: sound
-// ones with room, the best first. tokensPerMS is the rate of a usual engine.
-func Offers(request Request, candidates []Candidate, zone string, tokensPerMS float64) []Offer {
+// ones with room, the best first. The chosen one may be expected to hold the beginning of the
+// prompt. tokensPerMS is the rate of a usual engine.
+func Offers(request Request, candidates []Candidate, chosen Choice, zone string, tokensPerMS float64) []Offer {
 	var offers []Offer
 	for i := range candidates {
 		c := &candidates[i]
@@ -103,7 +104,11 @@
 		if r := c.Resident; r != nil && r.ReadyAt.After(request.Now) {
 			continue
 		}
-		offers = append(offers, Offer{Target: c.ID, Prefill: c.prefill(request, tokensPerMS), Extra: c.delayWithoutPrompts(request), Index: i})
+		held := 0
+		if chosen.Home && chosen.Index == i && request.Shared != nil {
+			held = int(homeConfidence[0] * float64(request.Shared.Tokens))
+		}
+		offers = append(offers, Offer{Target: c.ID, Prefill: c.prefill(request, held, tokensPerMS), Extra: c.delayWithoutPrompts(request), Index: i})
 	}
 	slices.SortStableFunc(offers, func(a, b Offer) int { return cmp.Compare(a.Extra, b.Extra) })
 	offers = offers[:min(len(offers), maxOffers)]
@@ -115,7 +120,7 @@
 
 // OfferOf returns the offer of the engine that is chosen already.
 func OfferOf(request Request, c *Candidate, tokensPerMS float64) Offer {
-	return Offer{Target: c.ID, Prefill: c.prefill(request, tokensPerMS)}
+	return Offer{Target: c.ID, Prefill: c.prefill(request, 0, tokensPerMS)}
 }
 
 // NearestOtherZone returns the zone, other than the request's own, of the engine on which the
@@ -134,9 +139,10 @@
 	return zone
 }
 
-// prefill estimates how long the engine takes for the request's prompt.
-func (c *Candidate) prefill(request Request, tokensPerMS float64) time.Duration {
-	tokens := max(request.PromptTokens-c.CachedTokens, 0)
+// prefill estimates how long the engine takes for the request's prompt, of which it is
+// expected to hold so many tokens at least.
+func (c *Candidate) prefill(request Request, held int, tokensPerMS float64) time.Duration {
+	tokens := max(request.PromptTokens-max(c.CachedTokens, held), 0)
 	return time.Duration(float64(tokens) / tokensPerMS * c.Speed.Factor() * float64(time.Millisecond))
 }
 
--- a/internal/placement/assign_test.go
+++ b/internal/placement/assign_test.go
@@ -123,7 +123,7 @@
 		candidate("ejected", func(c *placement.Candidate) { c.Health = outlier.Ejected }),
 	}
 	request := placement.Request{Adapter: name, Version: 2, PromptTokens: 1000, Tokens: 1100, Zone: "north", Now: now}
-	offers := placement.Offers(request, candidates, "north", 10)
+	offers := placement.Offers(request, candidates, placement.Choice{Index: -1}, "north", 10)
 	if len(offers) != 2 || offers[0].Target != "free" || offers[0].Prefill != 70*time.Millisecond || offers[0].Extra != 0 || offers[1].Target != "busy" || offers[1].Extra <= 0 || offers[1].Extra > 50*time.Millisecond {
 		t.Errorf("%+v", offers)
 	}
