Speeds: targets are compared by what their answers show of their speed

Change: internal/speed learns what is usual and each target's slowness from samples of the gateway; placement weighs expected starts and pauses by it, plain services the expected answer; pacing and the hedge of idempotent requests follow. Only where [decisions] speeds asks for it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,6 +64,7 @@
 	// expectedStart is the estimated delay until the chosen engine starts the
 	// request.
 	expectedStart time.Duration
+	sample        speedSample
 	// waitedForLoad is set when the request waited for its adapter to load before
 	// this attempt.
 	waitedForLoad bool
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -120,6 +120,7 @@
 	if e.firstEventAt.IsZero() {
 		e.firstEventAt = e.server.Now()
 	}
+	e.sampleEvent(e.server.Now())
 	if e.answeringFor() >= soundAnswerTime {
 		e.recordSound()
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -60,6 +60,7 @@
 			if e.response.Success() {
 				e.recordSound()
 			}
+			e.sampleResponse()
 			e.forwardResponse(&bufferedResponse{ResponseHead: e.response.ResponseHead, body: body})
 			return
 		}
@@ -99,7 +100,7 @@
 	r.SetBodyRaw(buffered.body)
 	elapsed := e.server.Now().Sub(e.startedAt)
 	e.server.Metrics.observeResponse(buffered.Status, elapsed)
-	e.logOutcome("answered", targetField(e.target.ID), framingField(&buffered.ResponseHead), zap.Int("status", buffered.Status), zap.Int("bytes", len(buffered.body)))
+	e.logOutcome("answered", append(e.speedFields(), targetField(e.target.ID), framingField(&buffered.ResponseHead), zap.Int("status", buffered.Status), zap.Int("bytes", len(buffered.body)))...)
 }
 
 // writeHead copies the status and the headers of a target's response to the
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -77,6 +77,15 @@
 		patience := max(minClientPatience, latencyObjectivePatience*e.route.LatencyObjective, gapObjectivePatience*e.route.GapObjective)
 		return time.Duration(streamHedgeShare * float64(patience))
 	}
+	if limit := e.slowSilenceLimit(); limit > 0 {
+		return min(limit, e.idempotentLimit())
+	}
+	return e.idempotentLimit()
+}
+
+// idempotentLimit returns how long a target may send nothing for an idempotent request before
+// it counts as silent.
+func (e *exchange) idempotentLimit() time.Duration {
 	return max(time.Duration(idempotentHedgeShare*float64(e.remaining())), e.route.LatencyObjective)
 }
 
@@ -91,7 +100,9 @@
 	h := &hedge{exchange: e.cloneForHedge(), done: make(chan struct{})}
 	e.hedge = h
 	e.recordStep("hedge", e.target.ID, "started")
-	e.server.OnFailure(e.target)
+	if !e.onlySlow() {
+		e.server.OnFailure(e.target)
+	}
 	go h.run(e.cancelAttempt)
 }
 
@@ -242,8 +253,12 @@
 }
 
 // recordSilence records that the hedge of a silent target was faster. Idle connections
-// to the target may be as silent as the one that was awaited.
+// to the target may be as silent as the one that was awaited. A target that is only slow has
+// not failed.
 func (e *exchange) recordSilence() {
+	if e.onlySlow() {
+		return
+	}
 	e.server.Upstream.CloseIdleTo(e.target.Address)
 	e.recordTargetFailure(errHedged)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,7 @@
 	firstEvent   prometheus.Histogram
 	responseTime prometheus.Histogram
 	loadWait     prometheus.Histogram
+	startRatio   prometheus.Summary
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms, in seconds.
@@ -55,10 +56,14 @@
 			Name: "heatherrelay_gateway_load_wait_seconds", Help: "Time that a request waited for its adapter.", Buckets: latencyBuckets,
 		}),
 	}
+	m.startRatio = prometheus.NewSummary(prometheus.SummaryOpts{
+		Name: "heatherrelay_gateway_start_ratio", Help: "Time that a target took to start, or for a response, as a multiple of the expected time.",
+		Objectives: map[float64]float64{0.1: 0.02, 0.5: 0.02, 0.9: 0.01, 0.99: 0.001},
+	})
 	inFlight := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "heatherrelay_gateway_requests_underway", Help: "Requests that are being answered.",
 	}, func() float64 { return float64(m.inFlight.Load()) })
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.hedges, m.firstEvent, m.responseTime, m.loadWait, inFlight)
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.hedges, m.firstEvent, m.responseTime, m.loadWait, m.startRatio, inFlight)
 	return m
 }
 
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -11,6 +11,7 @@
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/refusal"
+	"heatherrelay/internal/speed"
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/internal/wait"
@@ -86,6 +87,7 @@
 		PromptTokens: e.request.PromptTokens,
 	}
 	candidates := e.engineCandidates(service)
+	e.addSpeeds(&request, candidates)
 	request.WantedCopies = s.Demand.WantedCopies(request.Adapter, len(candidates))
 	candidates, choice, refused := e.chooseEngine(service, request, candidates)
 	if refused != nil {
@@ -93,6 +95,7 @@
 	}
 	target := candidates[choice.Index].Target
 	e.expectedStart = choice.Delay
+	e.beginSample(&candidates[choice.Index], speed.Start, startLoad(&candidates[choice.Index], &request))
 	if choice.NeedsLoad {
 		result := s.Network.Load(e.ctx, e.request.ID, target, request.Adapter, request.Version)
 		e.recordStep("load", target.ID, result.String())
@@ -270,9 +273,12 @@
 // preparePlain chooses a target for a request that needs no engine.
 func (e *exchange) preparePlain(service *deployment.Service) (*upstream.Attempt, *refusal.Error) {
 	candidates := e.candidates(service)
-	index, ok := placement.ChoosePlain(candidates, e.server.Zone, e.route.Repeatable())
+	request := placement.Request{Zone: e.server.Zone, Repeatable: e.route.Repeatable()}
+	e.addPlainSpeeds(&request, candidates)
+	index, ok := placement.ChoosePlain(request, candidates)
 	if !ok {
 		return nil, e.refuseUnserved(service, retrySoon, refusal.NotRun(refusal.CodeNoTarget, "no target can take the request"))
 	}
+	e.beginSample(&candidates[index], speed.Response, responseLoad(&candidates[index]))
 	return e.newAttempt(candidates[index].Target), nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -23,6 +23,7 @@
 	"heatherrelay/internal/quota"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/retry"
+	"heatherrelay/internal/speed"
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/internal/wait"
@@ -66,7 +67,11 @@
 	// StreamPauses records whether streams paused for longer than their objective;
 	// if many did, prompts are paced.
 	StreamPauses placement.PauseMonitor
-	Upstream     *upstream.Client
+	// Speeds is what is known of the speeds of targets. WeighSpeeds reports whether those
+	// of a service are compared by them; nil means that none are.
+	Speeds      *speed.Book
+	WeighSpeeds func(configuration *deployment.Configuration, service string) bool
+	Upstream    *upstream.Client
 	// Send sends a request to a target once, and returns the response once its head has
 	// arrived.
 	Send func(ctx context.Context, target deployment.Target, request *upstream.Request, attempt *upstream.Attempt) (*upstream.Response, error)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -94,6 +94,7 @@
 
 // nextEvent reads the next event and advances lastEventID.
 func (s *stream) nextEvent() (eventstream.Event, error) {
+	s.awaitEvent(s.server.Now())
 	event, err := s.readEvent()
 	if err != nil {
 		return event, err
@@ -200,9 +201,9 @@
 		s.server.StreamPauses.Observe(s.longestPause > gap)
 	}
 	s.server.Metrics.observeResponse(s.response.Status, s.server.Now().Sub(s.startedAt))
-	s.logOutcome(outcome, targetField(s.target.ID), s.versionField(), framingField(&s.response.ResponseHead), zap.Int("events", s.events), zap.Duration("first_event", s.timeToFirstEvent),
+	s.logOutcome(outcome, append(s.speedFields(), targetField(s.target.ID), s.versionField(), framingField(&s.response.ResponseHead), zap.Int("events", s.events), zap.Duration("first_event", s.timeToFirstEvent),
 		zap.Duration("longest_pause", s.longestPause), zap.Duration("expected_start", s.expectedStart), zap.Int("resumed", s.resumes),
-		zap.String("last_event", s.lastEventID), zap.NamedError("cause", s.cause()), zap.NamedError("break_cause", s.breakCause))
+		zap.String("last_event", s.lastEventID), zap.NamedError("cause", s.cause()), zap.NamedError("break_cause", s.breakCause))...)
 	s.streaming = false
 	s.finish()
 	return nil
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -32,6 +32,7 @@
 	"heatherrelay/internal/quota"
 	"heatherrelay/internal/reach"
 	"heatherrelay/internal/retry"
+	"heatherrelay/internal/speed"
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/internal/wait"
@@ -102,6 +103,7 @@
 	directory *placement.Directory
 	prompts   *placement.PromptPacer
 	detector  *outlier.Detector
+	speeds    *speed.Book
 	origins   *origin.Table
 	versions  *origin.Versions
 	// versionsReading is when the versions in the store were last read.
@@ -268,6 +270,7 @@
 	i.assembleOrigins()
 	i.assembleCrashes()
 	i.assembleLimits()
+	i.assembleSpeeds()
 	i.assembleForwarding()
 	i.registerMetrics()
 }
@@ -299,6 +302,7 @@
 	i.directory.Retain(listed)
 	i.prompts.Retain(listed)
 	i.detector.Retain(listed)
+	i.speeds.Retain(listed)
 	i.crashDetector.RecordTargets(listed)
 	i.limits.Retain(listed)
 	i.server.Availability.Retain(listed)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -68,6 +68,11 @@
 	// is unknown.
 	Priority             int
 	Objective, Remaining time.Duration
+	// GapObjective is the longest pause between two events that is in time; zero is
+	// unknown.
+	GapObjective time.Duration
+	// WeighSpeeds is set when candidates are compared by what is known of their Speed.
+	WeighSpeeds bool
 	// Repeatable requests may be retried on another target.
 	Repeatable bool
 	// WantedCopies is the number of engines that should hold the adapter, according
@@ -116,6 +121,15 @@
 	// Slowness is how many times as long as a usual target the target takes for all else;
 	// zero counts as 1.
 	Slowness float64
+	// Uncertainty is the standard deviation of the logarithm of Slowness.
+	Uncertainty float64
+	// EventInterval is the expected time between two events of a stream there, and
+	// ResponseTime how long a usual target of a plain service takes for a request; zero
+	// is unknown.
+	EventInterval, ResponseTime time.Duration
+	// startScale is how many times as long as NominalStart a usual target takes; zero
+	// counts as 1.
+	startScale float64
 }
 
 // loadDelay estimates the time until the adapter is loaded.
@@ -133,6 +147,8 @@
 	NeedsLoad bool
 	// Delay is the expected time until the request starts.
 	Delay time.Duration
+	// cost is the delay, and what being late is expected to cost.
+	cost time.Duration
 	// Full is set when the engine's batch or KV cache is full.
 	Full bool
 	// CopyIndex is the index of the engine that should load another copy of the
@@ -163,11 +179,11 @@
 	if !hasPreferred {
 		return best, true
 	}
-	if best.Delay > preferred.Delay+minLoadGain {
+	if best.cost > preferred.cost+minLoadGain {
 		return preferred, true
 	}
-	withoutLoad := preferred.Delay - candidates[preferred.Index].loadDelay()
-	if float64(len(copies)) < request.WantedCopies*copiesHeadroom && best.Delay > withoutLoad+copyWaitThreshold {
+	withoutLoad := preferred.cost - candidates[preferred.Index].loadDelay()
+	if float64(len(copies)) < request.WantedCopies*copiesHeadroom && best.cost > withoutLoad+copyWaitThreshold {
 		best.CopyIndex = preferred.Index
 	}
 	return best, true
@@ -185,7 +201,7 @@
 		if r := c.Resident; r != nil && r.ReadyAt.After(request.Now) {
 			delay += r.ReadyAt.Sub(request.Now)
 		}
-		copies = append(copies, Choice{Index: i, Delay: delay, Full: c.full(request), CopyIndex: -1})
+		copies = append(copies, Choice{Index: i, Delay: delay, cost: c.cost(request, delay), Full: c.full(request), CopyIndex: -1})
 	}
 	return copies
 }
@@ -212,7 +228,7 @@
 }
 
 func sooner(a, b Choice) Choice {
-	if b.Delay < a.Delay {
+	if b.cost < a.cost {
 		return b
 	}
 	return a
@@ -239,12 +255,12 @@
 		// that version, which may be in use.
 		return c.Health <= worstHealth && c.HasModel && c.CanLoad && c.Resident == nil
 	}
-	minDelay, requests, engines := time.Duration(-1), 0, 0
+	minCost, requests, engines, speeds := time.Duration(-1), 0, 0, 0.0
 	for i := range candidates {
 		if c := &candidates[i]; eligible(c) {
-			requests, engines = requests+c.Requests, engines+1
-			if delay := c.delay(request) + c.loadDelay(); minDelay < 0 || delay < minDelay {
-				minDelay = delay
+			requests, engines, speeds = requests+c.Requests, engines+1, speeds+1/c.Speed.slowness()
+			if cost := c.loadCost(request); minCost < 0 || cost < minCost {
+				minCost = cost
 			}
 		}
 	}
@@ -252,18 +268,23 @@
 		return Choice{}, false
 	}
 	notBusy := func(c *Candidate) bool {
-		return eligible(c) && (c.Warm || c.Requests*engines <= requests+engines)
+		return eligible(c) && (c.Warm || float64(c.Requests)*c.Speed.slowness()*speeds <= float64(requests+engines))
 	}
-	maxDelay := minDelay + preferredSlack
-	if preferred, ok := hashPreferred(request, candidates, maxDelay, notBusy); ok {
+	maxCost := minCost + preferredSlack
+	if preferred, ok := hashPreferred(request, candidates, maxCost, notBusy); ok {
 		return preferred, true
 	}
-	return hashPreferred(request, candidates, maxDelay, eligible)
+	return hashPreferred(request, candidates, maxCost, eligible)
+}
+
+// loadCost is the cost of a request whose adapter has to be loaded first.
+func (c *Candidate) loadCost(request Request) time.Duration {
+	return c.cost(request, c.delay(request)+c.loadDelay())
 }
 
 // hashPreferred returns the engine that rendezvous hashing ranks first, out of
-// those that pass the filter and can start the request within maxDelay.
-func hashPreferred(request Request, candidates []Candidate, maxDelay time.Duration, filter func(*Candidate) bool) (Choice, bool) {
+// those that pass the filter and cost no more than maxCost.
+func hashPreferred(request Request, candidates []Candidate, maxCost time.Duration, filter func(*Candidate) bool) (Choice, bool) {
 	adapterHash := xxhash.Sum64String(request.Adapter.Model + "/" + request.Adapter.Adapter)
 	best, bestScore, found := Choice{NeedsLoad: true, CopyIndex: -1}, uint64(0), false
 	for i := range candidates {
@@ -271,15 +292,19 @@
 		if !filter(c) {
 			continue
 		}
-		delay := c.delay(request) + c.loadDelay()
-		if delay > maxDelay {
+		cost := c.loadCost(request)
+		if cost > maxCost {
 			continue
 		}
 		if score := rendezvousScore(adapterHash, string(c.ID)); !found || score > bestScore {
-			best.Index, best.Delay, best.Full = i, delay, c.full(request)
+			best.Index, best.cost, best.Full = i, cost, c.full(request)
 			bestScore, found = score, true
 		}
 	}
+	if found {
+		c := &candidates[best.Index]
+		best.Delay = c.delay(request) + c.loadDelay()
+	}
 	return best, found
 }
 
@@ -302,11 +327,23 @@
 		c.KVCacheTokens > 0 && c.Requests > 0 && float64(c.Tokens+request.Tokens) > usableTokens
 }
 
+// start estimates the time until the target starts the request, by what is in flight there.
+func (c *Candidate) start(request Request) time.Duration {
+	if request.WeighSpeeds {
+		return c.weighedStart(request)
+	}
+	return NominalStart(c.WaitingTokens, c.Requests)
+}
+
+// NominalStart is how long a usual engine takes to prefill prompts of a number of tokens
+// while a number of requests is in flight there.
+func NominalStart(tokens, requests int) time.Duration {
+	return time.Duration(float64(tokens)/prefillTokensPerMS*float64(time.Millisecond)) + time.Duration(requests)*requestDelay
+}
+
 // delay estimates the time until the engine starts the request.
 func (c *Candidate) delay(request Request) time.Duration {
-	delay := time.Duration(float64(c.WaitingTokens)/prefillTokensPerMS*float64(time.Millisecond)) +
-		time.Duration(c.Requests)*requestDelay +
-		time.Duration(c.ErrorShare*float64(errorDelay))
+	delay := c.start(request) + time.Duration(c.ErrorShare*float64(errorDelay))
 	if c.full(request) {
 		delay += fullDelay
 	}
@@ -321,30 +358,3 @@
 	}
 	return delay
 }
-
-// ChoosePlain returns the index of the least loaded target of a plain service.
-// Targets in the given zone are preferred, and ejected targets are used only when
-// there is no other. It reports false without candidates.
-func ChoosePlain(candidates []Candidate, zone string, repeatable bool) (int, bool) {
-	request := Request{Zone: zone, Repeatable: repeatable}
-	for _, worstHealth := range []outlier.Health{outlier.Probing, outlier.Ejected} {
-		best, bestDelay := -1, time.Duration(0)
-		for i := range candidates {
-			c := &candidates[i]
-			if c.Health > worstHealth {
-				continue
-			}
-			delay := c.delay(request) + time.Duration(c.Requests)*plainRequestTime/time.Duration(max(c.Slots, 1))
-			if best < 0 || delay < bestDelay {
-				best, bestDelay = i, delay
-			}
-		}
-		if best >= 0 {
-			return best, true
-		}
-	}
-	return -1, false
-}
-
-// plainRequestTime is roughly how long a plain service takes for a request.
-const plainRequestTime = 60 * time.Millisecond
--- a/internal/placement/prompts.go
+++ b/internal/placement/prompts.go
@@ -21,6 +21,9 @@
 // concurrent use. Set Now before the first use.
 type PromptPacer struct {
 	Now func() time.Time
+	// Slowness returns how many times as long as a usual engine an engine takes; nil means
+	// that all are alike.
+	Slowness func(deployment.TargetID) float64
 
 	mu sync.Mutex
 	// freeAt is when the reserved prompts will have been prefilled, by engine.
@@ -36,11 +39,19 @@
 	}
 	now := p.Now()
 	delay := min(max(p.freeAt[id].Sub(now), 0), maxPromptDelay)
-	prefill := time.Duration(float64(tokens) / pacedTokensPerMS * float64(time.Millisecond))
+	prefill := time.Duration(float64(tokens) / p.rate(id) * float64(time.Millisecond))
 	p.freeAt[id] = now.Add(delay + prefill)
 	return delay
 }
 
+// rate returns the rate at which prompts are sent to an engine, in tokens a millisecond.
+func (p *PromptPacer) rate(id deployment.TargetID) float64 {
+	if p.Slowness == nil {
+		return pacedTokensPerMS
+	}
+	return pacedTokensPerMS / p.Slowness(id)
+}
+
 // Retain removes all engines except the given ones.
 func (p *PromptPacer) Retain(targets map[deployment.TargetID]deployment.Target) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/speed/book.go
@@ -0,0 +1,191 @@
+// Package speed learns how fast targets work from how long their answers take. What is usual
+// follows from the answers of all targets of a service; a target's slowness is the factor to
+// that. It has two parts: how the target is made, which is remembered for a minute, and how
+// it is just now, which is forgotten within seconds.
+//
+// The package knows neither networks nor placement: samples come in, estimates go out.
+package speed
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"heatherrelay/internal/deployment"
+)
+
+const (
+	// deadBand is the logarithm of the slowness up to which targets count as alike.
+	deadBand = 0.12
+	// viewInterval is the longest time for which estimates are used without being formed
+	// anew.
+	viewInterval = 100 * time.Millisecond
+	// minTargets is the number of targets that must be known for a comparison.
+	minTargets = 2
+	// minWeight is the weight of the samples from which a target counts as known.
+	minWeight = 1.0
+)
+
+// Process is a target from its start to its end. A restarted one is another.
+type Process struct {
+	ID         deployment.TargetID
+	Generation int64
+}
+
+// Estimate is what is known of a target's speed. The zero value is that of a target of which
+// nothing is known.
+type Estimate struct {
+	// Slowness is how many times as long as the median target the target takes; 0 if
+	// nothing is known.
+	Slowness float64
+	// Uncertainty is the standard deviation of the logarithm of Slowness.
+	Uncertainty float64
+	// Samples is their number, decayed.
+	Samples float64
+}
+
+// Factor returns the slowness; 1 if nothing is known.
+func (e Estimate) Factor() float64 {
+	if e.Slowness == 0 {
+		return 1
+	}
+	return e.Slowness
+}
+
+// Book keeps what is known of the speed of all targets. It is safe for concurrent use. Set
+// Now before the first use.
+type Book struct {
+	Now func() time.Time
+
+	mu       sync.Mutex
+	services map[string]*service
+}
+
+// service is what is known of a service and its targets.
+type service struct {
+	usual
+	own  map[Process]Evidence
+	view *View
+}
+
+// View is what is known of the speeds of a service at a moment. It does not change.
+type View struct {
+	formedAt time.Time
+	usual    usual
+	targets  map[Process]Estimate
+	// reference is the logarithm of the slowness of the median target.
+	reference float64
+}
+
+func (b *Book) service(name string) *service {
+	if b.services == nil {
+		b.services = map[string]*service{}
+	}
+	s, ok := b.services[name]
+	if !ok {
+		s = &service{own: map[Process]Evidence{}}
+		b.services[name] = s
+	}
+	return s
+}
+
+// Observe adds a sample: what a target took for what is measured under a load.
+func (b *Book) Observe(t deployment.Target, k Kind, l Load, took time.Duration) {
+	if took <= 0 || l.Nominal <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, p, now := b.service(t.Service), Process{t.ID, t.Generation}, b.Now()
+	known := s.evidence(p, now)
+	usualLog, _ := s.log(k, l)
+	if s.samples[k] == 0 {
+		usualLog = math.Log(l.Nominal.Seconds())
+	}
+	excess := math.Log(took.Seconds()) - usualLog
+	if weight := s.reliability(k); weight > 0 {
+		own := s.own[p].at(now)
+		own.add(excess, weight, known)
+		s.own[p] = own
+	}
+	s.learn(k, l, excess, known.present()-b.viewOf(s, now).reference)
+}
+
+// evidence returns all evidence on a target.
+func (s *service) evidence(p Process, now time.Time) Evidence { return s.own[p].at(now) }
+
+// View returns what is known of the speeds of a service.
+func (b *Book) View(name string) *View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.viewOf(b.service(name), b.Now())
+}
+
+// viewOf returns the view of a service, formed anew if it is old. The caller holds the lock.
+func (b *Book) viewOf(s *service, now time.Time) *View {
+	if s.view == nil || now.Sub(s.view.formedAt) >= viewInterval {
+		s.view = s.newView(now)
+	}
+	return s.view
+}
+
+func (s *service) newView(now time.Time) *View {
+	v := &View{formedAt: now, usual: s.usual, targets: map[Process]Estimate{}}
+	known := map[Process]Evidence{}
+	var made []float64
+	for p := range s.own {
+		if e := s.evidence(p, now); e.made.weight >= minWeight {
+			known[p] = e
+			log, _ := e.build()
+			made = append(made, log)
+		}
+	}
+	if len(known) < minTargets {
+		return v
+	}
+	slices.Sort(made)
+	v.reference = (made[(len(made)-1)/2] + made[len(made)/2]) / 2
+	for p, e := range known {
+		v.targets[p] = e.estimate(v.reference)
+	}
+	return v
+}
+
+// estimate returns the target's speed relative to a reference.
+func (e Evidence) estimate(reference float64) Estimate {
+	made, deviation := e.build()
+	log := e.present() - reference
+	if log == made-reference && math.Abs(log) < max(deadBand, confidence*deviation) || math.Abs(log) < deadBand {
+		log = 0
+	}
+	return Estimate{Slowness: math.Exp(log), Uncertainty: deviation, Samples: e.made.weight}
+}
+
+// Of returns the estimate of a target.
+func (v *View) Of(t *deployment.Target) Estimate { return v.targets[Process{t.ID, t.Generation}] }
+
+// Targets returns the estimates of all targets of which something is known.
+func (v *View) Targets() map[Process]Estimate { return v.targets }
+
+// Usual returns how long a usual target takes; false if that is not known yet.
+func (v *View) Usual(k Kind, l Load) (time.Duration, bool) {
+	if v.usual.samples[k] < firstSamples || l.Nominal <= 0 {
+		return 0, false
+	}
+	log, _ := v.usual.log(k, l)
+	return time.Duration(math.Exp(log+v.reference) * float64(time.Second)), true
+}
+
+// Retain forgets all targets except the given ones, and earlier processes of these.
+func (b *Book) Retain(targets map[deployment.TargetID]deployment.Target) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.services {
+		for p := range s.own {
+			if t, ok := targets[p.ID]; !ok || t.Generation != p.Generation {
+				delete(s.own, p)
+			}
+		}
+	}
+}
