--- a/internal/speed/book.go
+++ b/internal/speed/book.go
@@ -60,13 +60,14 @@
 
 	mu       sync.Mutex
 	services map[string]*service
+	shared
 }
 
 // service is what is known of a service and its targets.
 type service struct {
 	usual
-	own  map[Process]Evidence
-	view *View
+	targets map[Process]Key
+	view    *View
 }
 
 // View is what is known of the speeds of a service at a moment. It does not change.
@@ -84,12 +85,23 @@
 	}
 	s, ok := b.services[name]
 	if !ok {
-		s = &service{own: map[Process]Evidence{}}
+		s = &service{targets: map[Process]Key{}}
 		b.services[name] = s
 	}
 	return s
 }
 
+// key returns the key of a target, which the service has from then on.
+func (s *service) key(t deployment.Target) Key {
+	p := Process{t.ID, t.Generation}
+	k, ok := s.targets[p]
+	if !ok {
+		k = KeyOf(p)
+		s.targets[p] = k
+	}
+	return k
+}
+
 // Observe adds a sample: what a target took for what is measured under a load.
 func (b *Book) Observe(t deployment.Target, k Kind, l Load, took time.Duration) {
 	if took <= 0 || l.Nominal <= 0 {
@@ -97,24 +109,23 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, p, now := b.service(t.Service), Process{t.ID, t.Generation}, b.Now()
-	known := s.evidence(p, now)
+	b.shared.init()
+	s, now := b.service(t.Service), b.Now()
+	key := s.key(t)
+	known := b.total(key, now)
 	usualLog, _ := s.log(k, l)
 	if s.samples[k] == 0 {
 		usualLog = math.Log(l.Nominal.Seconds())
 	}
 	excess := math.Log(took.Seconds()) - usualLog
 	if weight := s.reliability(k); weight > 0 {
-		own := s.own[p].at(now)
+		own := b.own[key].at(now)
 		own.add(excess, weight, known)
-		s.own[p] = own
+		b.own[key] = own
 	}
 	s.learn(k, l, excess, known.present()-b.viewOf(s, now).reference)
 }
 
-// evidence returns all evidence on a target.
-func (s *service) evidence(p Process, now time.Time) Evidence { return s.own[p].at(now) }
-
 // View returns what is known of the speeds of a service.
 func (b *Book) View(name string) *View {
 	b.mu.Lock()
@@ -125,28 +136,28 @@
 // viewOf returns the view of a service, formed anew if it is old. The caller holds the lock.
 func (b *Book) viewOf(s *service, now time.Time) *View {
 	if s.view == nil || now.Sub(s.view.formedAt) >= viewInterval {
-		s.view = s.newView(now)
+		s.view = s.newView(&b.shared, now)
 	}
 	return s.view
 }
 
-func (s *service) newView(now time.Time) *View {
+func (s *service) newView(known *shared, now time.Time) *View {
 	v := &View{formedAt: now, usual: s.usual, targets: map[Process]Estimate{}}
-	known := map[Process]Evidence{}
+	evidence := map[Process]Evidence{}
 	var made []float64
-	for p := range s.own {
-		if e := s.evidence(p, now); e.made.weight >= minWeight {
-			known[p] = e
+	for p, key := range s.targets {
+		if e := known.total(key, now); e.made.weight >= minWeight {
+			evidence[p] = e
 			log, _ := e.build()
 			made = append(made, log)
 		}
 	}
-	if len(known) < minTargets {
+	if len(evidence) < minTargets {
 		return v
 	}
 	slices.Sort(made)
 	v.reference = (made[(len(made)-1)/2] + made[len(made)/2]) / 2
-	for p, e := range known {
+	for p, e := range evidence {
 		v.targets[p] = e.estimate(v.reference)
 	}
 	return v
@@ -182,10 +193,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, s := range b.services {
-		for p := range s.own {
+		for p := range s.targets {
 			if t, ok := targets[p.ID]; !ok || t.Generation != p.Generation {
-				delete(s.own, p)
+				delete(s.targets, p)
 			}
 		}
 	}
+	listed := make(map[Key]bool, len(targets))
+	for _, t := range targets {
+		listed[b.service(t.Service).key(t)] = true
+	}
+	b.retainKeys(listed)
 }
--- a/internal/speed/evidence.go
+++ b/internal/speed/evidence.go
@@ -35,6 +35,9 @@
 
 // mean returns the mean of the samples, of which prior further ones have the value base.
 func (t tally) mean(base, prior float64) float64 {
+	if t.weight+prior <= 0 {
+		return base
+	}
 	return (t.sum + base*prior) / (t.weight + prior)
 }
 
