Speeds: pauses and starts count once, loads beside a slow copy mind the queue for the store

Cause: a request that is late for its start and its pauses was counted late twice, and copies on slow engines could fill the queue for the weight store.

--- a/internal/gatewayinstance/speeds.go
+++ b/internal/gatewayinstance/speeds.go
@@ -15,10 +15,11 @@
 // maxSlownessTargets bounds the targets whose slowness is a metric.
 const maxSlownessTargets = 32
 
-// assembleSpeeds creates the component that learns the speeds of targets. The server and the
-// catalog must exist.
+// assembleSpeeds creates the component that learns the speeds of targets. The server, the
+// network and the catalog must exist.
 func (i *Instance) assembleSpeeds() {
 	i.speeds = &speed.Book{Now: clock.Now}
+	i.network.Speeds = i.speeds
 	i.server.Speeds, i.server.WeighSpeeds = i.speeds, i.Settings.Decisions.Speeds.For()
 	i.prompts.Slowness = i.slowness
 	i.Registry.MustRegister(&slownessCollector{instance: i})
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -33,6 +33,7 @@
 	"heatherrelay/internal/origin"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/quota"
+	"heatherrelay/internal/speed"
 	"heatherrelay/internal/throttle"
 )
 
@@ -95,6 +96,8 @@
 	Crashes *crash.Ledger
 	// Limits holds the limits that targets state.
 	Limits *throttle.Limiter
+	// Speeds is what instances know of the speeds of targets; nil if they are not weighed.
+	Speeds *speed.Book
 	// Leaving reports whether this instance is shutting down.
 	Leaving func() bool
 	// Forwarding returns the path and the handler of the protocol by which this instance
@@ -143,6 +146,8 @@
 	// crashReports and limitStatements are the notices about targets.
 	crashReports    changeLog[crash.Report]
 	limitStatements changeLog[throttle.Statement]
+	// speedsPlayedAt is when Speeds was last told whose sums count.
+	speedsPlayedAt time.Time
 	// loadWaits counts, by zone, the awaited adapters that were not reported to the
 	// zone's lease holder yet.
 	loadWaits map[string]waitCounts
@@ -252,6 +257,7 @@
 	n.mu.Unlock()
 	n.refreshOwnEngines()
 	n.countAdapterUses()
+	n.playSpeeds()
 }
 
 // Step does what Run does at one tick, and waits until the exchanges have ended. It is for
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -179,7 +179,12 @@
 	if !hasPreferred {
 		return best, true
 	}
-	if best.cost > preferred.cost+minLoadGain {
+	gain := minLoadGain
+	if request.WeighSpeeds {
+		// The load has others wait for the weight store as long as this request does.
+		gain += candidates[preferred.Index].ColdWait
+	}
+	if best.cost > preferred.cost+gain {
 		return preferred, true
 	}
 	withoutLoad := preferred.cost - candidates[preferred.Index].loadDelay()
@@ -194,14 +199,14 @@
 	var copies []Choice
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Health > worstHealth || !c.HasModel || !c.canServe(request) {
+		if c.Health > worstHealth || !c.HasModel || !c.canServe(&request) {
 			continue
 		}
-		delay := c.delay(request)
+		delay := c.delay(&request)
 		if r := c.Resident; r != nil && r.ReadyAt.After(request.Now) {
 			delay += r.ReadyAt.Sub(request.Now)
 		}
-		copies = append(copies, Choice{Index: i, Delay: delay, cost: c.cost(request, delay), Full: c.full(request), CopyIndex: -1})
+		copies = append(copies, Choice{Index: i, Delay: delay, cost: c.cost(&request, delay), Full: c.full(&request), CopyIndex: -1})
 	}
 	return copies
 }
@@ -235,7 +240,7 @@
 }
 
 // canServe reports whether the engine can run the request without a load.
-func (c *Candidate) canServe(request Request) bool {
+func (c *Candidate) canServe(request *Request) bool {
 	if request.Adapter.Adapter == "" {
 		return true
 	}
@@ -259,7 +264,7 @@
 	for i := range candidates {
 		if c := &candidates[i]; eligible(c) {
 			requests, engines, speeds = requests+c.Requests, engines+1, speeds+1/c.Speed.slowness()
-			if cost := c.loadCost(request); minCost < 0 || cost < minCost {
+			if cost := c.loadCost(&request); minCost < 0 || cost < minCost {
 				minCost = cost
 			}
 		}
@@ -278,7 +283,7 @@
 }
 
 // loadCost is the cost of a request whose adapter has to be loaded first.
-func (c *Candidate) loadCost(request Request) time.Duration {
+func (c *Candidate) loadCost(request *Request) time.Duration {
 	return c.cost(request, c.delay(request)+c.loadDelay())
 }
 
@@ -292,18 +297,18 @@
 		if !filter(c) {
 			continue
 		}
-		cost := c.loadCost(request)
+		cost := c.loadCost(&request)
 		if cost > maxCost {
 			continue
 		}
 		if score := rendezvousScore(adapterHash, string(c.ID)); !found || score > bestScore {
-			best.Index, best.cost, best.Full = i, cost, c.full(request)
+			best.Index, best.cost, best.Full = i, cost, c.full(&request)
 			bestScore, found = score, true
 		}
 	}
 	if found {
 		c := &candidates[best.Index]
-		best.Delay = c.delay(request) + c.loadDelay()
+		best.Delay = c.delay(&request) + c.loadDelay()
 	}
 	return best, found
 }
@@ -321,14 +326,14 @@
 }
 
 // full reports whether the request exceeds the engine's free batch slots or KV cache.
-func (c *Candidate) full(request Request) bool {
+func (c *Candidate) full(request *Request) bool {
 	usableTokens := float64(c.KVCacheTokens) * (1 - kvCacheReserve)
 	return c.Slots > 0 && c.Requests >= c.Slots ||
 		c.KVCacheTokens > 0 && c.Requests > 0 && float64(c.Tokens+request.Tokens) > usableTokens
 }
 
 // start estimates the time until the target starts the request, by what is in flight there.
-func (c *Candidate) start(request Request) time.Duration {
+func (c *Candidate) start(request *Request) time.Duration {
 	if request.WeighSpeeds {
 		return c.weighedStart(request)
 	}
@@ -342,7 +347,7 @@
 }
 
 // delay estimates the time until the engine starts the request.
-func (c *Candidate) delay(request Request) time.Duration {
+func (c *Candidate) delay(request *Request) time.Duration {
 	delay := c.start(request) + time.Duration(c.ErrorShare*float64(errorDelay))
 	if c.full(request) {
 		delay += fullDelay
--- a/internal/placement/choose_plain.go
+++ b/internal/placement/choose_plain.go
@@ -22,7 +22,7 @@
 			if c.Health > worstHealth {
 				continue
 			}
-			delay := c.delay(request) + c.responseDelay(request)
+			delay := c.delay(&request) + c.responseDelay(&request)
 			if best < 0 || delay < bestDelay {
 				best, bestDelay = i, delay
 			}
@@ -36,7 +36,7 @@
 
 // responseDelay estimates the time until a target of a plain service has answered the
 // request, without what all targets have in common.
-func (c *Candidate) responseDelay(request Request) time.Duration {
+func (c *Candidate) responseDelay(request *Request) time.Duration {
 	if !request.WeighSpeeds {
 		return time.Duration(c.Requests) * plainRequestTime / time.Duration(max(c.Slots, 1))
 	}
--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -25,7 +25,7 @@
 
 // weighedStart estimates the time until the first event of the request: the engine prefills
 // the prompts that wait there, and the request's own as far as it is not cached.
-func (c *Candidate) weighedStart(request Request) time.Duration {
+func (c *Candidate) weighedStart(request *Request) time.Duration {
 	rate, scale := c.Speed.PrefillTokensPerMS, c.Speed.startScale
 	if rate == 0 {
 		rate = prefillTokensPerMS / c.Speed.slowness()
@@ -40,17 +40,17 @@
 
 // cost returns what a delay until the start costs, with what it costs to be late for the
 // objectives.
-func (c *Candidate) cost(request Request, delay time.Duration) time.Duration {
+func (c *Candidate) cost(request *Request, delay time.Duration) time.Duration {
 	if !request.WeighSpeeds {
 		return delay
 	}
-	late := lateness(delay, request.Objective) + lateness(c.pause(request), request.GapObjective)
+	late := max(lateness(delay, request.Objective), lateness(c.pause(request), request.GapObjective))
 	return delay + time.Duration(late*float64(request.Objective))
 }
 
 // pause estimates the longest pause of a stream: an engine prefills the prompts that wait
 // there in a row, and its streams wait for that.
-func (c *Candidate) pause(request Request) time.Duration {
+func (c *Candidate) pause(request *Request) time.Duration {
 	return max(c.start(request), c.Speed.EventInterval)
 }
 
