--- a/internal/gatewayinstance/speeds.go
+++ b/internal/gatewayinstance/speeds.go
@@ -19,7 +19,9 @@
 // network and the catalog must exist.
 func (i *Instance) assembleSpeeds() {
 	i.speeds = &speed.Book{Now: clock.Now}
-	i.network.Speeds = i.speeds
+	if mode := i.Settings.Decisions.Speeds; mode == ModeAuto || mode == ModeOn {
+		i.network.Speeds = i.speeds
+	}
 	i.server.Speeds, i.server.WeighSpeeds = i.speeds, i.Settings.Decisions.Speeds.For()
 	i.prompts.Slowness = i.slowness
 	i.Registry.MustRegister(&slownessCollector{instance: i})
--- /dev/null
+++ b/internal/gatewayinstance/speeds_test.go
@@ -0,0 +1,118 @@
+package gatewayinstance_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"heatherrelay/internal/gatewayinstance"
+)
+
+// newWeighingCluster starts a scripted cluster whose first instance weighs the speeds of
+// targets.
+func newWeighingCluster(t *testing.T, targets int, answer script) (*testCluster, *arrivals) {
+	t.Helper()
+	c, a := newScriptedCluster(t, targets, 2, answer)
+	for _, route := range c.config.Routes {
+		route["target-latency-ms"] = 300
+	}
+	c.config.Version++
+	c.config.Publish(c.store)
+	weighing := c.startInstanceWith(func(i *gatewayinstance.Instance) { i.Settings.Decisions.Speeds = gatewayinstance.ModeOn })
+	c.instances[0], c.instances[1] = weighing, c.instances[0]
+	return c, a
+}
+
+// TestSlowMomentOfATargetIsHedgedWithinTheObjective covers targets that take 20 ms, and then
+// 1.5 s for the first attempt of some requests: an idempotent request is answered by
+// another target soon after the objective of 300 ms, one that may run once only is sent once.
+func TestSlowMomentOfATargetIsHedgedWithinTheObjective(t *testing.T) {
+	var slow atomic.Bool
+	c, a := newWeighingCluster(t, 3, func(attempt int, w http.ResponseWriter, r *http.Request) {
+		if slow.Load() && attempt == 1 {
+			time.Sleep(1500 * time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond)
+		_, _ = fmt.Fprint(w, "answer")
+	})
+	for i := range 40 {
+		if r := c.sendTimed(http.MethodGet, "/read/", fmt.Sprint("usual-", i), 4*time.Second); r.status != http.StatusOK {
+			t.Fatalf("%+v", r)
+		}
+	}
+	slow.Store(true)
+	for i := range 3 {
+		id := fmt.Sprint("slow-", i)
+		r := c.sendTimed(http.MethodGet, "/read/", id, 4*time.Second)
+		if r.status != http.StatusOK || r.after > time.Second || len(a.of(id)) != 2 {
+			t.Errorf("%s: status %d after %s, attempts at %v", id, r.status, r.after, a.of(id))
+		}
+	}
+	r := c.sendTimed(http.MethodPost, "/post/", "once", 4*time.Second)
+	if r.status != http.StatusOK || len(a.of("once")) != 1 {
+		t.Errorf("once: status %d, attempts at %v", r.status, a.of("once"))
+	}
+	if ejected := c.logs.FilterMessage("target ejected").Len(); ejected > 0 {
+		t.Errorf("%d targets were ejected for being slow", ejected)
+	}
+}
+
+// TestSlowTargetIsLearnedFromAnswers covers a target that takes six times as long as the two
+// beside it: after some requests it gets clearly fewer than its third, and its slowness is a
+// metric.
+func TestSlowTargetIsLearnedFromAnswers(t *testing.T) {
+	var known atomic.Pointer[arrivals]
+	c, a := newWeighingCluster(t, 3, func(_ int, w http.ResponseWriter, r *http.Request) {
+		if a := known.Load(); a != nil && slices.Contains(a.of(r.Header.Get("Request-Id")), "scripted-1") {
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond)
+		_, _ = fmt.Fprint(w, "answer")
+	})
+	known.Store(a)
+	send := func(round string, requests int) (slow int) {
+		var group sync.WaitGroup
+		for client := range 6 {
+			group.Go(func() {
+				for i := range requests / 6 {
+					id := fmt.Sprint(round, client, "-", i)
+					if r := c.sendTimed(http.MethodPost, "/post/", id, 4*time.Second); r.status != http.StatusOK {
+						t.Errorf("%s: %+v", id, r)
+					}
+				}
+			})
+		}
+		group.Wait()
+		for client := range 6 {
+			for i := range requests / 6 {
+				if slices.Contains(a.of(fmt.Sprint(round, client, "-", i)), "scripted-1") {
+					slow++
+				}
+			}
+		}
+		return slow
+	}
+	send("learning-", 60)
+	if slow := send("learned-", 120); slow > 24 {
+		t.Errorf("the slow target gets %d of 120 requests", slow)
+	}
+	families, err := c.instances[0].registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	slowness := 0.0
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == "heatherrelay_gateway_target_slowness" && m.GetLabel()[0].GetValue() == "scripted-1" {
+				slowness = m.GetGauge().GetValue()
+			}
+		}
+	}
+	if slowness < 2 {
+		t.Errorf("the slow target's metric says %.2f", slowness)
+	}
+}
