--- a/internal/gateway/classify.go
+++ b/internal/gateway/classify.go
@@ -118,9 +118,9 @@
 
 // recordTargetFailure records that the target could not be reached or gave no
 // complete response. The failure of a peer that forwards the request says nothing about
-// the target.
+// the target, nor does that a hedge was faster than one that is only slow.
 func (e *exchange) recordTargetFailure(err error) {
-	if forwarding.ErrPeer.Has(err) {
+	if forwarding.ErrPeer.Has(err) || e.outrun() {
 		return
 	}
 	e.server.OnFailure(e.target)
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -54,6 +54,8 @@
 	state    atomic.Int32
 	// refused is why the hedge failed; nil if it has a response.
 	refused *refusal.Error
+	// early is set if the source was only slow when the hedge started.
+	early bool
 	// done is closed at the end of the hedge's goroutine.
 	done chan struct{}
 }
@@ -97,10 +99,10 @@
 	if e.hedgeUnderWay() || !e.mayRetry() {
 		return
 	}
-	h := &hedge{exchange: e.cloneForHedge(), done: make(chan struct{})}
+	h := &hedge{exchange: e.cloneForHedge(), early: e.onlySlow(), done: make(chan struct{})}
 	e.hedge = h
 	e.recordStep("hedge", e.target.ID, "started")
-	if !e.onlySlow() {
+	if !h.early {
 		e.server.OnFailure(e.target)
 	}
 	go h.run(e.cancelAttempt)
@@ -256,7 +258,7 @@
 // to the target may be as silent as the one that was awaited. A target that is only slow has
 // not failed.
 func (e *exchange) recordSilence() {
-	if e.onlySlow() {
+	if e.outrun() {
 		return
 	}
 	e.server.Upstream.CloseIdleTo(e.target.Address)
@@ -267,6 +269,7 @@
 // may be selected again: it was silent, but may have gone on since.
 func (e *exchange) adopt(h *hedge) {
 	e.endHedge(hedgeOutcomeWon)
+	e.sampleOutrun()
 	source, lastFailure, inDoubt := e.target.ID, e.lastFailure, e.inDoubt
 	e.tracked.end()
 	e.delivery = h.exchange.delivery
--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -185,7 +185,27 @@
 }
 
 // onlySlow reports whether the current target has been awaited for less time than after which
-// it counts as silent: its request was hedged since a usual target answers sooner.
+// it counts as silent: its request is hedged since a usual target answers sooner.
 func (e *exchange) onlySlow() bool {
 	return e.route.Kind != deployment.Streaming && e.slowSilenceLimit() > 0 && e.server.Now().Sub(e.sentAt) < e.route.LatencyObjective
 }
+
+// outrun reports whether a hedge was faster than the current target, which is only slow.
+func (e *exchange) outrun() bool {
+	return e.hedge != nil && e.hedge.early && e.hedge.state.Load() == hedgeWon
+}
+
+// sampleOutrun takes the time for which the current target was awaited in vain, before a hedge
+// was faster, as a sample: it would have taken longer.
+func (e *exchange) sampleOutrun() {
+	s, now := &e.sample, e.server.Now()
+	switch {
+	case s.load.Nominal == 0:
+	case e.route.Kind != deployment.Streaming:
+		e.server.Speeds.Observe(e.target, speed.Response, s.load, now.Sub(e.sentAt))
+	case s.lastAt.IsZero():
+		e.server.Speeds.Observe(e.target, speed.Start, s.load, now.Sub(e.sentAt))
+	default:
+		e.server.Speeds.Observe(e.target, speed.Event, eventLoad(s.load.Requests), now.Sub(s.lastAt))
+	}
+}
--- a/internal/speed/shared_test.go
+++ b/internal/speed/shared_test.go
@@ -280,3 +280,22 @@
 		}
 	}
 }
+
+// TestOwnSamplesDoNotComeBack covers an instance that alone sees a target's answers, in a
+// fleet with relays: neither it nor anybody else counts a sample twice.
+func TestOwnSamplesDoNotComeBack(t *testing.T) {
+	targets := newFleet(t, alike(4)...).targets
+	m := newMembers(30, targets)
+	only := m.all[20]
+	for range 100 {
+		for _, target := range targets {
+			only.book.Observe(target, speed.Event, eventLoad, 33*time.Millisecond)
+		}
+		m.tick()
+	}
+	for _, i := range m.all {
+		if e := i.book.View("models").Of(&targets[0]); e.Samples < 50 || e.Samples > 100 {
+			t.Errorf("%s counts %.0f samples of 100", i.ID, e.Samples)
+		}
+	}
+}
