--- a/internal/gateway/assign.go
+++ b/internal/gateway/assign.go
@@ -125,7 +125,7 @@
 }
 
 func (e *exchange) assignmentLimits() placement.AssignmentLimits {
-	limits := placement.AssignmentLimits{Gap: e.route.GapObjective, MaxDelay: defaultAssignDelay}
+	limits := placement.AssignmentLimits{Objective: e.route.LatencyObjective, MaxDelay: defaultAssignDelay}
 	if objective := e.route.LatencyObjective; objective > 0 {
 		left := objective - e.server.Now().Sub(e.startedAt)
 		limits.MaxDelay = max(time.Duration(maxAssignDelayShare*float64(left)), time.Millisecond)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,6 +68,7 @@
 	assignedTo assignedEngine
 	// cached is what the chosen engine is expected to hold of the prompt.
 	cached cachedPrompt
+	sample speedSample
 	// waitedForLoad is set when the request waited for its adapter to load before
 	// this attempt.
 	waitedForLoad bool
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -121,6 +121,7 @@
 		e.firstEventAt = e.server.Now()
 		e.recordPromptStart()
 	}
+	e.sampleEvent(e.server.Now())
 	if e.answeringFor() >= soundAnswerTime {
 		e.recordSound()
 	}
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -54,6 +54,8 @@
 	state    atomic.Int32
 	// refused is why the hedge failed; nil if it has a response.
 	refused *refusal.Error
+	// early is set if the source was only slow when the hedge started.
+	early bool
 	// done is closed at the end of the hedge's goroutine.
 	done chan struct{}
 }
@@ -77,6 +79,15 @@
 		patience := max(minClientPatience, latencyObjectivePatience*e.route.LatencyObjective, gapObjectivePatience*e.route.GapObjective)
 		return time.Duration(streamHedgeShare * float64(patience))
 	}
+	if limit := e.slowSilenceLimit(); limit > 0 {
+		return min(limit, e.idempotentLimit())
+	}
+	return e.idempotentLimit()
+}
+
+// idempotentLimit returns how long a target may send nothing for an idempotent request before
+// it counts as silent.
+func (e *exchange) idempotentLimit() time.Duration {
 	return max(time.Duration(idempotentHedgeShare*float64(e.remaining())), e.route.LatencyObjective)
 }
 
@@ -88,10 +99,12 @@
 	if e.hedgeUnderWay() || !e.mayRetry() {
 		return
 	}
-	h := &hedge{exchange: e.cloneForHedge(), done: make(chan struct{})}
+	h := &hedge{exchange: e.cloneForHedge(), early: e.onlySlow(), done: make(chan struct{})}
 	e.hedge = h
 	e.recordStep("hedge", e.target.ID, "started")
-	e.server.OnFailure(e.target)
+	if !h.early {
+		e.server.OnFailure(e.target)
+	}
 	go h.run(e.cancelAttempt)
 }
 
@@ -242,8 +255,12 @@
 }
 
 // recordSilence records that the hedge of a silent target was faster. Idle connections
-// to the target may be as silent as the one that was awaited.
+// to the target may be as silent as the one that was awaited. A target that is only slow has
+// not failed.
 func (e *exchange) recordSilence() {
+	if e.outrun() {
+		return
+	}
 	e.server.Upstream.CloseIdleTo(e.target.Address)
 	e.recordTargetFailure(errHedged)
 }
@@ -252,6 +269,7 @@
 // may be selected again: it was silent, but may have gone on since.
 func (e *exchange) adopt(h *hedge) {
 	e.endHedge(hedgeOutcomeWon)
+	e.sampleOutrun()
 	source, lastFailure, inDoubt := e.target.ID, e.lastFailure, e.inDoubt
 	e.tracked.end()
 	e.delivery = h.exchange.delivery
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -34,6 +34,7 @@
 	"heatherrelay/internal/quota"
 	"heatherrelay/internal/reach"
 	"heatherrelay/internal/retry"
+	"heatherrelay/internal/speed"
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/internal/wait"
@@ -108,6 +109,7 @@
 	detector    *outlier.Detector
 	origins     *origin.Table
 	versions    *origin.Versions
+	speeds      *speed.Book
 	// versionsReading is when the versions in the store were last read.
 	versionsReading versionsReading
 	crashes         *crash.Ledger
@@ -289,6 +291,7 @@
 	i.assembleCold()
 	i.promptCache = &promptcache.State{Now: clock.Now}
 	i.server.PromptCache, i.server.CachesPrompts = i.promptCache, s.Decisions.PromptCache.For()
+	i.assembleSpeeds()
 	i.assembleForwarding()
 	i.registerMetrics()
 }
@@ -321,6 +324,7 @@
 	i.prompts.Retain(listed)
 	i.promptCache.Retain(listed)
 	i.detector.Retain(listed)
+	i.speeds.Retain(listed)
 	i.crashDetector.RecordTargets(listed)
 	i.limits.Retain(listed)
 	if i.cold != nil {
--- a/internal/peer/assign.go
+++ b/internal/peer/assign.go
@@ -11,8 +11,11 @@
 	"heatherrelay/internal/placement"
 )
 
-// maxOfferTime bounds the times of an offer in a message.
-const maxOfferTime = time.Minute
+// The bounds of an offer in a message.
+const (
+	maxOfferTime    = time.Minute
+	maxOfferStreams = 1 << 16
+)
 
 // AssignPrompt has the lease holder of a zone choose the engine for a prompt. It reports
 // false if none answers.
@@ -56,11 +59,13 @@
 }
 
 func assignRequest(offers []placement.Offer, limits placement.AssignmentLimits) *v1.AssignPromptRequest {
-	m := &v1.AssignPromptRequest{GapMs: limits.Gap.Milliseconds(), MaxDelayMs: limits.MaxDelay.Milliseconds(), MaxWaitMs: limits.MaxWait.Milliseconds()}
+	m := &v1.AssignPromptRequest{ObjectiveMs: limits.Objective.Milliseconds(), MaxDelayMs: limits.MaxDelay.Milliseconds(), MaxWaitMs: limits.MaxWait.Milliseconds()}
 	for _, o := range offers {
 		m.TargetIds = append(m.TargetIds, string(o.Target))
 		m.PrefillUs = append(m.PrefillUs, uint32(min(o.Prefill, maxOfferTime).Microseconds()))
 		m.ExtraUs = append(m.ExtraUs, uint32(min(o.Extra, maxOfferTime).Microseconds()))
+		m.RoomUs = append(m.RoomUs, uint32(min(o.Room, maxOfferTime).Microseconds()))
+		m.Streams = append(m.Streams, uint32(min(o.Streams, maxOfferStreams)))
 	}
 	return m
 }
@@ -68,16 +73,25 @@
 // offersFrom reads the offers of a message.
 func offersFrom(m *v1.AssignPromptRequest) ([]placement.Offer, error) {
 	ids := m.GetTargetIds()
-	if len(ids) == 0 || len(m.GetPrefillUs()) != len(ids) || len(m.GetExtraUs()) != len(ids) {
-		return nil, ErrBadMessage.New("offers: %d engines, %d and %d times", len(ids), len(m.GetPrefillUs()), len(m.GetExtraUs()))
+	for _, length := range []int{len(m.GetPrefillUs()), len(m.GetExtraUs()), len(m.GetRoomUs()), len(m.GetStreams())} {
+		if len(ids) == 0 || length != len(ids) {
+			return nil, ErrBadMessage.New("offers: lists of %d and %d entries", len(ids), length)
+		}
 	}
 	offers := make([]placement.Offer, len(ids))
 	for i, id := range ids {
 		offers[i] = placement.Offer{
 			Target:  deployment.TargetID(id),
-			Prefill: min(time.Duration(m.GetPrefillUs()[i])*time.Microsecond, maxOfferTime),
-			Extra:   min(time.Duration(m.GetExtraUs()[i])*time.Microsecond, maxOfferTime),
+			Prefill: offerTime(m.GetPrefillUs()[i]),
+			Extra:   offerTime(m.GetExtraUs()[i]),
+			Room:    offerTime(m.GetRoomUs()[i]),
+			Streams: min(int(m.GetStreams()[i]), maxOfferStreams),
 		}
 	}
 	return offers, nil
 }
+
+// offerTime returns a time of an offer, in microseconds.
+func offerTime(microseconds uint32) time.Duration {
+	return min(time.Duration(microseconds)*time.Microsecond, maxOfferTime)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -93,9 +93,9 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
 	a := s.network.Prompts.Assign(offers, placement.AssignmentLimits{
-		Gap:      time.Duration(request.GetGapMs()) * time.Millisecond,
-		MaxDelay: time.Duration(request.GetMaxDelayMs()) * time.Millisecond,
-		MaxWait:  time.Duration(request.GetMaxWaitMs()) * time.Millisecond,
+		Objective: time.Duration(request.GetObjectiveMs()) * time.Millisecond,
+		MaxDelay:  time.Duration(request.GetMaxDelayMs()) * time.Millisecond,
+		MaxWait:   time.Duration(request.GetMaxWaitMs()) * time.Millisecond,
 	})
 	return &v1.AssignPromptResponse{Index: uint32(a.Index), DelayMs: a.Delay.Milliseconds(), WaitMs: a.Wait.Milliseconds(), Assigned: a.Assigned}, nil
 }
--- a/internal/placement/assign_test.go
+++ b/internal/placement/assign_test.go
@@ -30,7 +30,7 @@
 		now = now.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
 		var offers []placement.Offer
 		for _, e := range random.Perm(engines)[:copies] {
-			offers = append(offers, placement.Offer{Target: deployment.TargetID(fmt.Sprint("e", e)), Prefill: prefillTime, Index: e})
+			offers = append(offers, placement.Offer{Target: deployment.TargetID(fmt.Sprint("e", e)), Prefill: prefillTime, Room: longest, Streams: 6, Index: e})
 		}
 		a := choose(p, offers)
 		e, sent := offers[a.Index].Index, now.Add(a.Delay)
@@ -51,7 +51,7 @@
 // the same engines at once. The engines are to prefill for 0.7 of their time.
 func TestPromptsOfAllInstancesDoNotMeetAtOneEngine(t *testing.T) {
 	const perSecond = 0.7 * 60 * 1000 / 57
-	limits := placement.AssignmentLimits{Gap: 300 * time.Millisecond, MaxDelay: 400 * time.Millisecond}
+	limits := placement.AssignmentLimits{Objective: 800 * time.Millisecond, MaxDelay: 400 * time.Millisecond}
 	random, _ := prefillRuns(perSecond, func(*placement.PromptPacer, []placement.Offer) placement.Assignment { return placement.Assignment{} })
 	assigned, delay := prefillRuns(perSecond, func(p *placement.PromptPacer, offers []placement.Offer) placement.Assignment {
 		return p.Assign(offers, limits)
@@ -70,8 +70,8 @@
 func TestAssignedPromptsAreHeldBackWithinTheLimit(t *testing.T) {
 	now := time.Unix(1000, 0)
 	p := &placement.PromptPacer{Now: func() time.Time { return now }}
-	offers := []placement.Offer{{Target: "e1", Prefill: 100 * time.Millisecond}}
-	limits := placement.AssignmentLimits{Gap: 300 * time.Millisecond, MaxDelay: 400 * time.Millisecond}
+	offers := []placement.Offer{{Target: "e1", Prefill: 100 * time.Millisecond, Room: 250 * time.Millisecond, Streams: 4}}
+	limits := placement.AssignmentLimits{Objective: 800 * time.Millisecond, MaxDelay: 400 * time.Millisecond}
 	if a := p.Assign(offers, limits); a.Delay != 0 || a.Wait != 0 || !a.Assigned {
 		t.Errorf("idle engine: %+v", a)
 	}
@@ -80,7 +80,7 @@
 			t.Errorf("%+v", a)
 		}
 	}
-	if a := p.Assign([]placement.Offer{{Target: "e1", Prefill: 100 * time.Millisecond}, {Target: "e2", Prefill: 100 * time.Millisecond, Extra: 100 * time.Millisecond}}, limits); a.Index != 1 {
+	if a := p.Assign([]placement.Offer{{Target: "e1", Prefill: 100 * time.Millisecond, Room: 250 * time.Millisecond, Streams: 4}, {Target: "e2", Prefill: 100 * time.Millisecond, Room: 250 * time.Millisecond, Streams: 4, Extra: 100 * time.Millisecond}}, limits); a.Index != 1 {
 		t.Errorf("busy engine beside an idle one: %+v", a)
 	}
 }
@@ -139,7 +139,7 @@
 		offers = append(offers, placement.Offer{Target: deployment.TargetID(fmt.Sprint("e", i)), Prefill: 57 * time.Millisecond})
 	}
 	for b.Loop() {
-		p.Assign(offers, placement.AssignmentLimits{Gap: 300 * time.Millisecond})
+		p.Assign(offers, placement.AssignmentLimits{Objective: time.Second})
 	}
 }
 
