Bodies of requests and responses are charged to an account of the instance

Cause: the HTTP library read each body whole before any check, up to 8 MiB and as many as there were clients, and kept its buffers; the decoder and the encoder copied them once more.

Change: the head is checked first (route, key, stated length). A body that will be served is read as it arrives, and charged to an account of 30% of memory_mb before memory is allocated. A body that finds no room waits for half a second, or a quarter of its deadline; bodies that bring less than 1 KiB in half a second give way to it, those of the addresses and teams that hold most first, and so do bodies that wait as well and hold less. An eighth is kept for bodies up to 64 KiB. Refused are: 503 memory_short with a time (not run), 408 for bodies that stop for 20 s or come at less than 1 KiB/s after that (not run), 413 without reading on. After a refusal the rest of a body is discarded for 2 s and 16 MiB at most, so that the client reads the refusal. Large bodies are written to targets without a copy. A client that takes nothing of its response for 20 s is cut.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -264,6 +264,9 @@
 	ctx, e.cancelAttempt = context.WithCancelCause(e.ctx)
 	e.uncounted, e.sentAt, e.firstEventAt, e.soundRecorded = true, s.Now(), time.Time{}, false
 	response, err := s.Send(ctx, e.target, e.request, attempt)
+	if response != nil {
+		response.Hold = &e.responses
+	}
 	result := e.classify(response, err)
 	if h := e.settleHedge(result == attemptAnswered); h != nil {
 		if response != nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,7 @@
 	"heatherrelay/internal/connection"
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/memory"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/upstream"
 )
@@ -58,6 +58,10 @@
 	finishOnce sync.Once
 	// answering is set when a target has sent an event.
 	answering atomic.Bool
+	// charge is what the instance holds of the request's body. writing is set while a large
+	// response is written after the handler returned; its end releases the responses.
+	charge  *memory.Charge
+	writing bool
 	// streaming is set while the response is being forwarded after the handler
 	// returned.
 	streaming bool
@@ -65,9 +69,9 @@
 	delivery
 }
 
-// admit finds the route, and checks the body size, the key, whether the request crashes
-// targets, and the team's allowance. It returns a refusal if the request is not admitted.
-func (e *exchange) admit() *refusal.Error {
+// admitHead finds the route and the team, and checks the stated size of the body and the
+// key. It returns a refusal if the request is not admitted, whatever its body.
+func (e *exchange) admitHead() *refusal.Error {
 	configuration := e.server.Catalog.Configuration()
 	if configuration == nil {
 		return refusal.NotRun(refusal.CodeNotReady, "no configuration is known yet").WithRetryAfter(retrySoon)
@@ -78,15 +82,31 @@
 	}
 	e.configuration, e.route = configuration, *route
 	e.service = pickService(route)
-	if len(e.request.Body) > configuration.MaxBodyBytes && configuration.MaxBodyBytes > 0 {
-		return refusal.NotRun(refusal.CodeBodyTooLarge, "body of %d bytes, allowed are %d", len(e.request.Body), configuration.MaxBodyBytes)
+	if length, limit := e.bodyLength(), e.bodyLimit(); length > limit {
+		return refusal.NotRun(refusal.CodeBodyTooLarge, "body of %d bytes, allowed are %d", length, limit)
 	}
-	e.setDeadline()
+	e.team, e.keyHash = nil, deployment.KeyHash{}
 	if configuration.NeedsKeys() && !route.Anonymous {
 		return e.admitKey(configuration)
 	}
+	return nil
+}
+
+// admit checks whether the request crashes targets, and the team's allowance, once its body
+// is read. It returns a refusal if the request is not admitted. If the configuration has
+// changed while the body was read, the new one applies.
+func (e *exchange) admit() *refusal.Error {
+	if e.server.Catalog.Configuration() != e.configuration {
+		if refused := e.admitHead(); refused != nil {
+			return refused
+		}
+	}
+	e.setDeadline()
 	e.setDigest()
-	return e.checkBlocked()
+	if refused := e.checkBlocked(); refused != nil || e.team == nil {
+		return refused
+	}
+	return e.admitCost()
 }
 
 // setDigest sets the digest of the request. Its team must be known.
@@ -119,7 +139,7 @@
 	return refusal.NotRun(code, "%s", message)
 }
 
-// admitKey finds the key's team and deducts the request's cost from its allowance.
+// admitKey finds the key's team.
 func (e *exchange) admitKey(configuration *deployment.Configuration) *refusal.Error {
 	e.keyHash = deployment.HashKey([]byte(e.request.Key))
 	team := configuration.TeamByKey[e.keyHash]
@@ -127,14 +147,7 @@
 		return e.refuseUnknown(refusal.CodeUnauthenticated, "unknown key")
 	}
 	e.team = team
-	if refused := e.checkKey(); refused != nil {
-		return refused
-	}
-	e.setDigest()
-	if refused := e.checkBlocked(); refused != nil {
-		return refused
-	}
-	return e.admitCost()
+	return e.checkKey()
 }
 
 // checkKey refuses the request if its key was withdrawn or if the configuration
@@ -163,7 +176,7 @@
 func (e *exchange) watchClient() {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	e.ctx, e.cancel = ctx, cancel
-	tcp, _ := e.client.Conn().(*net.TCPConn)
+	tcp := clientTCP(e.client.Conn())
 	go func() {
 		ticker := time.NewTicker(clientPollInterval)
 		defer ticker.Stop()
@@ -201,6 +214,10 @@
 			e.cancel(nil)
 		}
 		e.tracked.end()
+		e.charge.Close()
+		if !e.writing {
+			e.responses.Release()
+		}
 		e.server.Metrics.inFlight.Add(-1)
 	})
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -96,7 +96,7 @@
 	if e.request.Method == http.MethodHead {
 		r.SkipBody = true
 	}
-	r.SetBodyRaw(buffered.body)
+	e.setBody(buffered.body)
 	elapsed := e.server.Now().Sub(e.startedAt)
 	e.server.Metrics.observeResponse(buffered.Status, elapsed)
 	e.logOutcome("answered", targetField(e.target.ID), framingField(&buffered.ResponseHead), zap.Int("status", buffered.Status), zap.Int("bytes", len(buffered.body)))
--- a/internal/gateway/progress.go
+++ b/internal/gateway/progress.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/memory"
 )
 
 // progress counts what was sent for one request of a client. An exchange and its
@@ -17,6 +18,8 @@
 	possibleRuns int
 	// trace lists the steps of the request, for the log.
 	trace []string
+	// responses is charged for the responses that are held in memory.
+	responses memory.Hold
 	// rest is what targets have left of a stream that broke off.
 	rest streamRest
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -16,12 +16,12 @@
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/inflight"
+	"heatherrelay/internal/memory"
 	"heatherrelay/internal/origin"
 	"heatherrelay/internal/outlier"
 	"heatherrelay/internal/peer"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/quota"
-	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/retry"
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
@@ -72,6 +72,8 @@
 	Send func(ctx context.Context, target deployment.Target, request *upstream.Request, attempt *upstream.Attempt) (*upstream.Response, error)
 	// Forwarded returns the number of attempts that this instance carries out for peers.
 	Forwarded func() int
+	// Memory is charged for the bodies of requests and responses; nil means no bound.
+	Memory *memory.Account
 	// OnFailure is called when a target was silent or gave no complete response.
 	OnFailure func(deployment.Target)
 	// Availability records whether targets state that they take requests. The calls to
@@ -101,6 +103,8 @@
 		Handler:                       s.handle,
 		ConnState:                     s.connections.observe,
 		MaxRequestBodySize:            maxBodyBytes,
+		StreamRequestBody:             true,
+		DisablePreParseMultipartForm:  true,
 		ReadBufferSize:                maxHeaderBytes,
 		ReadTimeout:                   readTimeout,
 		IdleTimeout:                   idleTimeout,
@@ -110,7 +114,7 @@
 		DisableHeaderNamesNormalizing: true,
 		Logger:                        discardLogger{},
 	}
-	return server.Serve(&retryingListener{Listener: listener, log: s.Log})
+	return server.Serve(&retryingListener{Listener: &clientListener{Listener: listener}, log: s.Log})
 }
 
 // discardLogger drops the log lines of the HTTP library: the gateway logs every
@@ -135,26 +139,17 @@
 
 // handle serves one request.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
-	startedAt := s.Now()
+	request, err := s.DecodeRequest(&c.Request.Header, nil)
+	e := &exchange{server: s, client: c, request: request, startedAt: s.Now()}
+	e.progress = &progress{responses: memory.Hold{Account: s.Memory}}
+	c.Response.Header.DisableNormalizing()
+	refused := e.receive(err)
 	s.Metrics.inFlight.Add(1)
-	request, err := s.DecodeRequest(&c.Request.Header, c.Request.Body())
-	e := &exchange{server: s, client: c, request: request, startedAt: startedAt}
-	e.progress = &progress{}
 	defer e.finish()
-	leavingFor, leaving := s.Leaving()
-	if leaving {
-		c.SetConnectionClose()
-	}
-	c.Response.Header.DisableNormalizing()
-	if err != nil {
-		e.refuse(invalidRequest(err))
-		return
-	}
-	if leaving && leavingFor > shutdownAdmissionPeriod {
-		e.refuse(refusal.NotRun(refusal.CodeShuttingDown, "the instance shuts down").WithRetryAfter(retryElsewhere))
-		return
+	if refused == nil {
+		refused = e.admit()
 	}
-	if refused := e.admit(); refused != nil {
+	if refused != nil {
 		e.refuse(refused)
 		return
 	}
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -24,6 +24,7 @@
 	"heatherrelay/internal/forwarding"
 	"heatherrelay/internal/gateway"
 	"heatherrelay/internal/inflight"
+	"heatherrelay/internal/memory"
 	"heatherrelay/internal/origin"
 	"heatherrelay/internal/outlier"
 	"heatherrelay/internal/peer"
@@ -122,6 +123,8 @@
 	budget         *retry.Budget
 	client         *upstream.Client
 	server         *gateway.Server
+	// memory bounds the bodies of requests and responses.
+	memory *memory.Account
 }
 
 // Platform holds the parts of an instance that depend on the platform's protocols.
@@ -264,6 +267,8 @@
 	i.server.Demand = &placement.Demand{Now: clock.Now}
 	i.server.Leaving, i.server.Now, i.server.Log = i.leavingFor, clock.Now, i.Log
 	i.server.Metrics = gateway.NewMetrics(i.Registry)
+	i.memory = i.newMemoryAccount()
+	i.server.Memory = i.memory
 	i.server.Crashes, i.server.CrashDetector = i.crashes, i.crashDetector
 	i.assembleOrigins()
 	i.assembleCrashes()
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -42,6 +42,8 @@
 	CodeCallerGone           Code = "caller_gone"
 	CodePromptPartBlocked    Code = "prompt_part_blocked"
 	CodeRequestBlocked       Code = "request_blocked"
+	CodeMemoryShort          Code = "memory_short"
+	CodeRequestTimeout       Code = "request_timeout"
 	CodeInternal             Code = "internal"
 )
 
@@ -72,6 +74,8 @@
 	CodeNotReady:             http.StatusServiceUnavailable,
 	CodePromptPartBlocked:    http.StatusServiceUnavailable,
 	CodeRequestBlocked:       http.StatusServiceUnavailable,
+	CodeMemoryShort:          http.StatusServiceUnavailable,
+	CodeRequestTimeout:       http.StatusRequestTimeout,
 	CodeCallerGone:           499,
 	CodeInternal:             http.StatusInternalServerError,
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -44,6 +44,9 @@
 type Client struct {
 	// Encode appends the head and the body of a request for a target to dst.
 	Encode func(dst []byte, request *Request, attempt *Attempt) []byte
+	// EncodeHead appends the head alone, for large requests, whose body is not copied. If it
+	// is nil, Encode is used for all.
+	EncodeHead func(dst []byte, request *Request, attempt *Attempt) []byte
 	// Decode parses the head of a response.
 	Decode func(header *fasthttp.ResponseHeader) ResponseHead
 	// EncodeIdentify appends to dst a request with which a target is asked which of its
@@ -96,7 +99,7 @@
 	cn.setSilence(attempt.Silence, attempt.OnSilence)
 	sent := *attempt
 	sent.Deadline -= time.Since(startedAt)
-	if err := cn.writeRequest(request.ID, c.Encode(nil, request, &sent)); err != nil {
+	if err := cn.writeRequest(request.ID, c.encode(request, &sent)); err != nil {
 		r.fail(err)
 		return nil, ErrNotSent.Wrap(err)
 	}
@@ -108,6 +111,14 @@
 	return r, nil
 }
 
+// encode returns the bytes of a request, in one part or, if it is large, two.
+func (c *Client) encode(request *Request, attempt *Attempt) net.Buffers {
+	if c.EncodeHead == nil || len(request.Body) <= maxSyncWriteBytes {
+		return net.Buffers{c.Encode(nil, request, attempt)}
+	}
+	return net.Buffers{c.EncodeHead(nil, request, attempt), request.Body}
+}
+
 // acquireFor returns a connection for a request. It leads to a process that may get the
 // request, if the attempt asks for that.
 func (c *Client) acquireFor(ctx context.Context, address netip.AddrPort, request *Request, attempt *Attempt) (*conn, error) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -101,8 +101,8 @@
 // writeRequest writes a request. A large one is written in the background, so that
 // the response can be read meanwhile: a target may respond before it has read the
 // complete body. An error means that nothing was written.
-func (c *conn) writeRequest(id string, message []byte) error {
-	large := len(message) > maxSyncWriteBytes
+func (c *conn) writeRequest(id string, message net.Buffers) error {
+	large := len(message) > 1 || len(message[0]) > maxSyncWriteBytes
 	if err := c.adjustAckTimeout(large); err != nil {
 		return err
 	}
@@ -110,7 +110,7 @@
 	c.writeDone = make(chan struct{})
 	write := func() {
 		defer close(c.writeDone)
-		_, c.writeErr = c.Write(message)
+		_, c.writeErr = message.WriteTo(c.Conn)
 	}
 	if large {
 		go write()
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -14,6 +14,8 @@
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
+
+	"heatherrelay/internal/memory"
 )
 
 const (
@@ -44,6 +46,8 @@
 	// returns nil if the body is whole, as far as is known; otherwise the response is
 	// incomplete. If it is nil, each such body is whole. Set it before the first read.
 	ConfirmEnd func() error
+	// Hold is charged for what ReadAll returns, before it is read; may be nil.
+	Hold *memory.Hold
 
 	client  *Client
 	address netip.AddrPort
@@ -201,9 +205,15 @@
 		err = ErrIncompleteResponse.New("response of more than %d bytes", maxResponseBytes)
 	}
 	r.client.buffered.Add(-int64(len(body)))
+	if e := r.Hold.Add(-bufferGrowth*int64(len(body)) + int64(len(body))); e != nil && err == nil {
+		err = ErrIncompleteResponse.Wrap(e)
+	}
 	return body, err
 }
 
+// bufferGrowth is how much memory a buffer takes, for each byte in it, while it grows.
+const bufferGrowth = 2
+
 // bufferedReader reads a response into memory and counts its bytes among those that the
 // client buffers at present.
 type bufferedReader struct{ *Response }
@@ -216,6 +226,10 @@
 	if n > 0 && err == nil {
 		b.markProgress()
 	}
+	if e := b.Hold.Add(bufferGrowth * int64(n)); e != nil {
+		b.Close()
+		n, err = 0, ErrIncompleteResponse.Wrap(e)
+	}
 	if b.client.buffered.Add(int64(n)) > maxBufferedBytes && err == nil {
 		b.Close()
 		err = ErrIncompleteResponse.New("more than %d bytes of responses in memory", int64(maxBufferedBytes))
