Clients that do not take their responses are cut, and hold no memory

A response is charged to the account of the instance while it is read and until it is written; one that finds no room waits for a second, with its target unread. A client that takes no event of a stream for 2 s is cut, without the end of the stream, and the target's run is cancelled: until then the system's send buffer, bounded to 128 KiB, takes the events.

--- a/cmd/heatherrelay/uncontrolled_clients_test.go
+++ b/cmd/heatherrelay/uncontrolled_clients_test.go
@@ -312,6 +312,19 @@
 	}
 }
 
+// TestUnreadResponsesStayWithinMemory guards against a process that runs out of memory, or
+// answers nobody any more, because many clients do not read large responses.
+func TestUnreadResponsesStayWithinMemory(t *testing.T) {
+	p := startGateway(t, bodyLimit)
+	p.target.Inject(func(target *platformtest.Target) { target.BodyBytes = bodyLimit })
+	p.gather(withLength(1, 1, 0))
+	for deadline := time.Now().Add(crowdTime); time.Now().Before(deadline) && len(p.target.ReceivedRequests()) < crowdSize; {
+		time.Sleep(pollInterval)
+	}
+	p.target.Inject(func(target *platformtest.Target) { target.BodyBytes = 0 })
+	p.check()
+}
+
 // TestLargestBodyIsServedInCalm guards against limits that a client within those of the
 // configuration meets.
 func TestLargestBodyIsServedInCalm(t *testing.T) {
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -1,19 +1,27 @@
 package gateway
 
 import (
-	"bytes"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"heatherrelay/internal/memory"
 )
 
 // Limits on clients that do not read their responses, or send on after a refusal.
 const (
-	// writeStallTime is the longest time in which a client takes nothing of writePieceBytes.
+	// writeStallTime is the longest time in which a client takes nothing of writePieceBytes,
+	// streamStallTime that in which it takes nothing of the events of a stream: targets cut
+	// streams off that are not read. sendBufferBytes bounds the events that the client has
+	// not taken.
 	writeStallTime  = 20 * time.Second
+	streamStallTime = 2 * time.Second
+	sendBufferBytes = 128 << 10
 	writePieceBytes = 64 << 10
 	// lingerTime, lingerBytes and maxLingering bound how long the rest of a body is discarded
 	// so that its client reads the refusal, how much of it, and for how many clients at once.
@@ -29,26 +37,42 @@
 // clientListener accepts the connections of clients.
 type clientListener struct {
 	net.Listener
+	// cuts counts the clients that were cut.
+	cuts *atomic.Uint64
+	log  *zap.Logger
+
 	lingering atomic.Int64
 }
 
+// recordCut records that a client was cut since it does not take its response.
+func (l *clientListener) recordCut(c *clientConn) {
+	l.cuts.Add(1)
+	l.log.Info("client cut, it does not take its response", zap.Stringer("address", c.RemoteAddr()),
+		zap.Duration("limit", time.Duration(c.stallTime.Load())), zap.Bool("gave_way", c.cut.Load()))
+}
+
 // Accept returns the next connection.
 func (l *clientListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
-		return &clientConn{TCPConn: tcp, lingering: &l.lingering}, nil
+		client := &clientConn{TCPConn: tcp, listener: l}
+		client.stallTime.Store(int64(writeStallTime))
+		return client, nil
 	}
 	return conn, err
 }
 
-// clientConn is a connection of a client. A write fails if the client takes nothing for
-// writeStallTime.
+// clientConn is a connection of a client. A write fails if the client takes nothing for a
+// time, or once the connection is cut.
 type clientConn struct {
 	*net.TCPConn
+	// stallTime is that time, in nanoseconds.
+	stallTime atomic.Int64
+	cut       atomic.Bool
 	// unread is set when the connection is to be closed within a request, whose rest would
 	// otherwise have the client's system discard the response.
-	unread    atomic.Bool
-	lingering *atomic.Int64
+	unread   atomic.Bool
+	listener *clientListener
 }
 
 // clientTCP returns the TCP connection of a client; nil if it is none.
@@ -74,12 +98,20 @@
 func (c *clientConn) Write(p []byte) (int, error) {
 	written := 0
 	for {
-		if err := c.SetWriteDeadline(time.Now().Add(writeStallTime)); err != nil {
+		if err := c.SetWriteDeadline(time.Now().Add(time.Duration(c.stallTime.Load()))); err != nil {
 			return written, err
 		}
+		if c.cut.Load() {
+			return written, errClientBehind
+		}
 		n, err := c.TCPConn.Write(p[written:min(len(p), written+writePieceBytes)])
 		written += n
-		if err != nil || written == len(p) {
+		switch behind := errors.Is(err, os.ErrDeadlineExceeded); {
+		case behind && n > 0 && !c.cut.Load():
+		case behind:
+			c.listener.recordCut(c)
+			return written, errClientBehind
+		case err != nil || written == len(p):
 			return written, err
 		}
 	}
@@ -96,12 +128,12 @@
 	if !c.unread.Swap(false) {
 		return c.TCPConn.Close()
 	}
-	if c.lingering.Add(1) > maxLingering || c.CloseWrite() != nil {
-		c.lingering.Add(-1)
+	if c.listener.lingering.Add(1) > maxLingering || c.CloseWrite() != nil {
+		c.listener.lingering.Add(-1)
 		return c.TCPConn.Close()
 	}
 	go func() {
-		defer c.lingering.Add(-1)
+		defer c.listener.lingering.Add(-1)
 		c.discard()
 		// The client has left at the latest now.
 		_ = c.TCPConn.Close()
@@ -124,25 +156,61 @@
 	}
 }
 
+// cutWrites ends the writes to a client.
+func cutWrites(conn net.Conn) {
+	if c, ok := conn.(*clientConn); ok {
+		c.cut.Store(true)
+		// The deadline cannot be set if the connection is closed.
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+	}
+}
+
+// limitStall has a client cut that is behind with the events of a stream, until the end of
+// the stream.
+func limitStall(conn net.Conn) (end func()) {
+	c, ok := conn.(*clientConn)
+	if !ok {
+		return func() {}
+	}
+	c.stallTime.Store(int64(streamStallTime))
+	// Where the system sets no bound, its own one holds.
+	_ = c.SetWriteBuffer(sendBufferBytes)
+	return func() { c.stallTime.Store(int64(writeStallTime)) }
+}
+
 // setBody sets the body of the response to the client. What is held for a large one is
-// released once it is written, or the client is gone.
+// released once it is written, or the client is gone or cut.
 func (e *exchange) setBody(body []byte) {
 	if len(body) < largeResponseBytes || e.client.Response.SkipBody {
 		e.client.Response.SetBodyRaw(body)
 		return
 	}
 	e.writing = true
-	e.client.Response.SetBodyStream(&heldBody{Reader: bytes.NewReader(body), hold: &e.responses}, len(body))
+	conn := e.client.Conn()
+	e.responses.Offer(e.owner(), func() { cutWrites(conn) })
+	e.client.Response.SetBodyStream(&heldBody{body: body, hold: &e.responses}, len(body))
 }
 
 // heldBody is the body of a response that is held in memory until it is closed.
 type heldBody struct {
-	*bytes.Reader
+	body []byte
 	hold *memory.Hold
 }
 
+// Read returns the next bytes that the client takes.
+func (b *heldBody) Read(p []byte) (int, error) {
+	if len(b.body) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.body)
+	b.body = b.body[n:]
+	b.hold.Progress(n)
+	return n, nil
+}
+
 // Close releases the memory.
 func (b *heldBody) Close() error {
+	b.body = nil
 	b.hold.Release()
 	return nil
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -24,6 +24,8 @@
 var (
 	errClientGone = errors.New("client closed its connection")
 	errDeadline   = errors.New("request deadline exceeded")
+	// errClientBehind means that the client did not take its response.
+	errClientBehind = errors.New("client does not take its response")
 )
 
 // refusalMessage is the JSON body of a refusal.
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -72,23 +72,29 @@
 	return e.client.RequestBodyStream() != nil && (e.bodyLength() < 0 || e.bodyLength() > prefetchedBytes)
 }
 
+// owner returns for whom memory is held.
+func (e *exchange) owner() memory.Owner {
+	o := memory.Owner{Address: e.client.RemoteIP().String()}
+	if e.team != nil {
+		o.Team = e.team.Name
+	}
+	return o
+}
+
 // readRequestBody reads the body into memory.
 func (e *exchange) readRequestBody() *refusal.Error {
 	stream := e.client.RequestBodyStream()
 	if stream == nil {
 		return nil
 	}
-	conn, team := e.client.Conn(), ""
-	if e.team != nil {
-		team = e.team.Name
-	}
+	conn := e.client.Conn()
 	if tcp := clientTCP(conn); tcp != nil && e.unread() {
 		// Where the system sets no bound, the body is read all the same.
 		_ = tcp.SetReadBuffer(receiveBufferBytes)
 	}
 	// A deadline that cannot be set concerns a connection that is closed.
 	evict := func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }
-	e.charge = e.server.Memory.Open(memory.Owner{Address: e.client.RemoteIP().String(), Team: team}, evict)
+	e.charge = e.server.Memory.Open(e.owner(), evict)
 	patience := maxBodyPatience
 	if e.request.Deadline > 0 {
 		patience = min(patience, e.request.Deadline/bodyPatienceFraction)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -89,8 +90,10 @@
 	// is not. During shutdown each connection is closed after its response.
 	Leaving func() (time.Duration, bool)
 	Metrics *Metrics
-	Now     func() time.Time
-	Log     *zap.Logger
+	// CutClients counts the clients that were cut since they did not take their responses.
+	CutClients atomic.Uint64
+	Now        func() time.Time
+	Log        *zap.Logger
 
 	connections activeConnections
 	scarcity    scarcity
@@ -114,7 +117,7 @@
 		DisableHeaderNamesNormalizing: true,
 		Logger:                        discardLogger{},
 	}
-	return server.Serve(&retryingListener{Listener: &clientListener{Listener: listener}, log: s.Log})
+	return server.Serve(&retryingListener{Listener: &clientListener{Listener: listener, cuts: &s.CutClients, log: s.Log}, log: s.Log})
 }
 
 // discardLogger drops the log lines of the HTTP library: the gateway logs every
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,6 +37,7 @@
 	s.timeToFirstEvent = e.server.Now().Sub(e.startedAt)
 	e.server.Metrics.firstEvent.Observe(s.timeToFirstEvent.Seconds())
 	e.writeHead(&e.response.ResponseHead)
+	s.endLimit = limitStall(e.client.Conn())
 	e.streaming = true
 	e.client.Response.ImmediateHeaderFlush = true
 	e.client.Response.SetBodyStream(s, -1)
@@ -64,6 +65,8 @@
 	// the longest time between two events.
 	timeToFirstEvent, longestPause time.Duration
 	lastEventAt                    time.Time
+	// endLimit ends the limit on how far the client may be behind.
+	endLimit func()
 }
 
 // attach makes the exchange's response the source of further events.
@@ -191,6 +194,7 @@
 // Close ends the exchange. The HTTP server calls it after the last byte was
 // written or after the client's connection failed.
 func (s *stream) Close() error {
+	s.endLimit()
 	s.response.Close()
 	outcome := "streamed"
 	if !errors.Is(s.err, io.EOF) {
--- a/internal/gatewayinstance/metrics.go
+++ b/internal/gatewayinstance/metrics.go
@@ -28,11 +28,14 @@
 	registerCounter("heatherrelay_gateway_origins_in_store_total", "Resumed streams whose origin was read from the store.", load(&lookups.InStore))
 	registerCounter("heatherrelay_gateway_origins_unknown_total", "Resumed streams whose origin was not found.", load(&lookups.Unknown))
 	registerCounter("heatherrelay_gateway_skipped_objects_total", "Objects of the store that were read and that nobody can use.", i.catalog.SkippedObjects)
+	registerCounter("heatherrelay_gateway_bodies_given_up_total", "Bodies of clients that gave way to others for want of memory.", i.memory.Evicted)
+	registerCounter("heatherrelay_gateway_cut_clients_total", "Clients that were cut since they did not take their responses.", load(&i.server.CutClients))
 	registerGauge := func(name, help string, value func() int) {
 		i.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
 	}
 	registerGauge("heatherrelay_gateway_target_crashes", "Crashes of targets, seen by any instance, that count at present.", i.crashes.CrashCount)
 	registerGauge("heatherrelay_gateway_blocked_prompt_parts", "Requests and parts of prompts that are refused since they crash targets.", i.crashes.BlockedCount)
+	registerGauge("heatherrelay_gateway_memory_bytes", "Memory charged for bodies of requests and responses.", func() int { return int(i.memory.Used()) })
 	registerGauge("heatherrelay_gateway_limited_targets", "Targets that state a limit of requests.", i.limits.LimitedCount)
 	if i.Platform.StoreCalls != nil {
 		registerCounter("heatherrelay_relay_store_calls_total", "Calls to the platform's store.", i.Platform.StoreCalls)
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -20,7 +20,7 @@
 
 const (
 	// smallBytes is what a charge may hold of the part of the account that is kept for small
-	// requests, of which there is one in smallFraction of the bytes.
+	// bodies, which is this part of it. As much again is kept for responses.
 	smallBytes    = 64 << 10
 	smallFraction = 8
 	// stallTime is how long progressBytes may take to arrive for a charge while others wait
@@ -73,6 +73,8 @@
 	// waiting is set while the charge waits for memory, gone once it has to give way.
 	waiting bool
 	gone    atomic.Bool
+	// response is set for responses, whose requests have run.
+	response bool
 }
 
 // Open returns a charge that holds nothing yet. evict is called, by any goroutine, if the
@@ -85,16 +87,21 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.opened++
+	c.number = a.opened
+	a.register(c)
+	return c
+}
+
+// register adds a charge to those that may have to give way.
+func (a *Account) register(c *Charge) {
 	if a.open == nil {
 		a.open = map[*Charge]struct{}{}
 		a.byAddress, a.byTeam = map[string]int64{}, map[string]int64{}
-		a.released = make(chan struct{})
 	}
-	a.opened++
-	c.number = a.opened
 	c.progressAt.Store(a.Now().UnixNano())
 	a.open[c] = struct{}{}
-	return c
+	a.addOpen(c, c.held)
 }
 
 // Used returns the number of bytes that the charges hold.
@@ -142,7 +149,7 @@
 	if c.gone.Load() {
 		return nil, ErrShort.New("%d bytes given up for others", c.held)
 	}
-	if a.used+n <= a.room(c.held+n) {
+	if a.used+n <= a.room(c, n) {
 		a.add(c, n)
 		c.progressAt.Store(a.Now().UnixNano())
 		return nil, nil
@@ -152,15 +159,22 @@
 	}
 	c.waiting = true
 	a.makeRoom(c, n)
+	if a.released == nil {
+		a.released = make(chan struct{})
+	}
 	return a.released, nil
 }
 
-// room returns the bytes that a charge may share with all others.
-func (a *Account) room(held int64) int64 {
-	if held <= smallBytes {
+// room returns the bytes that a charge that grows may share with all others.
+func (a *Account) room(c *Charge, n int64) int64 {
+	switch kept := a.Size / smallFraction; {
+	case c.held+n <= smallBytes:
 		return a.Size
+	case c.response:
+		return a.Size - kept
+	default:
+		return a.Size - 2*kept
 	}
-	return a.Size - a.Size/smallFraction
 }
 
 func (a *Account) add(c *Charge, n int64) {
@@ -172,10 +186,13 @@
 }
 
 func (a *Account) addOpen(c *Charge, n int64) {
-	for sums, name := range map[*map[string]int64]string{&a.byAddress: c.owner.Address, &a.byTeam: c.owner.Team} {
-		if (*sums)[name] += n; (*sums)[name] == 0 {
-			delete(*sums, name)
-		}
+	addTo(a.byAddress, c.owner.Address, n)
+	addTo(a.byTeam, c.owner.Team, n)
+}
+
+func addTo(sums map[string]int64, name string, n int64) {
+	if sums[name] += n; sums[name] == 0 {
+		delete(sums, name)
 	}
 }
 
@@ -186,7 +203,7 @@
 func (a *Account) makeRoom(waiter *Charge, n int64) {
 	now := a.Now()
 	var candidates []*Charge
-	missing := a.used + n - a.room(waiter.held+n)
+	missing := a.used + n - a.room(waiter, n)
 	for c := range a.open {
 		switch {
 		case c == waiter || c.held == 0:
@@ -292,7 +309,7 @@
 func (a *Account) wake() {
 	if a.released != nil {
 		close(a.released)
-		a.released = make(chan struct{})
+		a.released = nil
 	}
 }
 
--- a/internal/memory/hold.go
+++ b/internal/memory/hold.go
@@ -1,20 +1,23 @@
 package memory
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
-// answerFraction is the part of the account that responses may take beyond its size, so that
-// requests that targets have run are answered before others are read.
-const answerFraction = 4
+// responsePatience is how long a response waits for memory while its target is not read.
+const responsePatience = time.Second
 
-// Hold is what an account holds for the responses to one request. It never waits and never
-// gives way. The zero value has no bound. It is safe for concurrent use.
+// Hold is what an account holds for the responses to one request. While they arrive it does
+// not give way; a response that its client does not take may. The zero value and nil have no
+// bound. It is safe for concurrent use, as attempts run beside each other.
 type Hold struct {
 	// Account is charged; nil means no bound. Set it before the first use.
 	Account *Account
 
-	mu   sync.Mutex
-	held int64
-	done bool
+	mu     sync.Mutex
+	charge *Charge
+	done   bool
 }
 
 // Add adds bytes that are about to be held, or gives some back. It fails with ErrShort.
@@ -24,40 +27,46 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.done {
+	switch {
+	case h.done:
 		return nil
+	case h.charge == nil:
+		h.charge = &Charge{account: h.Account, response: true}
 	}
-	if err := h.Account.addAnswer(n); err != nil {
-		return err
+	if n < 0 {
+		h.charge.Shrink(-n)
+		return nil
 	}
-	h.held += n
-	return nil
+	return h.charge.Grow(n, responsePatience)
 }
 
-// Release gives back all bytes; later ones are not counted.
-func (h *Hold) Release() {
-	if h == nil || h.Account == nil {
-		return
-	}
+// Offer has the response give way, by a call of evict, if the client that takes it makes no
+// progress while others wait for memory.
+func (h *Hold) Offer(o Owner, evict func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.done = true
-	if h.held != 0 {
-		// Bytes that are given back always have room.
-		_ = h.Account.addAnswer(-h.held)
-		h.held = 0
+	if h.charge == nil || h.done {
+		return
 	}
-}
-
-func (a *Account) addAnswer(n int64) error {
+	a := h.Account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if n > 0 && a.used+n > a.Size+a.Size/answerFraction {
-		return ErrShort.New("no room for %d bytes of a response beside %d", n, a.used)
-	}
-	a.used += n
-	if n < 0 {
-		a.wake()
+	h.charge.owner, h.charge.evict = o, evict
+	a.register(h.charge)
+}
+
+// Progress records that the client has taken bytes. It is called by one goroutine at a time,
+// after Offer.
+func (h *Hold) Progress(n int) {
+	if h.charge != nil {
+		h.charge.Progress(n)
 	}
-	return nil
+}
+
+// Release gives back all bytes; later ones are not counted.
+func (h *Hold) Release() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.done = true
+	h.charge.Close()
 }
