--- a/internal/forwarding/client.go
+++ b/internal/forwarding/client.go
@@ -19,6 +19,7 @@
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
 	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
 	"heatherrelay/internal/liveness"
+	"heatherrelay/internal/memory"
 	"heatherrelay/internal/upstream"
 )
 
@@ -55,8 +56,10 @@
 	Peers func(service string) []Peer
 	// Upstream is the client that the responses belong to.
 	Upstream *upstream.Client
-	Now      func() time.Time
-	Log      *zap.Logger
+	// Memory is charged for the copies of requests that are sent; nil means no bound.
+	Memory *memory.Account
+	Now    func() time.Time
+	Log    *zap.Logger
 
 	once sync.Once
 	http *http.Client
@@ -78,6 +81,13 @@
 // package upstream, and of ErrPeer unless they concern the target. A peer that cannot
 // reach the target may be cut off as well, so the next one is asked.
 func (c *Client) Do(ctx context.Context, target deployment.Target, request *upstream.Request, attempt *upstream.Attempt) (*upstream.Response, error) {
+	// The peer gets a copy of the request.
+	charge := c.Memory.Open(memory.Owner{Address: string(target.ID)}, func() {})
+	defer charge.Close()
+	charge.Complete()
+	if err := charge.Grow(int64(len(request.Body)), memoryPatience); err != nil {
+		return nil, upstream.ErrNotSent.Wrap(ErrPeer.Wrap(err))
+	}
 	asked := map[string]bool{}
 	failure := upstream.ErrNotSent.Wrap(ErrPeer.New("no peer to ask"))
 	for range maxPeers {
--- a/internal/forwarding/server.go
+++ b/internal/forwarding/server.go
@@ -22,6 +22,8 @@
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
 	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
 	"heatherrelay/internal/liveness"
+	"heatherrelay/internal/memory"
+	"heatherrelay/internal/requestbody"
 	"heatherrelay/internal/upstream"
 )
 
@@ -34,6 +36,8 @@
 	maxMessageBytes = 9 << 20
 	// bodyChunkBytes is the most of a body that one message holds.
 	bodyChunkBytes = 16 << 10
+	// memoryPatience is how long a request of a peer waits for memory.
+	memoryPatience = 300 * time.Millisecond
 	// probeTimeout bounds the connection attempt of a probe.
 	probeTimeout = 400 * time.Millisecond
 )
@@ -54,7 +58,9 @@
 	Unable func() string
 	// Cut reports whether the path from this instance to a target is cut.
 	Cut func(deployment.Target) bool
-	Log *zap.Logger
+	// Memory is charged for the requests; nil means no bound.
+	Memory *memory.Account
+	Log    *zap.Logger
 
 	inFlight, bodyBytes atomic.Int64
 }
@@ -65,8 +71,13 @@
 func (s *Server) Handler() (string, http.Handler) {
 	path, handler := heatherrelayv1connect.NewForwardServiceHandler(s)
 	return path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		message, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessageBytes))
-		if err != nil {
+		message, charge, err := s.readMessage(w, r)
+		defer charge.Close()
+		switch {
+		case memory.ErrShort.Has(err) && r.URL.Path == heatherrelayv1connect.ForwardServiceForwardProcedure:
+			r = r.WithContext(context.WithValue(r.Context(), declinedKey{}, err.Error()))
+			message = emptyMessage
+		case err != nil:
 			s.Log.Info("request of a peer cannot be read", zap.String("peer", r.RemoteAddr), zap.Error(err))
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
@@ -76,11 +87,44 @@
 	})
 }
 
+// declinedKey is the key of a context that holds why a request was not read.
+type declinedKey struct{}
+
+// emptyMessage stands for a request that was not read, in the framing of the protocol: no
+// flags, and a length of zero.
+var emptyMessage = []byte{0, 0, 0, 0, 0}
+
+// readMessage reads a request of a peer. Its memory, and that of the copy that decoding it
+// makes, is charged until the request has been handled. If there is none, the request is
+// discarded, so that the peer reads why.
+func (s *Server) readMessage(w http.ResponseWriter, r *http.Request) ([]byte, *memory.Charge, error) {
+	control := http.NewResponseController(w)
+	// A deadline that cannot be set concerns a connection that is closed.
+	charge := s.Memory.Open(memory.Owner{Address: r.RemoteAddr}, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	reader := &requestbody.Reader{
+		Stream: r.Body, Length: int(r.ContentLength), MaxBytes: maxMessageBytes, Charge: charge, Patience: memoryPatience,
+		SetDeadline: func(time.Time) error { return nil }, Now: time.Now,
+	}
+	message, err := reader.Read()
+	if err == nil {
+		err = charge.Grow(int64(len(message)), memoryPatience)
+	}
+	if memory.ErrShort.Has(err) {
+		if _, e := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxMessageBytes)); e != nil {
+			return nil, charge, e
+		}
+	}
+	return message, charge, err
+}
+
 // InFlight returns the number of attempts that are being carried out.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
 // Forward carries out one attempt and streams the response.
 func (s *Server) Forward(ctx context.Context, m *v1.ForwardRequest, stream *connect.ServerStream[v1.ForwardResponse]) error {
+	if reason, declined := ctx.Value(declinedKey{}).(string); declined {
+		return sendEnd(stream, v1.ForwardEnd_RESULT_DECLINED, reason)
+	}
 	size := int64(len(m.GetBody()))
 	defer s.inFlight.Add(-1)
 	defer s.bodyBytes.Add(-size)
--- a/internal/gatewayinstance/forwarding.go
+++ b/internal/gatewayinstance/forwarding.go
@@ -22,7 +22,7 @@
 // assembleForwarding creates the components that send attempts to targets, directly or
 // through peers. The network, the crash ledger and the server must exist.
 func (i *Instance) assembleForwarding() {
-	i.forwardClient = &forwarding.Client{Peers: i.forwardingPeers, Upstream: i.client, Now: clock.Now, Log: i.Log}
+	i.forwardClient = &forwarding.Client{Peers: i.forwardingPeers, Upstream: i.client, Memory: i.memory, Now: clock.Now, Log: i.Log}
 	i.reach = &reach.Monitor{
 		Zone: i.Settings.Zone, Probe: i.client.Probe, PeerProbe: i.forwardClient.Probe, Targets: i.catalog.Targets, OnChange: i.pathChanged, Now: clock.Now, Log: i.Log,
 	}
@@ -39,6 +39,7 @@
 		Blocked:      i.requestBlocked,
 		Unable:       i.unableToForward,
 		Cut:          i.reach.Cut,
+		Memory:       i.memory,
 		Log:          i.Log,
 	}
 	i.server.Forwarded = i.forwardServer.InFlight
