Connections of clients are charged to the account beyond 256

Beside bodies each connection takes some 40 KiB, and nothing bounded their number. For one more than the account allows the connection is closed of which nothing has arrived for longest, unless a request of it is served. At most 64 large bodies wait for memory at once, and stalled ones are looked for every 5 ms at most.

--- a/cmd/heatherrelay/uncontrolled_clients_test.go
+++ b/cmd/heatherrelay/uncontrolled_clients_test.go
@@ -194,6 +194,12 @@
 	if n := p.descriptors(); n > maxDescriptors {
 		p.t.Errorf("%d descriptors are open, want at most %d", n, maxDescriptors)
 	}
+	p.checkMemory()
+}
+
+// checkMemory is check without the descriptors.
+func (p *gatewayProcess) checkMemory() {
+	p.t.Helper()
 	p.waitFor("an ordinary request is answered", func() bool { return p.send(strings.NewReader("body")) == http.StatusOK })
 	select {
 	case <-p.exited:
@@ -253,12 +259,20 @@
 	return crowdClient{framing: fmt.Sprint("Content-Length: ", length), piece: bytes.Repeat([]byte("x"), 32<<10), bytes: body, pause: pause}
 }
 
+// endOfHead returns the end of a head that has one.
+func (c crowdClient) endOfHead() string {
+	if strings.HasPrefix(c.framing, "Part") {
+		return ""
+	}
+	return "\r\n"
+}
+
 // send sends the request until all is sent, the other end closes, or the deadline.
 func (c crowdClient) send(conn net.Conn, id int, deadline time.Time) {
 	if conn.SetWriteDeadline(deadline) != nil {
 		return
 	}
-	if _, err := fmt.Fprintf(conn, "POST /read/x HTTP/1.1\r\nHost: %s\r\nKey: %s\r\nRequest-Id: crowd-%d\r\nDeadline-Ms: 3000\r\n%s\r\n\r\n", platformtest.Host, testKey, id, c.framing); err != nil {
+	if _, err := fmt.Fprintf(conn, "POST /read/x HTTP/1.1\r\nHost: %s\r\nKey: %s\r\nRequest-Id: crowd-%d\r\nDeadline-Ms: 3000\r\n%s\r\n%s", platformtest.Host, testKey, id, c.framing, c.endOfHead()); err != nil {
 		return
 	}
 	for left := c.bytes; left > 0; left -= len(c.piece) {
@@ -272,10 +286,15 @@
 // gather has a crowd send at once, returns when all have sent what they can, and leaves the
 // connections open until the test ends.
 func (p *gatewayProcess) gather(c crowdClient) {
+	p.t.Helper()
+	p.gatherMany(crowdSize, c)
+}
+
+func (p *gatewayProcess) gatherMany(clients int, c crowdClient) {
 	p.t.Helper()
 	deadline := time.Now().Add(crowdTime)
 	var group sync.WaitGroup
-	for id := range crowdSize {
+	for id := range clients {
 		conn, err := net.Dial("tcp", p.clients.String())
 		if err != nil {
 			p.t.Fatal(err)
@@ -312,6 +331,26 @@
 	}
 }
 
+// TestManyConnectionsStayWithinBounds guards against a process that runs out of memory or
+// descriptors because very many clients begin requests and stop.
+func TestManyConnectionsStayWithinBounds(t *testing.T) {
+	const clients, maxOfMany = 1500, 1000
+	for name, c := range map[string]crowdClient{
+		"no body":        {framing: "Content-Length: 1"},
+		"part of a body": withLength(bodyLimit, 30_000, 0),
+		"part of a head": {framing: "Part: of a head"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := startGateway(t, bodyLimit)
+			p.gatherMany(clients, c)
+			if n := p.descriptors(); n > maxOfMany {
+				t.Errorf("%d descriptors are open, want at most %d", n, maxOfMany)
+			}
+			p.checkMemory()
+		})
+	}
+}
+
 // TestUnreadResponsesStayWithinMemory guards against a process that runs out of memory, or
 // answers nobody any more, because many clients do not read large responses.
 func TestUnreadResponsesStayWithinMemory(t *testing.T) {
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"heatherrelay/internal/memory"
 )
 
@@ -34,34 +32,6 @@
 	largeResponseBytes = 16 << 10
 )
 
-// clientListener accepts the connections of clients.
-type clientListener struct {
-	net.Listener
-	// cuts counts the clients that were cut.
-	cuts *atomic.Uint64
-	log  *zap.Logger
-
-	lingering atomic.Int64
-}
-
-// recordCut records that a client was cut since it does not take its response.
-func (l *clientListener) recordCut(c *clientConn) {
-	l.cuts.Add(1)
-	l.log.Info("client cut, it does not take its response", zap.Stringer("address", c.RemoteAddr()),
-		zap.Duration("limit", time.Duration(c.stallTime.Load())), zap.Bool("gave_way", c.cut.Load()))
-}
-
-// Accept returns the next connection.
-func (l *clientListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
-		client := &clientConn{TCPConn: tcp, listener: l}
-		client.stallTime.Store(int64(writeStallTime))
-		return client, nil
-	}
-	return conn, err
-}
-
 // clientConn is a connection of a client. A write fails if the client takes nothing for a
 // time, or once the connection is cut.
 type clientConn struct {
@@ -73,6 +43,10 @@
 	// otherwise have the client's system discard the response.
 	unread   atomic.Bool
 	listener *clientListener
+	// readAt is when bytes last arrived, in nanoseconds since 1970. serving is set from when
+	// a request was read whole until its response is written.
+	readAt  atomic.Int64
+	serving atomic.Bool
 }
 
 // clientTCP returns the TCP connection of a client; nil if it is none.
@@ -94,6 +68,20 @@
 	}
 }
 
+// Read reads from the connection.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.readAt.Store(time.Now().UnixNano())
+	return n, err
+}
+
+// setServing records whether a request of the connection is being served.
+func setServing(conn net.Conn, serving bool) {
+	if c, ok := conn.(*clientConn); ok {
+		c.serving.Store(serving)
+	}
+}
+
 // Write writes bytes in pieces, each of which the client takes in time.
 func (c *clientConn) Write(p []byte) (int, error) {
 	written := 0
@@ -126,21 +114,27 @@
 // or lingerTime.
 func (c *clientConn) Close() error {
 	if !c.unread.Swap(false) {
-		return c.TCPConn.Close()
+		return c.end()
 	}
 	if c.listener.lingering.Add(1) > maxLingering || c.CloseWrite() != nil {
 		c.listener.lingering.Add(-1)
-		return c.TCPConn.Close()
+		return c.end()
 	}
 	go func() {
 		defer c.listener.lingering.Add(-1)
 		c.discard()
-		// The client has left at the latest now.
-		_ = c.TCPConn.Close()
+		// Nothing is left to be lost.
+		_ = c.end()
 	}()
 	return nil
 }
 
+// end closes the connection at once.
+func (c *clientConn) end() error {
+	c.listener.remove(c)
+	return c.TCPConn.Close()
+}
+
 // discard reads what the client still sends.
 func (c *clientConn) discard() {
 	if c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -21,6 +21,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if state != fasthttp.StateActive {
+		setServing(conn, false)
 		delete(a.active, conn)
 		return
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -90,10 +90,11 @@
 	// is not. During shutdown each connection is closed after its response.
 	Leaving func() (time.Duration, bool)
 	Metrics *Metrics
-	// CutClients counts the clients that were cut since they did not take their responses.
-	CutClients atomic.Uint64
-	Now        func() time.Time
-	Log        *zap.Logger
+	// CutClients counts the clients that were cut since they did not take their responses,
+	// ClosedConnections the connections that were closed since there are too many.
+	CutClients, ClosedConnections atomic.Uint64
+	Now                           func() time.Time
+	Log                           *zap.Logger
 
 	connections activeConnections
 	scarcity    scarcity
@@ -117,7 +118,7 @@
 		DisableHeaderNamesNormalizing: true,
 		Logger:                        discardLogger{},
 	}
-	return server.Serve(&retryingListener{Listener: &clientListener{Listener: listener, cuts: &s.CutClients, log: s.Log}, log: s.Log})
+	return server.Serve(&retryingListener{Listener: &clientListener{Listener: listener, memory: s.Memory, cuts: &s.CutClients, closed: &s.ClosedConnections, log: s.Log}, log: s.Log})
 }
 
 // discardLogger drops the log lines of the HTTP library: the gateway logs every
@@ -156,6 +157,7 @@
 		e.refuse(refused)
 		return
 	}
+	setServing(c.Conn(), true)
 	e.deliver()
 }
 
--- a/internal/gatewayinstance/metrics.go
+++ b/internal/gatewayinstance/metrics.go
@@ -29,6 +29,7 @@
 	registerCounter("heatherrelay_gateway_origins_unknown_total", "Resumed streams whose origin was not found.", load(&lookups.Unknown))
 	registerCounter("heatherrelay_gateway_skipped_objects_total", "Objects of the store that were read and that nobody can use.", i.catalog.SkippedObjects)
 	registerCounter("heatherrelay_gateway_bodies_given_up_total", "Bodies of clients that gave way to others for want of memory.", i.memory.Evicted)
+	registerCounter("heatherrelay_gateway_closed_connections_total", "Connections of clients that were closed or not accepted since there were too many.", load(&i.server.ClosedConnections))
 	registerCounter("heatherrelay_gateway_cut_clients_total", "Clients that were cut since they did not take their responses.", load(&i.server.CutClients))
 	registerGauge := func(name, help string, value func() int) {
 		i.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
--- a/internal/gatewayinstance/slow_client_test.go
+++ b/internal/gatewayinstance/slow_client_test.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer func() { _ = response.Body.Close() }()
 	if _, err := io.Copy(io.Discard, response.Body); err == nil {
 		t.Error("the client was told that the stream is complete")
 	}
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -29,6 +29,10 @@
 	progressBytes = 1 << 10
 	// pollInterval is how often a waiting charge looks for charges that have stalled.
 	pollInterval = 50 * time.Millisecond
+	// maxWaiting bounds the charges beyond smallBytes that wait at once, scanInterval how
+	// often they are looked through.
+	maxWaiting   = 64
+	scanInterval = 5 * time.Millisecond
 )
 
 // Account bounds the bytes of its charges. The zero value and nil have no bound. Set the
@@ -50,8 +54,12 @@
 	byAddress, byTeam map[string]int64
 	// released is closed when bytes become free.
 	released chan struct{}
-	opened   uint64
-	evicted  atomic.Uint64
+	// waiting counts the charges beyond smallBytes that wait; scannedAt is when stalled ones
+	// were last looked for.
+	waiting   int
+	scannedAt time.Time
+	opened    uint64
+	evicted   atomic.Uint64
 }
 
 // Owner is for whom bytes are held.
@@ -71,8 +79,8 @@
 	arrived    int
 	progressAt atomic.Int64
 	// waiting is set while the charge waits for memory, gone once it has to give way.
-	waiting bool
-	gone    atomic.Bool
+	waiting, waitsLarge bool
+	gone                atomic.Bool
 	// response is set for responses, whose requests have run.
 	response bool
 }
@@ -104,6 +112,19 @@
 	a.addOpen(c, c.held)
 }
 
+// Reserve takes bytes from what charges may hold, whatever they hold, or gives some back.
+func (a *Account) Reserve(n int64) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.used += n
+	if n < 0 {
+		a.wake()
+	}
+}
+
 // Used returns the number of bytes that the charges hold.
 func (a *Account) Used() int64 {
 	a.mu.Lock()
@@ -145,7 +166,7 @@
 	a := c.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	c.waiting = false
+	a.endWait(c)
 	if c.gone.Load() {
 		return nil, ErrShort.New("%d bytes given up for others", c.held)
 	}
@@ -154,10 +175,14 @@
 		c.progressAt.Store(a.Now().UnixNano())
 		return nil, nil
 	}
-	if last {
+	large := c.held+n > smallBytes
+	if last || large && a.waiting >= maxWaiting {
 		return nil, ErrShort.New("no room for %d bytes beside %d", n, a.used)
 	}
 	c.waiting = true
+	if c.waitsLarge = large; large {
+		a.waiting++
+	}
 	a.makeRoom(c, n)
 	if a.released == nil {
 		a.released = make(chan struct{})
@@ -165,6 +190,13 @@
 	return a.released, nil
 }
 
+func (a *Account) endWait(c *Charge) {
+	if c.waitsLarge {
+		a.waiting--
+	}
+	c.waiting, c.waitsLarge = false, false
+}
+
 // room returns the bytes that a charge that grows may share with all others.
 func (a *Account) room(c *Charge, n int64) int64 {
 	switch kept := a.Size / smallFraction; {
@@ -202,6 +234,10 @@
 // at the least cost.
 func (a *Account) makeRoom(waiter *Charge, n int64) {
 	now := a.Now()
+	if since := now.Sub(a.scannedAt); since >= 0 && since < scanInterval {
+		return
+	}
+	a.scannedAt = now
 	var candidates []*Charge
 	missing := a.used + n - a.room(waiter, n)
 	for c := range a.open {
