Bodies: the address of a client is a netip.Addr; the shutdown is checked again after a body is read

A body that arrives while the instance shuts down is refused as before, once it is read. A small body that has arrived with its head sets no deadline and no timer.

--- a/internal/forwarding/client.go
+++ b/internal/forwarding/client.go
@@ -82,7 +82,7 @@
 // reach the target may be cut off as well, so the next one is asked.
 func (c *Client) Do(ctx context.Context, target deployment.Target, request *upstream.Request, attempt *upstream.Attempt) (*upstream.Response, error) {
 	// The peer gets a copy of the request.
-	charge := c.Memory.Open(memory.Owner{Address: string(target.ID)}, func() {})
+	charge := c.Memory.Open(memory.Owner{}, func() {})
 	defer charge.Close()
 	charge.Complete()
 	if err := charge.Grow(int64(len(request.Body)), memoryPatience); err != nil {
--- a/internal/forwarding/server.go
+++ b/internal/forwarding/server.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -99,8 +100,10 @@
 // discarded, so that the peer reads why.
 func (s *Server) readMessage(w http.ResponseWriter, r *http.Request) ([]byte, *memory.Charge, error) {
 	control := http.NewResponseController(w)
-	// A deadline that cannot be set concerns a connection that is closed.
-	charge := s.Memory.Open(memory.Owner{Address: r.RemoteAddr}, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	// Without an address the peers share one, and a deadline that cannot be set concerns a
+	// connection that is closed.
+	peer, _ := netip.ParseAddrPort(r.RemoteAddr)
+	charge := s.Memory.Open(memory.Owner{Address: peer.Addr()}, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	reader := &requestbody.Reader{
 		Stream: r.Body, Length: int(r.ContentLength), MaxBytes: maxMessageBytes, Charge: charge, Patience: memoryPatience,
 		SetDeadline: func(time.Time) error { return nil }, Now: time.Now,
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -93,9 +93,12 @@
 }
 
 // admit checks whether the request crashes targets, and the team's allowance, once its body
-// is read. It returns a refusal if the request is not admitted. If the configuration has
-// changed while the body was read, the new one applies.
+// is read. It returns a refusal if the request is not admitted. What has changed while the body
+// was read applies.
 func (e *exchange) admit() *refusal.Error {
+	if refused := e.checkLeaving(); refused != nil {
+		return refused
+	}
 	if e.server.Catalog.Configuration() != e.configuration {
 		if refused := e.admitHead(); refused != nil {
 			return refused
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -40,17 +41,27 @@
 
 // checkHead returns a refusal if the request won't be served, whatever its body.
 func (e *exchange) checkHead(headError error) *refusal.Error {
+	refused := e.checkLeaving()
+	switch {
+	case headError != nil:
+		return invalidRequest(headError)
+	case refused != nil:
+		return refused
+	}
+	return e.admitHead()
+}
+
+// checkLeaving has the connection closed after the response if the instance is shutting down,
+// and refuses the request if it might not end in time.
+func (e *exchange) checkLeaving() *refusal.Error {
 	leavingFor, leaving := e.server.Leaving()
 	if leaving {
 		e.client.SetConnectionClose()
 	}
-	switch {
-	case headError != nil:
-		return invalidRequest(headError)
-	case leaving && leavingFor > shutdownAdmissionPeriod:
+	if leaving && leavingFor > shutdownAdmissionPeriod {
 		return refusal.NotRun(refusal.CodeShuttingDown, "the instance shuts down").WithRetryAfter(retryElsewhere)
 	}
-	return e.admitHead()
+	return nil
 }
 
 // bodyLength returns the length that the client states; negative if it states none.
@@ -74,7 +85,10 @@
 
 // owner returns for whom memory is held.
 func (e *exchange) owner() memory.Owner {
-	o := memory.Owner{Address: e.client.RemoteIP().String()}
+	var o memory.Owner
+	if address, ok := e.client.RemoteAddr().(*net.TCPAddr); ok {
+		o.Address = address.AddrPort().Addr()
+	}
 	if e.team != nil {
 		o.Team = e.team.Name
 	}
@@ -88,9 +102,13 @@
 		return nil
 	}
 	conn := e.client.Conn()
-	if tcp := clientTCP(conn); tcp != nil && e.unread() {
-		// Where the system sets no bound, the body is read all the same.
-		_ = tcp.SetReadBuffer(receiveBufferBytes)
+	setDeadline := func(time.Time) error { return nil }
+	if e.unread() {
+		setDeadline = conn.SetReadDeadline
+		if tcp := clientTCP(conn); tcp != nil {
+			// Where the system sets no bound, the body is read all the same.
+			_ = tcp.SetReadBuffer(receiveBufferBytes)
+		}
 	}
 	// A deadline that cannot be set concerns a connection that is closed.
 	evict := func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }
@@ -101,7 +119,7 @@
 	}
 	reader := &requestbody.Reader{
 		Stream: stream, Length: e.bodyLength(), MaxBytes: e.bodyLimit(), Charge: e.charge, Patience: patience,
-		SetDeadline: conn.SetReadDeadline, Now: time.Now,
+		SetDeadline: setDeadline, Now: time.Now,
 	}
 	body, err := reader.Read()
 	e.request.Body = body
--- a/internal/gatewayinstance/memory.go
+++ b/internal/gatewayinstance/memory.go
@@ -28,6 +28,6 @@
 
 // logEviction logs that a body that did not arrive has given way to others.
 func (i *Instance) logEviction(o memory.Owner, held int64, stalled time.Duration) {
-	i.Log.Info("body of a request gave way to others", zap.String("address", o.Address), zap.String("team", o.Team),
+	i.Log.Info("body of a request gave way to others", zap.Stringer("address", o.Address), zap.String("team", o.Team),
 		zap.Int64("bytes", held), zap.Duration("stalled", stalled))
 }
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -51,7 +52,8 @@
 	// open are the charges whose bytes are still arriving.
 	open map[*Charge]struct{}
 	// byAddress and byTeam are the sums of what open charges hold.
-	byAddress, byTeam map[string]int64
+	byAddress map[netip.Addr]int64
+	byTeam    map[string]int64
 	// released is closed when bytes become free.
 	released chan struct{}
 	// waiting counts the charges beyond smallBytes that wait; scannedAt is when stalled ones
@@ -63,7 +65,10 @@
 }
 
 // Owner is for whom bytes are held.
-type Owner struct{ Address, Team string }
+type Owner struct {
+	Address netip.Addr
+	Team    string
+}
 
 // Charge is what the account holds for one owner. Its methods are called by one goroutine
 // at a time.
@@ -105,7 +110,7 @@
 func (a *Account) register(c *Charge) {
 	if a.open == nil {
 		a.open = map[*Charge]struct{}{}
-		a.byAddress, a.byTeam = map[string]int64{}, map[string]int64{}
+		a.byAddress, a.byTeam = map[netip.Addr]int64{}, map[string]int64{}
 	}
 	c.progressAt.Store(a.Now().UnixNano())
 	a.open[c] = struct{}{}
@@ -142,22 +147,22 @@
 	if a == nil {
 		return nil
 	}
-	deadline := time.NewTimer(patience)
+	wake, err := c.tryGrow(n, patience <= 0)
+	if wake == nil || err != nil {
+		return err
+	}
+	deadline, poll := time.NewTimer(patience), time.NewTicker(pollInterval)
 	defer deadline.Stop()
-	for expired := patience <= 0; ; {
-		wake, err := c.tryGrow(n, expired)
-		if wake == nil || err != nil {
-			return err
-		}
-		poll := time.NewTimer(pollInterval)
+	defer poll.Stop()
+	for expired := false; wake != nil && err == nil; wake, err = c.tryGrow(n, expired) {
 		select {
 		case <-wake:
 		case <-poll.C:
 		case <-deadline.C:
 			expired = true
 		}
-		poll.Stop()
 	}
+	return err
 }
 
 // tryGrow adds bytes if there is room. Otherwise it has other charges give way, and returns
@@ -222,9 +227,9 @@
 	addTo(a.byTeam, c.owner.Team, n)
 }
 
-func addTo(sums map[string]int64, name string, n int64) {
-	if sums[name] += n; sums[name] == 0 {
-		delete(sums, name)
+func addTo[K comparable](sums map[K]int64, key K, n int64) {
+	if sums[key] += n; sums[key] == 0 {
+		delete(sums, key)
 	}
 }
 
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -1,6 +1,9 @@
 package memory_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -41,7 +44,7 @@
 func open(t *testing.T, a *memory.Account, address string, held int64) *memory.Charge {
 	t.Helper()
 	var c *memory.Charge
-	c = a.Open(memory.Owner{Address: address}, func() { go func() { c.Close() }() })
+	c = a.Open(memory.Owner{Address: netip.MustParseAddr(address)}, func() { go func() { c.Close() }() })
 	if err := c.Grow(held, 0); err != nil {
 		t.Fatal(err)
 	}
@@ -58,7 +61,7 @@
 	second := open(t, a, "1.1.1.1", 2<<20)
 	other := open(t, a, "2.2.2.2", 2<<20)
 	clock.move(time.Second)
-	c := a.Open(memory.Owner{Address: "3.3.3.3"}, func() { t.Error("the body that arrives gave way") })
+	c := a.Open(memory.Owner{Address: netip.MustParseAddr("3.3.3.3")}, func() { t.Error("the body that arrives gave way") })
 	if err := c.Grow(2<<20, time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -77,7 +80,7 @@
 		arrives.Progress(4 << 10)
 		drips.Progress(1)
 	}
-	c := a.Open(memory.Owner{Address: "2.2.2.2"}, func() {})
+	c := a.Open(memory.Owner{Address: netip.MustParseAddr("2.2.2.2")}, func() {})
 	if err := c.Grow(3<<20, time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -96,7 +99,7 @@
 	whole := 0
 	for range bodies {
 		group.Go(func() {
-			c := a.Open(memory.Owner{Address: "1.1.1.1"}, func() {})
+			c := a.Open(memory.Owner{Address: netip.MustParseAddr("1.1.1.1")}, func() {})
 			defer c.Close()
 			for held := 0; held < body; held += step {
 				if c.Grow(step, 2*time.Second) != nil {
@@ -185,9 +188,9 @@
 			t.Fatal(err)
 		}
 	}
-	offered.Offer(memory.Owner{Address: "1.1.1.1"}, func() { go offered.Release() })
+	offered.Offer(memory.Owner{Address: netip.MustParseAddr("1.1.1.1")}, func() { go offered.Release() })
 	clock.move(time.Second)
-	if err := a.Open(memory.Owner{Address: "2.2.2.2"}, func() {}).Grow(2<<20, time.Second); err != nil {
+	if err := a.Open(memory.Owner{Address: netip.MustParseAddr("2.2.2.2")}, func() {}).Grow(2<<20, time.Second); err != nil {
 		t.Error(err)
 	}
 	if a.Evicted() != 1 {
@@ -212,3 +215,38 @@
 		c.Close()
 	}
 }
+
+// TestAccountIsNeverExceeded guards against charges that together hold more than the account
+// has, and against sums that drift, while many bodies arrive, stall, give way and end.
+func TestAccountIsNeverExceeded(t *testing.T) {
+	const owners, rounds = 16, 200
+	a := &memory.Account{Size: accountBytes, Now: time.Now}
+	var group sync.WaitGroup
+	for n := range owners {
+		random := rand.New(rand.NewPCG(1, uint64(n)))
+		group.Go(func() {
+			for range rounds {
+				c := a.Open(memory.Owner{Team: fmt.Sprint(n % 3)}, func() {})
+				h := &memory.Hold{Account: a}
+				for range random.IntN(5) {
+					if c.Grow(random.Int64N(2<<20), time.Millisecond) != nil {
+						break
+					}
+					if used := a.Used(); used > accountBytes {
+						t.Errorf("%d bytes held", used)
+					}
+				}
+				c.Complete()
+				// Whether the response finds room does not matter here.
+				_ = h.Add(random.Int64N(32 << 10))
+				h.Offer(memory.Owner{}, func() {})
+				h.Release()
+				c.Close()
+			}
+		})
+	}
+	group.Wait()
+	if used := a.Used(); used != 0 {
+		t.Errorf("%d bytes are still held", used)
+	}
+}
