Responses of engines and the store that are mostly framing are not read on

TestResponseWithoutEndTakesBoundedMemory/small_chunks failed on x86-64 with the race detector: 24.6, 25.7 and 31.5 million bytes allocated, 16.8 allowed. But the product did read on for its whole 2 s of such a response. A body in chunks may now come in 16 Ki chunks and three for each four of its bytes; chunks of two bytes are never too many.

A declined request of a peer is logged.

--- a/internal/connection/http_client.go
+++ b/internal/connection/http_client.go
@@ -13,7 +13,7 @@
 )
 
 // ErrResponseTooLarge is the class of errors of a response whose body exceeds
-// HTTPClient.MaxResponseBytes.
+// HTTPClient.MaxResponseBytes, or comes in too many chunks for its size.
 var ErrResponseTooLarge = errs.Class("response too large")
 
 // DefaultMaxResponseBytes bounds the body of a response of an HTTPClient that sets no
@@ -181,6 +181,9 @@
 	}
 	defer func() { err = errs.Combine(err, response.CloseBodyStream()) }()
 	limit := c.maxResponseBytes()
+	if response.Header.ContentLength() == chunked {
+		stream = &chunkReader{stream: stream}
+	}
 	body, err = io.ReadAll(io.LimitReader(stream, int64(limit)+1))
 	if err != nil {
 		return nil, err
@@ -191,6 +194,33 @@
 	return body, nil
 }
 
+// chunked is the length that the HTTP library states for a body in chunks.
+const chunked = -1
+
+// chunkReader reads a body in chunks. It fails once the chunks are too small: their framing
+// would take many times the work and the bytes of the body.
+type chunkReader struct {
+	stream       io.Reader
+	reads, bytes int
+}
+
+// A body may come in maxSmallChunks, and in so many more for each of its bytes.
+const (
+	maxSmallChunks   = 16 << 10
+	maxChunksPerByte = 0.75
+)
+
+// Read returns bytes of one chunk.
+func (r *chunkReader) Read(p []byte) (int, error) {
+	n, err := r.stream.Read(p)
+	r.reads++
+	r.bytes += n
+	if float64(r.reads) > maxSmallChunks+maxChunksPerByte*float64(r.bytes) {
+		return n, ErrResponseTooLarge.New("%d bytes in %d chunks", r.bytes, r.reads)
+	}
+	return n, err
+}
+
 func (c *HTTPClient) maxResponseBytes() int {
 	if c.MaxResponseBytes == 0 {
 		return DefaultMaxResponseBytes
--- a/internal/forwarding/server.go
+++ b/internal/forwarding/server.go
@@ -113,6 +113,7 @@
 		err = charge.Grow(int64(len(message)), memoryPatience)
 	}
 	if memory.ErrShort.Has(err) {
+		s.Log.Info("request of a peer declined for want of memory", zap.String("peer", r.RemoteAddr), zap.Error(err))
 		if _, e := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxMessageBytes)); e != nil {
 			return nil, charge, e
 		}
