--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -26,6 +26,7 @@
 	restores      bool
 	crashes       bool
 	incident      bool
+	evacuations   bool
 	verbose       bool
 	// previous is a commit of this repository.
 	previous string
@@ -57,6 +58,7 @@
 	flags.BoolVar(&o.restores, "restores", false, "restore the store from older copies too")
 	flags.BoolVar(&o.crashes, "crashes", false, "send prompts that crash engines and have targets state limits, beside fewer other faults")
 	flags.BoolVar(&o.incident, "incident", false, "serve two software versions, replace engines, kill many instances, and have clients take streams up again")
+	flags.BoolVar(&o.evacuations, "evacuations", false, "evacuate zones and have targets be cold, beside fewer other faults")
 	flags.StringVar(&o.previous, "upgrade-from", "", "commit whose version runs at first; restarts replace it by this one, and back")
 	flags.BoolVar(&o.verbose, "verbose", false, "print each fault")
 	if err := command.Execute(); err != nil {
@@ -125,7 +127,7 @@
 		fmt.Println(err)
 		return false
 	}
-	cluster := &soak.Cluster{Seed: seed, Binary: binary, PreviousBinary: previous, Dir: runDir, Instances: o.instances, Clients: o.clients, FaultDuration: o.faultDuration, Planned: o.planned, Restores: o.restores, Crashes: o.crashes, Incident: o.incident}
+	cluster := &soak.Cluster{Seed: seed, Binary: binary, PreviousBinary: previous, Dir: runDir, Instances: o.instances, Clients: o.clients, FaultDuration: o.faultDuration, Planned: o.planned, Restores: o.restores, Crashes: o.crashes, Incident: o.incident, Evacuations: o.evacuations}
 	logFile, err := os.Create(filepath.Join(runDir, "soak.log"))
 	if err != nil {
 		fmt.Println(err)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -55,7 +55,7 @@
 	byID := c.receivedByID()
 	c.requests.mu.Lock()
 	defer c.requests.mu.Unlock()
-	violations := slices.Concat(c.checkCrashes(byID), c.checkLimits(), c.checkBrittle(), c.checkStreams(), c.checkKept(byID), c.checkProcesses())
+	violations := slices.Concat(c.checkCrashes(byID), c.checkLimits(), c.checkBrittle(), c.checkEvacuations(), c.checkCold(), c.checkStreams(), c.checkKept(byID), c.checkProcesses())
 	succeeded, total := 0, 0
 	for _, r := range c.requests.all {
 		violations = append(violations, c.checkRequest(r, byID[r.id])...)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -71,6 +71,8 @@
 	// many instances, targets that repeat refusals or end their answers with their
 	// connections, and clients that take streams up again.
 	Incident bool
+	// Evacuations has zones be evacuated, and targets be cold, beside fewer other faults.
+	Evacuations bool
 	// Log receives a line for each fault and for the result; optional.
 	Log func(string)
 
@@ -92,6 +94,8 @@
 	newestVersion int
 	// limitedNow holds the targets that state a limit at present.
 	limitedNow sync.Map
+	// evacuatedNow holds the zones that are evacuated, or have cold targets, at present.
+	evacuatedNow sync.Map
 
 	mu     sync.Mutex
 	config platformtest.Config
@@ -103,6 +107,8 @@
 	// disturbed by a fault. limits holds the times in which targets stated limits.
 	disturbances map[*Process][]stop
 	limits       []limited
+	evacuations  []evacuation
+	colds        []coldTimes
 	// brittleNow is held while the plain targets are brittle; brittleTimes holds when they
 	// were.
 	brittleNow   sync.Mutex
@@ -144,6 +150,14 @@
 	return eventGap
 }
 
+// extraSettings returns settings that only runs of some kinds have.
+func (c *Cluster) extraSettings() string {
+	if c.Evacuations {
+		return evacuationSettings
+	}
+	return ""
+}
+
 // binaries returns the programs that the starts of an instance use in turn.
 func (c *Cluster) binaries() []string {
 	if c.PreviousBinary == "" {
@@ -194,6 +208,9 @@
 	c.revokedAt, c.stops = map[string]time.Time{}, map[*Process][]stop{}
 	c.disturbances = map[*Process][]stop{}
 	c.config = platformtest.Config{Version: 1, Routes: c.routes(2 * c.deadline()), Rate: 10_000_000, Burst: 10_000_000, Keys: map[string]string{}}
+	if c.Evacuations {
+		c.config.ColdStartS, c.config.ColdPerS = coldTime.Seconds(), coldRate
+	}
 	for i := range 6 {
 		c.config.Keys[fmt.Sprintf("key-%d", i)] = fmt.Sprintf("team-%d", i%2)
 	}
@@ -207,7 +224,7 @@
 			return err
 		}
 		c.storeProxies = append(c.storeProxies, proxy)
-		p, err := newProcess(c.binaries(), c.Dir, fmt.Sprintf("instance-%d", i), fmt.Sprintf("zone-%d", i%engineCount), proxy.Address(), keyLimit, c.shutdownGrace())
+		p, err := newProcess(c.binaries(), c.Dir, fmt.Sprintf("instance-%d", i), fmt.Sprintf("zone-%d", i%engineCount), proxy.Address(), keyLimit, c.shutdownGrace(), c.extraSettings())
 		if err != nil {
 			return err
 		}
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -140,10 +140,7 @@
 
 // checkLimits returns the violations of the limits that targets stated.
 func (c *Cluster) checkLimits() []string {
-	instances := map[string]*Process{}
-	for _, r := range c.requests.all {
-		instances[r.id] = r.instance
-	}
+	instances := c.instanceByID()
 	allowed := int(statedLimit*limitWindow.Seconds()*limitTolerance + limitExtra)
 	var violations []string
 	for _, l := range c.limits {
@@ -154,7 +151,7 @@
 				times = append(times, r.At)
 			}
 		}
-		if n := mostInWindow(times); n > allowed {
+		if n := mostWithin(limitWindow, times); n > allowed {
 			violations = append(violations, fmt.Sprintf("%s: %d requests within %s, its limit allows %d", l.target.ID, n, limitWindow, allowed))
 		}
 		c.logf("%s was limited for %s", l.target.ID, l.to.Sub(l.from))
@@ -162,12 +159,12 @@
 	return violations
 }
 
-// mostInWindow returns the largest number of times within a limitWindow.
-func mostInWindow(times []time.Time) int {
+// mostWithin returns the largest number of times within a window.
+func mostWithin(window time.Duration, times []time.Time) int {
 	slices.SortFunc(times, time.Time.Compare)
 	most := 0
 	for i, first := range times {
-		end, _ := slices.BinarySearchFunc(times, first.Add(limitWindow), time.Time.Compare)
+		end, _ := slices.BinarySearchFunc(times, first.Add(window), time.Time.Compare)
 		most = max(most, end-i)
 	}
 	return most
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -248,6 +248,9 @@
 	case c.Crashes:
 		c.injectFaults(crashFaults, random)
 		return
+	case c.Evacuations:
+		c.injectFaults(evacuationFaults, random)
+		return
 	}
 	overlaidRandom := rand.New(rand.NewPCG(c.Seed, math.MaxUint64))
 	var group sync.WaitGroup
@@ -273,7 +276,7 @@
 		c.logf("%s", f.name)
 		group.Go(func() { f.inject(c, faultRandom) })
 		pause := time.Duration(random.Int64N(int64(2 * meanFaultInterval)))
-		if c.Crashes {
+		if c.Crashes || c.Evacuations {
 			pause += crashFaultPause
 		}
 		time.Sleep(pause)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -27,7 +27,7 @@
 order_quiet_time = "500ms"
 shutdown_grace = "%s"
 allowance_window = "8s"
-[listen]
+%s[listen]
 clients = "%s"
 ready = "%s"
 peers = "%s"
@@ -65,8 +65,8 @@
 }
 
 // newProcess writes the settings file of an instance to dir, with free loopback
-// addresses. Start runs the instance.
-func newProcess(binaries []string, dir, id, zone string, store netip.AddrPort, keyLimit, shutdownGrace time.Duration) (*Process, error) {
+// addresses; extra are further lines of it. Start runs the instance.
+func newProcess(binaries []string, dir, id, zone string, store netip.AddrPort, keyLimit, shutdownGrace time.Duration, extra string) (*Process, error) {
 	p := &Process{ID: id, binaries: binaries, settingsPath: filepath.Join(dir, id+".toml"), logPath: filepath.Join(dir, id+".log")}
 	peers, err := loopback.FreeAddress()
 	if err != nil {
@@ -78,7 +78,7 @@
 	if p.ReadyAddress, err = loopback.FreeAddress(); err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf(settingsTemplate, id, zone, store, keyLimit, shutdownGrace, p.ClientAddress, p.ReadyAddress, peers)
+	text := fmt.Sprintf(settingsTemplate, id, zone, store, keyLimit, shutdownGrace, extra, p.ClientAddress, p.ReadyAddress, peers)
 	return p, os.WriteFile(p.settingsPath, []byte(text), 0o600)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -89,6 +89,12 @@
 	}
 }
 
+// TestSoakEvacuations runs instances as processes while zones are evacuated and targets are
+// cold, beside kills, restarts and an unavailable store.
+func TestSoakEvacuations(t *testing.T) {
+	runSeed(t, &soak.Cluster{Seed: ciSeed, Binary: buildBinary(t), Dir: t.TempDir(), Instances: 4, Clients: 8, FaultDuration: 8 * time.Second, Evacuations: true})
+}
+
 // TestSoakPlanned runs instances as processes beside planned work and silent targets,
 // and checks that no request is lost.
 func TestSoakPlanned(t *testing.T) {
--- a/internal/warmup/targets.go
+++ b/internal/warmup/targets.go
@@ -3,6 +3,7 @@
 package warmup
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -15,13 +16,17 @@
 // entries is older than it seems until the store or a peer has confirmed it.
 const wakeTime = 2 * time.Second
 
+// unlistedRetention is how long a target that is not listed is remembered: the entry of a
+// running one can lapse for a while and then return.
+const unlistedRetention = time.Minute
+
 // Targets knows the cold targets, of the services whose configuration bounds the requests to
 // these. It is safe for concurrent use. Set the exported fields before the first use.
 //
 // What a target's entry states holds from when it is seen here, so that a target counts as
-// cold for too long rather than too short. A target that starts while this instance runs, or
-// is listed again, counts as cold for the time that its service takes to warm up, and so do all
-// targets of a zone whose evacuation ends. The first later statement of an entry replaces that.
+// cold for too long rather than too short. A target that starts while this instance runs counts as
+// cold for the time that its service takes to warm up, and so do all targets of a zone whose
+// evacuation ends. The first later statement of an entry replaces that.
 type Targets struct {
 	// Service returns a service by name, or nil.
 	Service func(name string) *deployment.Service
@@ -35,13 +40,18 @@
 	Log       *zap.Logger
 
 	mu sync.Mutex
-	// listed holds the listed targets; nil before the first listing.
-	listed map[deployment.TargetID]*target
+	// targets holds the targets that are, or lately were, listed; nil before the first listing.
+	targets map[deployment.TargetID]*target
+	// listing is the number of the last listing.
+	listing uint64
 }
 
 // target is what is known of the process of a listed target.
 type target struct {
 	deployment.Target
+	// listing is the number of the last listing with the target, listedAt its time.
+	listing  uint64
+	listedAt time.Time
 	// statedUntil is when the target is warm according to its entry.
 	statedUntil time.Time
 	// returnedAt is when the process, or its zone, came into use while this instance ran; zero
@@ -53,32 +63,44 @@
 func (w *Targets) Apply(listed map[deployment.TargetID]deployment.Target) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.listed == nil && len(listed) == 0 {
+	if w.targets == nil && len(listed) == 0 {
 		return
 	}
-	first, now := w.listed == nil, w.Now()
-	targets := make(map[deployment.TargetID]*target, len(listed))
+	first, now := w.targets == nil, w.Now()
+	if first {
+		w.targets = make(map[deployment.TargetID]*target, len(listed))
+	}
 	for id, t := range listed {
-		known := w.listed[id]
+		known, ok := w.targets[id]
 		switch {
-		case known == nil || known.Generation != t.Generation:
-			known = &target{Target: t, statedUntil: now.Add(t.ColdRemaining)}
+		case !ok || !w.sameProcess(known, t):
+			known = &target{statedUntil: now.Add(t.ColdRemaining)}
 			if !first && t.ColdRemaining == 0 {
 				known.returnedAt = now
 			}
+			w.targets[id] = known
 			w.logCold(t, "started")
 		case known.ColdRemaining != t.ColdRemaining:
-			known.statedUntil, known.returnedAt = now.Add(t.ColdRemaining), time.Time{}
 			if known.ColdRemaining == 0 {
 				w.logCold(t, "stated")
 			}
+			known.statedUntil, known.returnedAt = now.Add(t.ColdRemaining), time.Time{}
 		}
-		known.Target = t
-		targets[id] = known
+		known.Target, known.listing, known.listedAt = t, w.listing+1, now
 	}
-	w.listed = targets
+	w.listing++
+	maps.DeleteFunc(w.targets, func(_ deployment.TargetID, t *target) bool { return now.Sub(t.listedAt) > unlistedRetention })
 }
 
+// sameProcess reports whether a listed target is the process that is known: of one without a
+// generation only its entry says so, if it has not lapsed. The caller holds the lock.
+func (w *Targets) sameProcess(known *target, listed deployment.Target) bool {
+	return known.Generation == listed.Generation && (listed.Generation != 0 || w.isListed(known))
+}
+
+// isListed reports whether a target is listed at present. The caller holds the lock.
+func (w *Targets) isListed(t *target) bool { return t.listing == w.listing }
+
 // logCold logs that a target is cold, unless it states that it is warm.
 func (w *Targets) logCold(t deployment.Target, cause string) {
 	if t.ColdRemaining > 0 && w.limited(t) {
@@ -96,7 +118,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	count := 0
-	for _, t := range w.listed {
+	for _, t := range w.targets {
 		if returned[t.Zone] && w.limited(t.Target) {
 			t.returnedAt = w.Now()
 			count++
@@ -123,7 +145,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	known, ok := w.listed[t.ID]
+	known, ok := w.targets[t.ID]
 	cold := !ok || known.Generation != t.Generation || known.coldAt(w.Now(), service.ColdStart)
 	return service.ColdPerSecond, cold
 }
@@ -138,7 +160,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	cold := map[string]int{}
-	for _, t := range w.listed {
+	for _, t := range w.targets {
+		if !w.isListed(t) {
+			continue
+		}
 		count := cold[t.Zone]
 		if service := w.Service(t.Service); service != nil && service.ColdPerSecond > 0 && t.coldAt(w.Now(), service.ColdStart) {
 			count++
