--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -178,12 +178,15 @@
 	return best, true
 }
 
-// usualCopies is the number of copies for which memory is reserved.
-const usualCopies = 32
-
 // findCopies returns the engines on which the adapter is loaded or loading.
 func findCopies(request Request, candidates []Candidate, worstHealth outlier.Health) []Choice {
-	copies := make([]Choice, 0, usualCopies)
+	holders := 0
+	for i := range candidates {
+		if candidates[i].Resident != nil || request.Adapter.Adapter == "" {
+			holders++
+		}
+	}
+	copies := make([]Choice, 0, holders)
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Health > worstHealth || !c.HasModel || !c.canServe(request) {
--- a/internal/promptcache/state_test.go
+++ b/internal/promptcache/state_test.go
@@ -193,7 +193,7 @@
 }
 
 // BenchmarkChoice measures the choice of an engine out of 140 that all hold the adapter, with
-// a full state.
+// a full state, and without regard to what engines hold.
 func BenchmarkChoice(b *testing.B) {
 	state := &promptcache.State{Now: time.Now}
 	candidates := make([]placement.Candidate, 140)
@@ -207,16 +207,20 @@
 		p := prompt("system", fmt.Sprint("tools-", i%64), fmt.Sprint("session-", i))
 		state.RecordStart(&candidates[i%140].Target, 1, &p)
 	}
-	for b.Loop() {
-		p := prompt("system", "tools-7", "session-new")
-		hash, tokens := p.Shared()
-		for i := range candidates {
-			candidates[i].CachedTokens = 0
-		}
-		state.Fill(&p, candidates)
-		request := placement.Request{Adapter: adapter, PromptTokens: 300, Tokens: 400, Zone: "zone", Shared: &placement.SharedPrompt{Hash: hash, Tokens: tokens}, Random: func(n int) int { return n / 2 }}
-		if _, ok := placement.Choose(request, candidates); !ok {
-			b.Fatal("no engine")
-		}
+	for _, cached := range []bool{true, false} {
+		b.Run(fmt.Sprint("cached=", cached), func(b *testing.B) {
+			for b.Loop() {
+				request := placement.Request{Adapter: adapter, PromptTokens: 300, Tokens: 400, Zone: "zone", Random: func(n int) int { return n / 2 }}
+				if cached {
+					p := prompt("system", "tools-7", "session-new")
+					hash, tokens := p.Shared()
+					state.Fill(&p, candidates)
+					request.Shared = &placement.SharedPrompt{Hash: hash, Tokens: tokens, Share: state.Share(&p)}
+				}
+				if _, ok := placement.Choose(request, candidates); !ok {
+					b.Fatal("no engine")
+				}
+			}
+		})
 	}
 }
