--- a/internal/speed/load_test.go
+++ b/internal/speed/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -149,6 +150,7 @@
 	if d.random.Float64() > k.share {
 		k = streamKinds[1]
 	}
+	k.prompt = int(float64(k.prompt) * math.Exp(d.random.NormFloat64()/2))
 	request := placement.Request{
 		PromptTokens: k.prompt, Tokens: k.prompt, Zone: m.Zone, Objective: k.objective, GapObjective: gapObjective,
 		Now: d.now, Random: d.random.IntN, WeighSpeeds: d.chooser != unweighed,
