Speeds of targets travel with the exchange between instances

Change: TargetSpeeds in requests and responses of the exchange, with the numbers of the last changes as for limits; earlier versions ignore it.

--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -50,13 +50,16 @@
 	request.Sender = n.stateFor(r.Member, r.protocolVersion, r.position)
 	request.ChangesSource, request.Receipt = r.incarnation, r.receiptMessage()
 	request.Relaying = n.role == roleRelaying
-	cursor, version, role := r.cursor, r.protocolVersion, n.role
+	cursor, version, role, receiver := r.cursor, r.protocolVersion, n.role, r.Member
 	sent := sentState{number: n.log.last, uses: n.ownUses}
 	n.mu.Unlock()
 	request.EnginesAfter, request.SpendingsAfter = cursor.engines, cursor.teamUsage
-	request.CrashesAfter, request.LimitsAfter = cursor.notices.crashes, cursor.notices.limits
+	request.CrashesAfter, request.LimitsAfter, request.SpeedsAfter = cursor.notices.crashes, cursor.notices.limits, cursor.notices.speeds
 	request.Crashes, sent.notices.crashes = n.crashesSince(cursor.pushed.crashes)
 	request.Limits, sent.notices.limits = n.limitsSince(cursor.pushed.limits)
+	// An instance that relays calls only such that relay too.
+	speeds, number := n.StateSpeeds(receiver, true, cursor.pushed.speeds)
+	request.Speeds, request.SpeedsChange, sent.notices.speeds = speedsMessage(speeds), number, number
 	if version == 0 && role != roleRelayed {
 		request.Members = n.memberListFor(id)
 	}
--- a/internal/peer/notices.go
+++ b/internal/peer/notices.go
@@ -14,28 +14,31 @@
 
 // noticeCursor holds the numbers of the last changes of the notices about targets, which
 // every instance sends to its partners and returns to those that call it.
-type noticeCursor struct{ crashes, limits uint64 }
+type noticeCursor struct{ crashes, limits, speeds uint64 }
 
 // applyNotices applies the notices of a response, and advances the cursor of the
 // responder.
 func (n *Network) applyNotices(response *v1.ExchangeResponse) {
 	n.mergeCrashes(response.GetCrashes())
 	n.mergeLimits(response.GetLimits())
+	n.receiveSpeeds(response.GetResponder(), response.GetSpeeds(), response.GetSpeedsChange())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r, ok := n.remotes[response.GetResponder().GetMember().GetInstanceId()]; ok {
-		r.cursor.notices = noticeCursor{crashes: response.GetCrashesChange(), limits: response.GetLimitsChange()}
+		r.cursor.notices = noticeCursor{crashes: response.GetCrashesChange(), limits: response.GetLimitsChange(), speeds: response.GetSpeedsChange()}
 	}
 }
 
 // addNotices adds the notices that a requester lacks to a response.
-func (n *Network) addNotices(response *v1.ExchangeResponse, request *v1.ExchangeRequest) {
+func (n *Network) addNotices(response *v1.ExchangeResponse, request *v1.ExchangeRequest, requester Member) {
 	var known noticeCursor
 	if request.GetChangesSource() == n.Incarnation {
-		known = noticeCursor{crashes: request.GetCrashesAfter(), limits: request.GetLimitsAfter()}
+		known = noticeCursor{crashes: request.GetCrashesAfter(), limits: request.GetLimitsAfter(), speeds: request.GetSpeedsAfter()}
 	}
 	response.Crashes, response.CrashesChange = n.crashesSince(known.crashes)
 	response.Limits, response.LimitsChange = n.limitsSince(known.limits)
+	speeds, number := n.StateSpeeds(requester, request.GetRelaying(), known.speeds)
+	response.Speeds, response.SpeedsChange = speedsMessage(speeds), number
 }
 
 // recordPushed records that the instance with an id has received the notices up to
@@ -45,6 +48,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r, ok := n.remotes[id]; ok {
-		r.cursor.pushed = noticeCursor{crashes: max(r.cursor.pushed.crashes, pushed.crashes), limits: max(r.cursor.pushed.limits, pushed.limits)}
+		r.cursor.pushed = noticeCursor{
+			crashes: max(r.cursor.pushed.crashes, pushed.crashes), limits: max(r.cursor.pushed.limits, pushed.limits), speeds: pushed.speeds,
+		}
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,6 +34,7 @@
 	n.addMembers(request.GetMembers(), n.Now())
 	n.mergeCrashes(request.GetCrashes())
 	n.mergeLimits(request.GetLimits())
+	n.receiveSpeeds(request.GetSender(), request.GetSpeeds(), request.GetSpeedsChange())
 	response := &v1.ExchangeResponse{ProtocolVersion: protocolVersion, Beliefs: n.newerReplicas(request.GetBeliefs(), version)}
 	n.addState(response, request, requester)
 	if version == 0 {
@@ -42,7 +43,7 @@
 	if o, ok := n.Catalog.RetainedConfiguration(request.GetConfigurationVersion()); ok {
 		response.RetainedConfiguration = objectMessage(o)
 	}
-	n.addNotices(response, request)
+	n.addNotices(response, request, requester)
 	return response, nil
 }
 
--- a/internal/peer/speeds.go
+++ b/internal/peer/speeds.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	v1 "heatherrelay/internal/gen/heatherrelay/v1"
 	"heatherrelay/internal/speed"
 )
 
@@ -83,3 +86,29 @@
 	n.Speeds.Merge(speed.Source{ID: from.ID, Zone: from.Zone, Incarnation: incarnation, Scope: m.Scope}, statements, number)
 	return nil
 }
+
+// receiveSpeeds takes over what an instance states of speeds, unless the message is no valid
+// one.
+func (n *Network) receiveSpeeds(sender *v1.InstanceState, m *v1.TargetSpeeds, number uint64) {
+	if m == nil {
+		return
+	}
+	message := &speed.Message{
+		Scope: speed.Scope(m.GetScope()), Processes: m.GetProcesses(),
+		MomentMeans: m.GetMomentMeans(), MomentWeights: m.GetMomentWeights(), MadeMeans: m.GetMadeMeans(), MadeWeights: m.GetMadeWeights(),
+	}
+	if err := n.MergeSpeeds(memberFrom(sender.GetMember()), sender.GetIncarnation(), message, number); err != nil {
+		n.Log.Warn("speeds of a peer refused", zap.String("peer", sender.GetMember().GetInstanceId()), zap.Error(err))
+	}
+}
+
+// speedsMessage returns the message of statements; nil if there are none.
+func speedsMessage(m *speed.Message) *v1.TargetSpeeds {
+	if m == nil {
+		return nil
+	}
+	return &v1.TargetSpeeds{
+		Scope: uint32(m.Scope), Processes: m.Processes,
+		MomentMeans: m.MomentMeans, MomentWeights: m.MomentWeights, MadeMeans: m.MadeMeans, MadeWeights: m.MadeWeights,
+	}
+}
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -156,7 +156,7 @@
 			held = int(homeConfidence[0] * float64(request.Shared.Tokens))
 		}
 		offers = append(offers, Offer{
-			Target: c.ID, Prefill: c.prefill(request, held, tokensPerMS), Extra: c.delayWithoutPrompts(request),
+			Target: c.ID, Prefill: c.prefillAt(request, held, tokensPerMS), Extra: c.delayWithoutPrompts(request),
 			Room: c.prefillRoom(request), Streams: c.Requests, Index: i,
 		})
 	}
@@ -170,7 +170,7 @@
 
 // OfferOf returns the offer of the engine that is chosen already.
 func OfferOf(request Request, c *Candidate, tokensPerMS float64) Offer {
-	return Offer{Target: c.ID, Prefill: c.prefill(request, 0, tokensPerMS), Room: c.prefillRoom(request), Streams: c.Requests}
+	return Offer{Target: c.ID, Prefill: c.prefillAt(request, 0, tokensPerMS), Room: c.prefillRoom(request), Streams: c.Requests}
 }
 
 // prefillRoom estimates how long the engine may prefill in a row until its streams pause for
@@ -200,9 +200,9 @@
 	return zone
 }
 
-// prefill estimates how long the engine takes for the request's prompt, of which it is
+// prefillAt estimates how long the engine takes for the request's prompt, of which it is
 // expected to hold so many tokens at least.
-func (c *Candidate) prefill(request Request, held int, tokensPerMS float64) time.Duration {
+func (c *Candidate) prefillAt(request Request, held int, tokensPerMS float64) time.Duration {
 	tokens := max(request.PromptTokens-max(c.CachedTokens, held), 0)
 	return time.Duration(float64(tokens) / tokensPerMS * c.Speed.Factor() * float64(time.Millisecond))
 }
