Admission: one decision for callers that compete for too little room

Change: internal/admission decides by rank, objective, deadline and use whether a request starts, waits in a line with fair queueing or is refused with a time to come back; made only where decisions.admission asks. The fair queue of serve moves to internal/fairqueue, which both use.

--- a/internal/target/queue.go
+++ b/internal/fairqueue/queue.go
@@ -1,4 +1,5 @@
-package target
+// Package fairqueue holds requests that wait for capacity which teams share.
+package fairqueue
 
 import (
 	"slices"
@@ -20,8 +21,8 @@
 	// maxCreditTokens bounds the credit, in tokens per weight, that a team collects
 	// while all its requests wait for loads.
 	maxCreditTokens = 4096
-	// overloadedRetryAfter is the RetryAfter of refusals with CodeOverloaded.
-	overloadedRetryAfter = 2 * time.Second
+	// OverloadedRetryAfter is the RetryAfter of refusals with CodeOverloaded.
+	OverloadedRetryAfter = 2 * time.Second
 )
 
 // Item is a queued request.
@@ -40,7 +41,7 @@
 	Payload  T
 }
 
-// Queue holds the requests that wait for one target. Teams share the target by
+// Queue holds the requests that wait for a target, or for several. Teams share these by
 // weighted fair queueing over tokens: of the teams with a request that can run,
 // the one with the least tokens served per weight goes next. Within a team,
 // requests are ordered by arrival. Patient ones are ordered as if they had arrived
@@ -90,7 +91,7 @@
 		item.Weight = 1
 	}
 	if q.full(item.Team, item.Weight) {
-		return refusal.NotRun(refusal.CodeOverloaded, "the target's queue is full").WithRetryAfter(overloadedRetryAfter)
+		return refusal.NotRun(refusal.CodeOverloaded, "the target's queue is full").WithRetryAfter(OverloadedRetryAfter)
 	}
 	t := q.team(item.Team)
 	t.weight = item.Weight
@@ -111,6 +112,14 @@
 // adapter is not ready are skipped: they keep their position, and their team is not
 // charged. A nil ready counts every adapter as ready.
 func (q *Queue[T]) Pop(_ time.Time, ready func(adapter.ID) bool) (Item[T], bool) {
+	if ready == nil {
+		return q.PopFunc(nil)
+	}
+	return q.PopFunc(func(item Item[T]) bool { return ready(item.Adapter) })
+}
+
+// PopFunc is Pop for a condition that depends on the whole item.
+func (q *Queue[T]) PopFunc(ready func(Item[T]) bool) (Item[T], bool) {
 	var next *teamQueue[T]
 	var at itemPosition
 	for _, t := range q.teamList {
--- a/internal/target/queue_test.go
+++ b/internal/fairqueue/queue_test.go
@@ -1,4 +1,4 @@
-package target_test
+package fairqueue_test
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"heatherrelay/internal/adapter"
-	"heatherrelay/internal/target"
+	"heatherrelay/internal/fairqueue"
 	"heatherrelay/pkg/release"
 )
 
@@ -21,14 +21,14 @@
 // queueModel is a reference model of a queue. It tracks which items are queued, but not
 // their order.
 type queueModel struct {
-	queue  *target.Queue[int]
+	queue  *fairqueue.Queue[int]
 	limit  int
 	now    time.Time
 	lastID int
-	items  map[string]target.Item[int]
+	items  map[string]fairqueue.Item[int]
 }
 
-func (m *queueModel) removeItem(t *rapid.T, item target.Item[int]) {
+func (m *queueModel) removeItem(t *rapid.T, item fairqueue.Item[int]) {
 	if _, ok := m.items[item.ID]; !ok {
 		t.Fatalf("the queue returned item %s, which is not queued", item.ID)
 	}
@@ -37,7 +37,7 @@
 
 func (m *queueModel) push(t *rapid.T) {
 	m.lastID++
-	item := target.Item[int]{
+	item := fairqueue.Item[int]{
 		ID:      fmt.Sprint(m.lastID),
 		Team:    rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "team"),
 		Weight:  rapid.Float64Range(0, 3).Draw(t, "weight"),
@@ -90,7 +90,7 @@
 
 func (m *queueModel) expire(t *rapid.T) {
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 8).Draw(t, "s")) * time.Second)
-	expired := func(item target.Item[int]) bool {
+	expired := func(item fairqueue.Item[int]) bool {
 		return !item.Deadline.IsZero() && !m.now.Before(item.Deadline)
 	}
 	for _, item := range m.queue.Expire(m.now) {
@@ -123,8 +123,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(1, 12).Draw(t, "limit")
 		m := &queueModel{
-			queue: &target.Queue[int]{MaxItems: limit}, limit: limit,
-			now: start, items: map[string]target.Item[int]{},
+			queue: &fairqueue.Queue[int]{MaxItems: limit}, limit: limit,
+			now: start, items: map[string]fairqueue.Item[int]{},
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"push": m.push, "pop": m.pop, "remove": m.remove, "expire": m.expire, "": m.check,
@@ -137,14 +137,14 @@
 func TestQueueServesBackloggedTeamsByWeight(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const largest = 200
-		q := &target.Queue[int]{MaxItems: 10_000}
+		q := &fairqueue.Queue[int]{MaxItems: 10_000}
 		weights := map[string]float64{
 			"x": rapid.Float64Range(0.5, 4).Draw(t, "x"),
 			"y": rapid.Float64Range(0.5, 4).Draw(t, "y"),
 		}
 		served := map[string]float64{}
 		push := func(team string, i int) {
-			item := target.Item[int]{
+			item := fairqueue.Item[int]{
 				ID: fmt.Sprint(team, i), Team: team, Weight: weights[team],
 				Tokens: rapid.IntRange(1, largest).Draw(t, "tokens"),
 			}
@@ -176,15 +176,15 @@
 func TestQueuePopsPatientItemAfterPatientDelay(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		delay := time.Duration(rapid.IntRange(1, 10).Draw(t, "delay")) * time.Second
-		q := &target.Queue[int]{MaxItems: 10_000, PatientDelay: delay}
-		patient := target.Item[int]{ID: "patient", Team: "x", Class: release.Patient, Tokens: 1}
+		q := &fairqueue.Queue[int]{MaxItems: 10_000, PatientDelay: delay}
+		patient := fairqueue.Item[int]{ID: "patient", Team: "x", Class: release.Patient, Tokens: 1}
 		if err := q.Push(start, patient); err != nil {
 			t.Fatal(err)
 		}
 		now := start
 		for i := range 200 {
 			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
-			item := target.Item[int]{ID: fmt.Sprint(i), Team: "x", Class: release.Interactive, Tokens: 1}
+			item := fairqueue.Item[int]{ID: fmt.Sprint(i), Team: "x", Class: release.Interactive, Tokens: 1}
 			if err := q.Push(now, item); err != nil {
 				t.Fatal(err)
 			}
@@ -200,11 +200,11 @@
 }
 
 func ExampleQueue() {
-	q := &target.Queue[string]{}
+	q := &fairqueue.Queue[string]{}
 	for i := range 3 {
-		_ = q.Push(start, target.Item[string]{ID: fmt.Sprint("busy", i), Team: "busy", Tokens: 100})
+		_ = q.Push(start, fairqueue.Item[string]{ID: fmt.Sprint("busy", i), Team: "busy", Tokens: 100})
 	}
-	_ = q.Push(start, target.Item[string]{ID: "calm", Team: "calm", Tokens: 100})
+	_ = q.Push(start, fairqueue.Item[string]{ID: "calm", Team: "calm", Tokens: 100})
 	for {
 		item, ok := q.Pop(start, nil)
 		if !ok {
--- a/internal/target/queue_team.go
+++ b/internal/fairqueue/team.go
@@ -1,9 +1,8 @@
-package target
+package fairqueue
 
 import (
 	"slices"
 
-	"heatherrelay/internal/adapter"
 	"heatherrelay/pkg/release"
 )
 
@@ -21,7 +20,7 @@
 }
 
 // nextReady returns the position of the team's next item whose adapter is ready.
-func (t *teamQueue[T]) nextReady(ready func(adapter.ID) bool) (itemPosition, bool) {
+func (t *teamQueue[T]) nextReady(ready func(Item[T]) bool) (itemPosition, bool) {
 	i := indexReady(t.interactive, ready)
 	p := indexReady(t.patient, ready)
 	switch {
@@ -34,9 +33,9 @@
 }
 
 // indexReady returns the index of the first item whose adapter is ready, or -1.
-func indexReady[T any](list []queuedItem[T], ready func(adapter.ID) bool) int {
+func indexReady[T any](list []queuedItem[T], ready func(Item[T]) bool) int {
 	return slices.IndexFunc(list, func(w queuedItem[T]) bool {
-		return ready == nil || ready(w.Adapter)
+		return ready == nil || ready(w.Item)
 	})
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,12 +44,20 @@
 
 // trackedRequest counts a request as in flight at a target until end is called.
 // The zero value counts nothing, and ending it has no effect.
-type trackedRequest struct{ *inflight.TrackedRequest }
+type trackedRequest struct {
+	*inflight.TrackedRequest
+	// onEnd is called at the end; may be nil.
+	onEnd func()
+}
 
 func (r *trackedRequest) end() {
-	if r.TrackedRequest != nil {
-		r.End()
-		r.TrackedRequest = nil
+	if r.TrackedRequest == nil {
+		return
+	}
+	r.End()
+	r.TrackedRequest = nil
+	if r.onEnd != nil {
+		r.onEnd()
 	}
 }
 
@@ -64,6 +72,8 @@
 	// expectedStart is the estimated delay until the chosen engine starts the
 	// request.
 	expectedStart time.Duration
+	// behindAll is set when the engine is to serve the request after all others.
+	behindAll bool
 	// waitedForLoad is set when the request waited for its adapter to load before
 	// this attempt.
 	waitedForLoad bool
@@ -147,6 +157,7 @@
 		e.forwardResponse(e.lastFailure)
 	default:
 		e.reserveForReturn(refused)
+		e.expectReturn(refused)
 		e.refuse(refused)
 	}
 }
@@ -258,7 +269,7 @@
 	if s.Detector.Health(e.target.ID) != outlier.Healthy {
 		s.Detector.RecordProbe(e.target.ID)
 	}
-	e.tracked = trackedRequest{s.Tracker.Begin(e.target.ID, e.request.Adapter, e.request.PromptTokens, e.request.OutputTokens)}
+	e.tracked = e.track()
 	s.Network.Holder.RecordUse(e.target.ID, e.request.Adapter, 1)
 	var ctx context.Context
 	ctx, e.cancelAttempt = context.WithCancelCause(e.ctx)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -61,6 +61,8 @@
 	// streaming is set while the response is being forwarded after the handler
 	// returned.
 	streaming bool
+	// competing is what is known of a request that competes for the engines of its service.
+	competing competing
 
 	delivery
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,11 @@
 	firstEvent   prometheus.Histogram
 	responseTime prometheus.Histogram
 	loadWait     prometheus.Histogram
+
+	// admissions counts the decisions on requests that compete for engines.
+	admissions    *prometheus.CounterVec
+	admissionWait *prometheus.HistogramVec
+	returns       *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms, in seconds.
@@ -54,11 +59,20 @@
 		loadWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "heatherrelay_gateway_load_wait_seconds", Help: "Time that a request waited for its adapter.", Buckets: latencyBuckets,
 		}),
+		admissions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherrelay_gateway_admissions_total", Help: "Decisions on requests that compete for engines, by rank, action and cause.",
+		}, []string{"rank", "action", "cause"}),
+		admissionWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "heatherrelay_gateway_admission_wait_seconds", Help: "Time that a request waited at this instance for room at an engine, by rank.", Buckets: latencyBuckets,
+		}, []string{"rank"}),
+		returns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherrelay_gateway_returns_total", Help: "Refused requests that came back to this instance, by rank and by whether they were due or early.",
+		}, []string{"rank", "kind"}),
 	}
 	inFlight := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "heatherrelay_gateway_requests_underway", Help: "Requests that are being answered.",
 	}, func() float64 { return float64(m.inFlight.Load()) })
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.hedges, m.firstEvent, m.responseTime, m.loadWait, inFlight)
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.hedges, m.firstEvent, m.responseTime, m.loadWait, m.admissions, m.admissionWait, m.returns, inFlight)
 	return m
 }
 
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -43,7 +43,7 @@
 	attempt := &upstream.Attempt{
 		Target:      target.ID,
 		Deadline:    e.remaining(),
-		Priority:    e.priority(),
+		Priority:    e.engineRank(),
 		LastEventID: e.lastEventID,
 
 		PossibleCauses: e.possibleCauses(),
@@ -87,7 +87,7 @@
 	}
 	candidates := e.engineCandidates(service)
 	request.WantedCopies = s.Demand.WantedCopies(request.Adapter, len(candidates))
-	candidates, choice, refused := e.chooseEngine(service, request, candidates)
+	candidates, choice, refused := e.admitToEngine(service, request, candidates)
 	if refused != nil {
 		return nil, refused
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -59,10 +59,13 @@
 	// Processes knows which processes of targets run, as far as they were met.
 	Processes *origin.Processes
 	// Limits holds the limits that targets state.
-	Limits    *throttle.Limiter
-	Tracker   *inflight.Tracker
-	Directory *placement.Directory
-	Demand    *placement.Demand
+	Limits *throttle.Limiter
+	// CompetesFor reports whether callers of a service compete by urgency for its engines;
+	// nil if for none.
+	CompetesFor func(configuration *deployment.Configuration, service string) bool
+	Tracker     *inflight.Tracker
+	Directory   *placement.Directory
+	Demand      *placement.Demand
 	// StreamPauses records whether streams paused for longer than their objective;
 	// if many did, prompts are paced.
 	StreamPauses placement.PauseMonitor
@@ -92,6 +95,7 @@
 
 	connections activeConnections
 	scarcity    scarcity
+	admissions  admissions
 }
 
 // Serve serves clients on a listener until the listener is closed. Connections that
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -264,6 +264,7 @@
 	i.server.Demand = &placement.Demand{Now: clock.Now}
 	i.server.Leaving, i.server.Now, i.server.Log = i.leavingFor, clock.Now, i.Log
 	i.server.Metrics = gateway.NewMetrics(i.Registry)
+	i.server.CompetesFor = s.Decisions.Admission.For()
 	i.server.Crashes, i.server.CrashDetector = i.crashes, i.crashDetector
 	i.assembleOrigins()
 	i.assembleCrashes()
--- a/internal/inflight/tracker.go
+++ b/internal/inflight/tracker.go
@@ -17,6 +17,9 @@
 	WaitingTokens int
 	// Tokens is the number of prompt and output tokens of all requests.
 	Tokens int
+	// Ranked is the part of each rank in Requests and WaitingTokens. What is in no part is
+	// of unknown rank.
+	Ranked [Ranks]RankUse
 }
 
 // Add adds other to u, field by field.
@@ -24,6 +27,29 @@
 	u.Requests += other.Requests
 	u.WaitingTokens += other.WaitingTokens
 	u.Tokens += other.Tokens
+	for rank := range u.Ranked {
+		u.Ranked[rank].Requests += other.Ranked[rank].Requests
+		u.Ranked[rank].WaitingTokens += other.Ranked[rank].WaitingTokens
+	}
+}
+
+// Negative returns what takes u away when it is added.
+func (u Use) Negative() Use {
+	n := Use{Requests: -u.Requests, WaitingTokens: -u.WaitingTokens, Tokens: -u.Tokens}
+	for rank, part := range u.Ranked {
+		n.Ranked[rank] = RankUse{Requests: -part.Requests, WaitingTokens: -part.WaitingTokens}
+	}
+	return n
+}
+
+// less returns u less other, field by field and never below zero.
+func (u Use) less(other Use) Use {
+	u.Add(other.Negative())
+	u.Requests, u.WaitingTokens, u.Tokens = max(u.Requests, 0), max(u.WaitingTokens, 0), max(u.Tokens, 0)
+	for rank, part := range u.Ranked {
+		u.Ranked[rank] = RankUse{Requests: max(part.Requests, 0), WaitingTokens: max(part.WaitingTokens, 0)}
+	}
+	return u
 }
 
 // TargetUse counts what is in flight at a target, also by adapter.
@@ -57,11 +83,7 @@
 // Without returns u less other, field by field and never below zero. Adapters are those
 // that u lists.
 func (u TargetUse) Without(other TargetUse) TargetUse {
-	rest := TargetUse{Use: Use{
-		Requests:      max(u.Requests-other.Requests, 0),
-		WaitingTokens: max(u.WaitingTokens-other.WaitingTokens, 0),
-		Tokens:        max(u.Tokens-other.Tokens, 0),
-	}}
+	rest := TargetUse{Use: u.less(other.Use)}
 	for name, requests := range u.Adapters {
 		if left := requests - other.Adapters[name]; left > 0 {
 			if rest.Adapters == nil {
@@ -92,12 +114,18 @@
 // Begin counts a request at a target until End is called on the returned handle.
 // The token counts are those that the request announces.
 func (t *Tracker) Begin(target deployment.TargetID, adapter deployment.AdapterName, promptTokens, outputTokens int) *TrackedRequest {
-	request := &TrackedRequest{
-		tracker: t,
-		target:  target,
-		adapter: adapter,
-		use:     Use{Requests: 1, WaitingTokens: promptTokens, Tokens: promptTokens + outputTokens},
-	}
+	return t.begin(target, adapter, Use{Requests: 1, WaitingTokens: promptTokens, Tokens: promptTokens + outputTokens})
+}
+
+// BeginRanked is Begin for a request whose rank is counted.
+func (t *Tracker) BeginRanked(target deployment.TargetID, adapter deployment.AdapterName, promptTokens, outputTokens int, rank Rank) *TrackedRequest {
+	use := Use{Requests: 1, WaitingTokens: promptTokens, Tokens: promptTokens + outputTokens}
+	use.Ranked[rank] = RankUse{Requests: 1, WaitingTokens: promptTokens}
+	return t.begin(target, adapter, use)
+}
+
+func (t *Tracker) begin(target deployment.TargetID, adapter deployment.AdapterName, use Use) *TrackedRequest {
+	request := &TrackedRequest{tracker: t, target: target, adapter: adapter, use: use}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.targets == nil {
@@ -121,8 +149,20 @@
 	if r.ended || r.use.WaitingTokens == 0 {
 		return
 	}
-	r.tracker.targets[r.target].WaitingTokens -= r.use.WaitingTokens
-	r.use.WaitingTokens = 0
+	waited := r.use.withoutPrompt()
+	change := waited
+	change.Add(r.use.Negative())
+	r.tracker.targets[r.target].Add(change)
+	r.use = waited
+}
+
+// withoutPrompt returns the use of a request whose prompt no longer waits.
+func (u Use) withoutPrompt() Use {
+	u.WaitingTokens = 0
+	for rank := range u.Ranked {
+		u.Ranked[rank].WaitingTokens = 0
+	}
+	return u
 }
 
 // End stops counting the request. Further calls have no effect.
@@ -135,7 +175,7 @@
 	}
 	r.ended = true
 	u := t.targets[r.target]
-	u.Add(Use{Requests: -r.use.Requests, WaitingTokens: -r.use.WaitingTokens, Tokens: -r.use.Tokens})
+	u.Add(r.use.Negative())
 	if u.Adapters[r.adapter]--; u.Adapters[r.adapter] == 0 {
 		delete(u.Adapters, r.adapter)
 	}
--- a/internal/measure/simulation/engine.go
+++ b/internal/measure/simulation/engine.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"heatherrelay/internal/adapter"
-	"heatherrelay/internal/target"
+	"heatherrelay/internal/fairqueue"
 )
 
 // Parameters of the simulated engine. A step takes stepBase, stepPerRequest for
@@ -42,7 +42,7 @@
 	id    string
 	zone  int
 	table adapter.Table
-	queue target.Queue[*job]
+	queue fairqueue.Queue[*job]
 	// running is the batch; stepping is set while a step is in progress.
 	running  []*job
 	stepping bool
--- a/internal/measure/simulation/owner.go
+++ b/internal/measure/simulation/owner.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"heatherrelay/internal/adapter"
-	"heatherrelay/internal/target"
+	"heatherrelay/internal/fairqueue"
 	"heatherrelay/pkg/release"
 )
 
@@ -21,7 +21,7 @@
 	e.table.Touch(id, r.time(), j.prompt+j.output)
 	e.lastUse[id] = r.now
 	e.uses[id]++
-	item := target.Item[*job]{
+	item := fairqueue.Item[*job]{
 		ID: fmt.Sprint(j.number), Team: teamName(j.team), Weight: teamWeight(j.team),
 		Class: j.class, Adapter: id, Tokens: j.prompt + j.output, Payload: j,
 	}
--- a/internal/peer/use_sums.go
+++ b/internal/peer/use_sums.go
@@ -87,7 +87,11 @@
 // add adds a use to the sum of a target, or subtracts it if sign is -1.
 func (s *useSums) add(id deployment.TargetID, use inflight.TargetUse, sign int) {
 	sum := s.sums[id]
-	sum.Add(inflight.Use{Requests: sign * use.Requests, WaitingTokens: sign * use.WaitingTokens, Tokens: sign * use.Tokens})
+	if sign < 0 {
+		sum.Add(use.Negative())
+	} else {
+		sum.Add(use.Use)
+	}
 	for name, requests := range use.Adapters {
 		if sum.Adapters == nil {
 			sum.Adapters = map[deployment.AdapterName]int{}
@@ -107,8 +111,7 @@
 func (s *useSums) of(id deployment.TargetID, without string) inflight.Use {
 	sum := s.sums[id].Use
 	if source, ok := s.sources[without]; ok {
-		own := source.uses[id].Use
-		sum.Add(inflight.Use{Requests: -own.Requests, WaitingTokens: -own.WaitingTokens, Tokens: -own.Tokens})
+		sum.Add(source.uses[id].Negative())
 	}
 	return sum
 }
--- a/internal/target/owner.go
+++ b/internal/target/owner.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/adapter"
+	"heatherrelay/internal/fairqueue"
 	"heatherrelay/internal/refusal"
 )
 
@@ -86,7 +87,7 @@
 	snapshot       atomic.Pointer[Snapshot]
 
 	tasks     conc.WaitGroup
-	queue     Queue[*submission]
+	queue     fairqueue.Queue[*submission]
 	slotTable adapter.Table
 	loadQueue adapter.LoadQueue
 	// adopted is set once the engine's resident adapters are known.
@@ -149,7 +150,7 @@
 	case <-o.done:
 		return Usage{}, notOwnerError()
 	default:
-		return Usage{}, refusal.NotRun(refusal.CodeOverloaded, "the target's owner is busy").WithRetryAfter(overloadedRetryAfter)
+		return Usage{}, refusal.NotRun(refusal.CodeOverloaded, "the target's owner is busy").WithRetryAfter(fairqueue.OverloadedRetryAfter)
 	}
 	select {
 	case result := <-s.outcome:
--- a/internal/target/owner_loads.go
+++ b/internal/target/owner_loads.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/adapter"
+	"heatherrelay/internal/fairqueue"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/pkg/release"
 )
@@ -121,7 +122,7 @@
 // refuseQueuedFor refuses the queued requests for one adapter. If keepPatient is set,
 // patient ones stay queued.
 func (o *Owner) refuseQueuedFor(id adapter.ID, keepPatient bool, err error) {
-	var kept []Item[*submission]
+	var kept []fairqueue.Item[*submission]
 	for {
 		item, ok := o.queue.Pop(time.Time{}, func(other adapter.ID) bool { return other == id })
 		if !ok {
--- a/internal/target/owner_requests.go
+++ b/internal/target/owner_requests.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/adapter"
+	"heatherrelay/internal/fairqueue"
 	"heatherrelay/internal/refusal"
 )
 
@@ -60,7 +61,7 @@
 }
 
 func deadlineError() *refusal.Error {
-	return refusal.NotRun(refusal.CodeDeadlineExceeded, "the request's time was over before it could start").WithRetryAfter(overloadedRetryAfter)
+	return refusal.NotRun(refusal.CodeDeadlineExceeded, "the request's time was over before it could start").WithRetryAfter(fairqueue.OverloadedRetryAfter)
 }
 
 func abandonedError(ctx context.Context) *refusal.Error {
@@ -85,7 +86,7 @@
 // accept queues a request, or refuses it if the queue is full.
 func (o *Owner) accept(s *submission, now time.Time) {
 	if o.queue.QueuedTokens()+s.request.Tokens() > o.QueueTokens {
-		o.refuse(s, refusal.NotRun(refusal.CodeOverloaded, "the target's queue is full").WithRetryAfter(overloadedRetryAfter))
+		o.refuse(s, refusal.NotRun(refusal.CodeOverloaded, "the target's queue is full").WithRetryAfter(fairqueue.OverloadedRetryAfter))
 		return
 	}
 	o.slotTable.Touch(s.request.Adapter, now, s.request.Tokens())
@@ -96,7 +97,7 @@
 // the pending loads.
 func (o *Owner) enqueue(s *submission, now time.Time) {
 	r := &s.request
-	item := Item[*submission]{
+	item := fairqueue.Item[*submission]{
 		ID:       r.ID,
 		Team:     r.Team,
 		Weight:   r.TeamWeight,
@@ -115,7 +116,7 @@
 }
 
 // uncountQueued removes an item that has left the queue from the count of its adapter.
-func (o *Owner) uncountQueued(item Item[*submission]) {
+func (o *Owner) uncountQueued(item fairqueue.Item[*submission]) {
 	if o.queuedByAdapter[item.Adapter]--; o.queuedByAdapter[item.Adapter] <= 0 {
 		delete(o.queuedByAdapter, item.Adapter)
 	}
