Admission: what only makes an engine less preferred is no time of waiting

Cause: with the decision made for all services of a scratch copy, TestStreamsOfARestartedTargetGoOnOnceItsEntryNamesIt got refusals for the deadline: the delay by which engines are compared counts a target that is probed as 2 s away.

Change: StartTime leaves out what only ranks engines. The candidates are changed and restored in place of a copy.

--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"slices"
 	"time"
 
 	"heatherrelay/internal/inflight"
@@ -72,14 +71,14 @@
 func (d *Decision) Starts() bool { return d.Action == Start || d.Action == StartLast }
 
 // Decide decides what becomes of a request. The placement request and the candidates are
-// those of the engines; the candidates are not changed.
+// those of the engines. The candidates are changed during the call only.
 func Decide(r Request, f Fleet, wanted placement.Request, candidates []placement.Candidate) Decision {
 	for i := range candidates {
 		f.Slots += candidates[i].Slots
 		f.Requests += candidates[i].Requests
 	}
-	choice, ok := choose(&r, &f, wanted, candidates)
-	d := Decision{Action: Start, Cause: CauseNone, Choice: choice, Start: choice.DelayOnceFree()}
+	choice, start, ok := choose(&r, &f, wanted, candidates)
+	d := Decision{Action: Start, Cause: CauseNone, Choice: choice, Start: start}
 	due, latest := r.due(), r.latest(f.RunTime)
 	switch {
 	case !ok:
@@ -102,21 +101,22 @@
 }
 
 // choose returns the engine with a slot that the request may use and on which it starts
-// soonest. No adapter is loaded elsewhere just because slots are left to others.
-func choose(r *Request, f *Fleet, wanted placement.Request, candidates []placement.Candidate) (placement.Choice, bool) {
-	engines := slices.Clone(candidates)
-	closed := view(r, f, engines)
-	choice, ok := placement.Choose(wanted, engines)
-	if !ok || !closed || !choice.NeedsLoad {
-		return choice, ok
+// soonest, and the time until then. No adapter is loaded elsewhere just because slots are
+// left to others.
+func choose(r *Request, f *Fleet, wanted placement.Request, candidates []placement.Candidate) (placement.Choice, time.Duration, bool) {
+	v := newView(r, f, candidates)
+	defer v.restore()
+	choice, ok := placement.Choose(wanted, candidates)
+	if !ok {
+		return choice, 0, false
 	}
-	for i := range engines {
-		engines[i].Slots = candidates[i].Slots
+	if v.closed && choice.NeedsLoad {
+		v.open()
+		if freely, _ := placement.Choose(wanted, candidates); !freely.NeedsLoad {
+			choice = freely.Closed()
+		}
 	}
-	if freely, _ := placement.Choose(wanted, engines); !freely.NeedsLoad {
-		return freely.Closed(), true
-	}
-	return choice, ok
+	return choice, choice.StartTime(wanted, candidates), true
 }
 
 // mayQueueAtEngine reports whether the request may be sent to an engine that is full: no
--- a/internal/admission/view.go
+++ b/internal/admission/view.go
@@ -19,21 +19,46 @@
 	reserveShare = 0.125
 )
 
-// view changes the candidates to what they are for the request: what is in front of it,
-// with its own prompt, and the slots that it may use. It reports whether slots of some
-// candidate are left to others.
-func view(r *Request, f *Fleet, candidates []placement.Candidate) (closed bool) {
+// view changes candidates to what they are for a request, until restore: what is in front of
+// it, with its own prompt, and the slots that it may use.
+type view struct {
+	candidates []placement.Candidate
+	original   []original
+	// closed is set if slots of some candidate are left to others.
+	closed bool
+}
+
+// original is what a view changes of a candidate.
+type original struct{ slots, waitingTokens int }
+
+func newView(r *Request, f *Fleet, candidates []placement.Candidate) *view {
+	v := &view{candidates: candidates, original: make([]original, len(candidates))}
 	part := rankPart{above: f.Shares.Above(r.Rank), upTo: f.Shares.UpTo(r.Rank)}
 	for i := range candidates {
 		c := &candidates[i]
+		v.original[i] = original{c.Slots, c.WaitingTokens}
 		if c.Slots > 0 {
 			limit := slotLimit(r, f, c, part)
-			closed = closed || c.Requests >= limit && c.Requests < c.Slots
+			v.closed = v.closed || c.Requests >= limit && c.Requests < c.Slots
 			c.Slots = limit
 		}
-		c.WaitingTokens = inFront(r, c.Use, part.upTo) + max(r.PromptTokens-c.CachedTokens, 0)
+		c.WaitingTokens = inFront(r, &c.Use, part.upTo) + max(r.PromptTokens-c.CachedTokens, 0)
+	}
+	return v
+}
+
+// open lets the request use all slots.
+func (v *view) open() {
+	for i := range v.candidates {
+		v.candidates[i].Slots = v.original[i].slots
+	}
+}
+
+func (v *view) restore() {
+	v.open()
+	for i := range v.candidates {
+		v.candidates[i].WaitingTokens = v.original[i].waitingTokens
 	}
-	return closed
 }
 
 // rankPart is the part of the more urgent ranks in the demand, and the part of these and the
@@ -42,7 +67,7 @@
 
 // inFront returns the waiting prompt tokens that an engine reads before those of the
 // request: those of equal or more urgent requests, and what it has begun to read of others.
-func inFront(r *Request, use inflight.Use, upTo float64) int {
+func inFront(r *Request, use *inflight.Use, upTo float64) int {
 	urgent, unknown := use.UpTo(r.Rank)
 	front := urgent.WaitingTokens + int(upTo*float64(unknown.WaitingTokens))
 	behind := use.WaitingTokens - front
--- a/internal/inflight/rank.go
+++ b/internal/inflight/rank.go
@@ -15,7 +15,7 @@
 
 // UpTo returns the part of u that requests of a rank and of more urgent ones have, and the
 // part of unknown rank.
-func (u Use) UpTo(rank Rank) (urgent, unknown RankUse) {
+func (u *Use) UpTo(rank Rank) (urgent, unknown RankUse) {
 	unknown = RankUse{Requests: u.Requests, WaitingTokens: u.WaitingTokens}
 	for r, part := range u.Ranked {
 		unknown.Requests -= part.Requests
