Admission: late requests leave their slots to those in time

Change: a request that starts after its objective on each engine goes behind all others, within the slots of the last rank, or waits there.

--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -43,13 +43,8 @@
 	CauseLineFull Cause = "line_full"
 )
 
-const (
-	// surelyLate is how many times the time that is left the expected start must take for
-	// the request to be let behind others: estimates are rough.
-	surelyLate = 2
-	// engineQueueShare is how many requests, as a part of its slots, an engine lets wait.
-	engineQueueShare = 0.125
-)
+// engineQueueShare is how many requests, as a part of its slots, an engine lets wait.
+const engineQueueShare = 0.125
 
 // Decision is what becomes of a request, and why.
 type Decision struct {
@@ -79,7 +74,7 @@
 	}
 	choice, start, ok := choose(&r, &f, wanted, candidates)
 	d := Decision{Action: Start, Cause: CauseNone, Choice: choice, Start: start}
-	due, latest := r.due(), r.latest(f.RunTime)
+	due := r.due()
 	switch {
 	case !ok:
 		return d.postpone(&r, &f, CauseNoEngine, due)
@@ -91,12 +86,24 @@
 	switch {
 	case r.Return == ReturnEarly && f.half() && d.Start > due:
 		return d.refuse(&f, CauseEarly)
-	case d.Start <= max(due, 0)*surelyLate:
+	case d.Start <= due:
 		return d
-	case d.Start > latest && f.half():
-		return d.refuse(&f, CauseDeadline)
 	}
-	d.Action, d.Cause = StartLast, CauseLate
+	return decideLate(r, &f, wanted, candidates)
+}
+
+// decideLate decides what becomes of a request that starts after its objective on each
+// engine: it goes behind all others, which it leaves their slots.
+func decideLate(r Request, f *Fleet, wanted placement.Request, candidates []placement.Candidate) Decision {
+	r.Rank = inflight.Ranks - 1
+	choice, start, ok := choose(&r, f, wanted, candidates)
+	d := Decision{Action: StartLast, Cause: CauseLate, Choice: choice, Start: start}
+	switch {
+	case ok && start > r.latest(f.RunTime) && f.half():
+		return d.refuse(f, CauseDeadline)
+	case !ok || choice.Full && !r.mayQueueAtEngine(f, &candidates[choice.Index]):
+		return d.postpone(&r, f, CauseLate, 0)
+	}
 	return d
 }
 
@@ -144,7 +151,7 @@
 		return d.refuse(f, CauseDeadline)
 	case f.roomTime(f.Ahead+1) <= d.For:
 		return d
-	case f.roomTime(f.Waiting+1) > latest/2 && f.half():
+	case f.roomTime(f.Waiting+1)+d.Start > latest && f.half():
 		return d.refuse(f, cause)
 	}
 	d.Rank, d.For = inflight.Ranks-1, latest
