Admission: uses by rank over all instances

Change: UseChanges carries requests and waiting tokens of each rank, for targets that changed; both lists stay empty where nothing is ranked. Versions before ignore them, and what they send counts as of unknown rank.

Measured: TestEveryInstanceSeesTheUseOfEachRank passes, and fails without appendRanked; the new case of TestBadMessagesChangeNothing passes, and without validateRanked its run hung until it was ended after 10 minutes (no other outcome seen).

--- a/internal/peer/legacy_test.go
+++ b/internal/peer/legacy_test.go
@@ -187,6 +187,9 @@
 		"member listed twice":  {member: member, version: 1, changes: twice},
 		"name that is missing": {member: member, version: 1, changes: &v1.Changes{Scope: 1, Number: 1, Uses: uses}},
 		"lists of two lengths": {member: member, version: 1, changes: &v1.Changes{Scope: 1, Number: 1, Names: []string{string(testTarget)}, Uses: &v1.UseChanges{Targets: []uint32{0}}}},
+		"ranks of two lengths": {member: member, version: 1, changes: &v1.Changes{Scope: 1, Number: 1, Names: []string{string(testTarget)}, Uses: &v1.UseChanges{
+			Targets: []uint32{0}, Requests: []uint32{7}, WaitingTokens: []uint32{0}, Tokens: []uint32{0}, RankedRequests: []uint32{7},
+		}}},
 		"names with a gap":     {member: member, version: 1, changes: &v1.Changes{Scope: 1, Number: 1, FirstName: 4, Names: []string{string(testTarget)}}},
 		"number that is lower": {member: member, version: 1, changes: &v1.Changes{Scope: 1, After: 9, Number: 1}},
 	} {
--- a/internal/peer/state_changes.go
+++ b/internal/peer/state_changes.go
@@ -30,6 +30,9 @@
 	if t := len(u.GetTargets()); len(u.GetRequests()) != t || len(u.GetWaitingTokens()) != t || len(u.GetTokens()) != t {
 		return ErrBadMessage.New("uses: lists of different lengths")
 	}
+	if err := validateRanked(u); err != nil {
+		return err
+	}
 	a := c.GetAdmitted()
 	if i := len(a.GetInstances()); len(a.GetTeams()) != i || len(a.GetSequences()) != i || len(a.GetAmounts()) != i || len(a.GetAdmittingMs()) != i {
 		return ErrBadMessage.New("admitted: lists of different lengths")
@@ -260,6 +263,7 @@
 	for i, number := range c.GetTargets() {
 		changes[deployment.TargetID(names[number])] = inflight.TargetUse{Use: inflight.Use{
 			Requests: int(c.GetRequests()[i]), WaitingTokens: int(c.GetWaitingTokens()[i]), Tokens: int(c.GetTokens()[i]),
+			Ranked: rankedFrom(c, i),
 		}}
 	}
 	for _, a := range c.GetAdapters() {
--- a/internal/peer/state_log.go
+++ b/internal/peer/state_log.go
@@ -159,6 +159,7 @@
 		c.Requests = append(c.Requests, uint32(max(use.Requests, 0)))
 		c.WaitingTokens = append(c.WaitingTokens, uint32(max(use.WaitingTokens, 0)))
 		c.Tokens = append(c.Tokens, uint32(max(use.Tokens, 0)))
+		appendRanked(c, &use.Use)
 		if adapters := adapterUseMessages(use); len(adapters) > 0 && withAdapters(id) {
 			c.Adapters = append(c.Adapters, &v1.AdapterUses{Target: target, Adapters: adapters})
 		}
