Admission: a request that engines refuse for want of room waits like others

Cause: after one 503 of an engine a request was only placed, and refused when each engine had refused it once: of 48 streams for 16 slots many got 503 (TestBurstWaitsForRoomAtTheEngines before this change).

Change: whatever cannot have run is decided on anew; engines that had no room are asked again after the request has waited.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -95,10 +95,10 @@
 }
 
 // admitToEngine returns the engine for a request, as chooseEngine does. Where callers compete
-// for engines, the request may wait before. One that was sent before, or that is bound to a
+// for engines, the request may wait before. One that may have run, or that is bound to a
 // software version, is only placed.
 func (e *exchange) admitToEngine(service *deployment.Service, request placement.Request, candidates []placement.Candidate) ([]placement.Candidate, placement.Choice, *refusal.Error) {
-	if attempts, _ := e.counts(); attempts > 0 || e.software.bound || !e.competes() {
+	if e.mayHaveRun() || e.software.bound || !e.competes() {
 		return e.chooseEngine(service, request, candidates)
 	}
 	competition := e.server.admissions.of(e.service)
--- a/internal/gateway/waiting_line.go
+++ b/internal/gateway/waiting_line.go
@@ -123,6 +123,8 @@
 	if e.team != nil {
 		item.Team, item.Weight = e.team.Name, teamWeight(e.team, e.configuration.Teams)
 	}
+	// Engines that had no room before may have some when it is the request's turn.
+	clear(e.excluded)
 	begun := e.server.Now()
 	if err := competition.push(begun, decision.Rank, &item); err != nil {
 		decision.Cause = admission.CauseLineFull
