--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,11 @@
 	loadWait     prometheus.Histogram
 	withheld     *prometheus.CounterVec
 	startRatio   prometheus.Summary
+
+	// admissions counts the decisions on requests that compete for engines.
+	admissions    *prometheus.CounterVec
+	admissionWait *prometheus.HistogramVec
+	returns       *prometheus.CounterVec
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms, in seconds.
@@ -67,6 +72,15 @@
 		loadWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "heatherrelay_gateway_load_wait_seconds", Help: "Time that a request waited for its adapter.", Buckets: latencyBuckets,
 		}),
+		admissions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherrelay_gateway_admissions_total", Help: "Decisions on requests that compete for engines, by rank, action and cause.",
+		}, []string{"rank", "action", "cause"}),
+		admissionWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "heatherrelay_gateway_admission_wait_seconds", Help: "Time that a request waited at this instance for room at an engine, by rank.", Buckets: latencyBuckets,
+		}, []string{"rank"}),
+		returns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherrelay_gateway_returns_total", Help: "Refused requests that came back to this instance, by rank and by whether they were due or early.",
+		}, []string{"rank", "kind"}),
 	}
 	m.startRatio = prometheus.NewSummary(prometheus.SummaryOpts{
 		Name: "heatherrelay_gateway_start_ratio", Help: "Time that a target took to start, or for a response, as a multiple of the expected time.",
@@ -75,7 +89,7 @@
 	inFlight := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "heatherrelay_gateway_requests_underway", Help: "Requests that are being answered.",
 	}, func() float64 { return float64(m.inFlight.Load()) })
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.hedges, m.firstEvent, m.responseTime, m.loadWait, m.withheld, m.cacheChoices, m.cachedTokens, m.startRatio, inFlight)
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.hedges, m.firstEvent, m.responseTime, m.loadWait, m.withheld, m.cacheChoices, m.cachedTokens, m.startRatio, m.admissions, m.admissionWait, m.returns, inFlight)
 	return m
 }
 
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -44,7 +44,7 @@
 	attempt := &upstream.Attempt{
 		Target:      target.ID,
 		Deadline:    e.remaining(),
-		Priority:    e.priority(),
+		Priority:    e.engineRank(),
 		Regions:     e.regions(),
 		LastEventID: e.lastEventID,
 
@@ -88,11 +88,8 @@
 		PromptTokens: e.request.PromptTokens,
 		GapObjective: e.route.GapObjective,
 	}
-	candidates := e.engineCandidates(service)
-	e.addSpeeds(&request, candidates)
-	request.WantedCopies = s.Demand.WantedCopies(request.Adapter, len(candidates))
-	e.chooseByCache(&request, candidates)
-	candidates, choice, refused := e.chooseEngine(service, request, candidates)
+	candidates := e.weighedCandidates(service, &request)
+	candidates, choice, refused := e.admitToEngine(service, request, candidates)
 	if refused != nil {
 		return nil, refused
 	}
@@ -249,6 +246,16 @@
 	return slices.Min(delays)
 }
 
+// weighedCandidates returns the candidates of an engine service with what is known of their
+// speed and of what they hold of the prompt, and completes the request to placement.
+func (e *exchange) weighedCandidates(service *deployment.Service, request *placement.Request) []placement.Candidate {
+	candidates := e.engineCandidates(service)
+	e.addSpeeds(request, candidates)
+	request.WantedCopies = e.server.Demand.WantedCopies(request.Adapter, len(candidates))
+	e.chooseByCache(request, candidates)
+	return candidates
+}
+
 // engineCandidates returns the candidates of an engine service, with their
 // capacity and the state of the request's adapter on each.
 func (e *exchange) engineCandidates(service *deployment.Service) []placement.Candidate {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -75,6 +75,9 @@
 	// engines of a service are chosen for that; if it is nil, none are.
 	PromptCache   *promptcache.State
 	CachesPrompts CachesPrompts
+	// CompetesFor reports whether callers of a service compete by urgency for its engines;
+	// nil if for none.
+	CompetesFor func(configuration *deployment.Configuration, service string) bool
 	// StreamPauses records whether streams paused for longer than their objective;
 	// if many did, prompts are paced.
 	StreamPauses placement.PauseMonitor
@@ -117,6 +120,7 @@
 	connections activeConnections
 	scarcity    scarcity
 	promptRates promptRates
+	admissions  admissions
 }
 
 // Serve serves clients on a listener until the listener is closed. Connections that
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -288,6 +288,7 @@
 	i.server.Metrics = gateway.NewMetrics(i.Registry)
 	i.memory = i.newMemoryAccount()
 	i.server.Memory = i.memory
+	i.server.CompetesFor = s.Decisions.Admission.For()
 	i.server.Crashes, i.server.CrashDetector = i.crashes, i.crashDetector
 	i.assembleOrigins()
 	i.assembleCrashes()
--- a/internal/inflight/cached.go
+++ b/internal/inflight/cached.go
@@ -9,6 +9,13 @@
 		return
 	}
 	tokens = min(max(tokens, 0), r.use.WaitingTokens)
-	r.tracker.targets[r.target].WaitingTokens -= tokens
-	r.use.WaitingTokens -= tokens
+	rest := r.use
+	rest.WaitingTokens -= tokens
+	for rank := range rest.Ranked {
+		rest.Ranked[rank].WaitingTokens = max(rest.Ranked[rank].WaitingTokens-tokens, 0)
+	}
+	change := rest
+	change.Add(r.use.Negative())
+	r.tracker.targets[r.target].Add(change)
+	r.use = rest
 }
