--- a/internal/gateway/assign.go
+++ b/internal/gateway/assign.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"heatherrelay/internal/deployment"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/internal/wait"
@@ -99,6 +100,7 @@
 		a, ok = e.assign(away, candidates, limits)
 	}
 	if !ok {
+		e.server.Metrics.countAssignment(assignedByNone)
 		return unchanged
 	}
 	a.CopyIndex = choice.CopyIndex
@@ -118,12 +120,33 @@
 	}
 	chosen := &candidates[offers[a.Index].Index]
 	choice := placement.Choice{Index: offers[a.Index].Index, Delay: a.Wait, CopyIndex: -1}
+	if a.Assigned {
+		e.recordAssignment(zone, chosen.ID, a)
+	}
 	return assignedEngine{
 		Choice: choice, delay: a.Delay, assigned: a.Assigned,
 		wait: a.Wait, tokens: e.request.PromptTokens - chosen.CachedTokens, slowness: chosen.Speed.Factor(),
 	}, true
 }
 
+// Who chose the engine for a prompt.
+const (
+	assignedByHome  = "home"
+	assignedByOther = "other_zone"
+	assignedByNone  = "none"
+)
+
+// recordAssignment counts an assignment, and notes it in the trail of the request.
+func (e *exchange) recordAssignment(zone string, target deployment.TargetID, a placement.Assignment) {
+	by := assignedByHome
+	if zone != e.server.Zone {
+		by = assignedByOther
+	}
+	e.server.Metrics.countAssignment(by)
+	e.server.Metrics.promptDelay.Observe(a.Delay.Seconds())
+	e.recordStep("assign", target, by+" wait="+a.Wait.String())
+}
+
 func (e *exchange) assignmentLimits() placement.AssignmentLimits {
 	limits := placement.AssignmentLimits{Objective: e.route.LatencyObjective, MaxDelay: defaultAssignDelay}
 	if objective := e.route.LatencyObjective; objective > 0 {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -26,6 +26,8 @@
 	loadWait     prometheus.Histogram
 	withheld     *prometheus.CounterVec
 	startRatio   prometheus.Summary
+	assignments  *prometheus.CounterVec
+	promptDelay  prometheus.Histogram
 
 	// admissions counts the decisions on requests that compete for engines.
 	admissions    *prometheus.CounterVec
@@ -82,6 +84,12 @@
 			Name: "heatherrelay_gateway_returns_total", Help: "Refused requests that came back to this instance, by rank and by whether they were due or early.",
 		}, []string{"rank", "kind"}),
 	}
+	m.assignments = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "heatherrelay_gateway_prompt_assignments_total", Help: "Prompts by who chose their engine: the holder of this zone's lease, that of another zone, or this instance, as no holder did.",
+	}, []string{"by"})
+	m.promptDelay = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "heatherrelay_gateway_prompt_delay_seconds", Help: "Time for which assigned prompts are held back.", Buckets: latencyBuckets,
+	})
 	m.startRatio = prometheus.NewSummary(prometheus.SummaryOpts{
 		Name: "heatherrelay_gateway_start_ratio", Help: "Time that a target took to start, or for a response, as a multiple of the expected time.",
 		Objectives: map[float64]float64{0.1: 0.02, 0.5: 0.02, 0.9: 0.01, 0.99: 0.001},
@@ -89,7 +97,7 @@
 	inFlight := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "heatherrelay_gateway_requests_underway", Help: "Requests that are being answered.",
 	}, func() float64 { return float64(m.inFlight.Load()) })
-	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.hedges, m.firstEvent, m.responseTime, m.loadWait, m.withheld, m.cacheChoices, m.cachedTokens, m.startRatio, m.admissions, m.admissionWait, m.returns, inFlight)
+	registry.MustRegister(m.responses, m.refusals, m.attempts, m.breaks, m.hedges, m.firstEvent, m.responseTime, m.loadWait, m.withheld, m.cacheChoices, m.cachedTokens, m.startRatio, m.assignments, m.promptDelay, m.admissions, m.admissionWait, m.returns, inFlight)
 	return m
 }
 
@@ -104,6 +112,8 @@
 
 func (m *Metrics) countBreak(reason breakReason) { m.breaks.WithLabelValues(string(reason)).Inc() }
 
+func (m *Metrics) countAssignment(by string) { m.assignments.WithLabelValues(by).Inc() }
+
 func (m *Metrics) countWithheld(zone, cause string) { m.withheld.WithLabelValues(zone, cause).Inc() }
 
 func (m *Metrics) countHedge(outcome string) { m.hedges.WithLabelValues(outcome).Inc() }
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -13,8 +13,9 @@
 	// prefillSpacing is how much time is reserved for a prompt, as a multiple of the time
 	// for which the engine prefills it: its streams get the rest.
 	prefillSpacing = 1.3
-	// calmShare is the part of an engine's room up to which prompts are sent back to back.
-	calmShare = 0.35
+	// calmShare is the part of an engine's room for which prompts may wait there; later ones
+	// are held back.
+	calmShare = 0.5
 	// eventTime is about how long a usual engine takes for an event while it prefills
 	// nothing.
 	eventTime = 40 * time.Millisecond
@@ -24,6 +25,11 @@
 	// the time in which the first event is wanted.
 	defaultGap       = 300 * time.Millisecond
 	defaultObjective = time.Second
+	// streamRisk is how much it counts, as a part of a late start, if a stream of the engine
+	// pauses for too long; it may have paused before, or pause later. maxStreamRisk bounds
+	// it for all streams of an engine together.
+	streamRisk    = 0.25
+	maxStreamRisk = 2.0
 	// ownRisk is how many prompts of others a stream meets at its engine that may make it
 	// pause for too long, as an estimate.
 	ownRisk = 2.0
@@ -71,8 +77,8 @@
 // at one engine are prefilled in a row, and its streams pause meanwhile; the counts of
 // requests that instances exchange are too old to tell which engine has a prompt waiting
 // now, but all prompts of a zone are assigned by one instance. The engine is that on which
-// the request starts soonest, if each stream that it may make pause for too long counts as
-// much as a start that is late by the objective. It reports an assignment without Assigned
+// the request starts soonest, if streams that its prompt may make pause for too long count
+// as a part of a start that is late by the objective. It reports an assignment without Assigned
 // if the wait exceeds the limit.
 func (p *PromptPacer) Assign(offers []Offer, limits AssignmentLimits) Assignment {
 	p.mu.Lock()
@@ -115,9 +121,12 @@
 }
 
 // cost returns the time until the first event of the request, with what its prompt costs the
-// streams of the engine and those of others may cost its own stream.
+// streams of the engine, beyond what the prompts before it do, and what those of others may
+// cost its own stream.
 func (o *Offer) cost(wait, objective time.Duration) time.Duration {
-	late := o.pauseRisk(wait-o.delay(wait)+o.Prefill)*float64(o.Streams) + min(ownRisk*o.pauseRisk(o.Prefill), 1)
+	row := wait - o.delay(wait)
+	harm := o.pauseRisk(row+o.Prefill) - o.pauseRisk(row)
+	late := harm*min(streamRisk*float64(o.Streams), maxStreamRisk) + min(ownRisk*o.pauseRisk(o.Prefill), 1)
 	return wait + o.Prefill + o.Extra + time.Duration(late*float64(objective))
 }
 
@@ -131,11 +140,10 @@
 	return share * share
 }
 
-// delay returns how long to hold the prompt back so that it and those before it keep the
-// engine busy for the calm part of its room at most.
+// delay returns how long to hold the prompt back so that no longer row of prompts waits at the
+// engine than its streams bear.
 func (o *Offer) delay(wait time.Duration) time.Duration {
-	calm := time.Duration(calmShare*float64(o.Room)) - o.Prefill
-	return max(wait-max(calm, 0), 0)
+	return max(wait-time.Duration(calmShare*float64(o.Room)), 0)
 }
 
 // Offers returns the engines of a zone on which a request can start without a load: sound
