--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -203,7 +203,7 @@
 	var candidates []placement.Candidate
 	withheld := e.newWithheld()
 	for id, t := range s.Catalog.Targets() {
-		if t.Service != service.Name || t.Draining || e.excluded[id] || !e.admits(t) || !s.Availability.Available(t) || withheld.skips(t) || s.Limits.Wait(t) > 0 {
+		if t.Service != service.Name || t.Draining || e.excluded[id] || !e.admits(t) || !s.Availability.Available(t) || withheld.skips(t) || withheld.limits(t, s.Limits.Wait(t)) {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{
@@ -231,7 +231,7 @@
 			continue
 		}
 		if withheld.skips(t) {
-			delays = append(delays, withheld.retryAfter(t, delay))
+			delays = append(delays, withheld.retryAfter(t.Zone, delay))
 			continue
 		}
 		pause := max(s.Availability.PausedFor(t), s.Limits.Wait(t))
--- a/internal/gateway/withheld.go
+++ b/internal/gateway/withheld.go
@@ -11,21 +11,30 @@
 // zones, or in none of its regions, could take. Both last until the operators end them.
 const withheldRetry = time.Second
 
-// outsideRegions is why a target is left out that is in none of the request's regions.
-const outsideRegions = "region"
+// The causes for which targets are left out, beside the status of their zone.
+const (
+	// causeRegion is that of targets outside the request's regions.
+	causeRegion = "region"
+	// causeLimit is that of targets whose limit, stated or that of a cold one, leaves this
+	// instance no request at present.
+	causeLimit = "limit"
+)
 
 // withheld leaves out the targets of a choice that may not get the request whatever their
-// load, since their zone is evacuated or in no region in which the request may run.
+// load, since their zone is evacuated or in no region in which the request may run. It notes
+// these, and those without room in their limits.
 type withheld struct {
 	regions  deployment.Regions
 	regionOf map[string]string
 	status   func(zone string) evacuation.Status
-	// causes holds why targets of a zone were left out.
-	causes map[string]string
+	causes   map[withheldCause]bool
 }
 
+// withheldCause is why targets of a zone were left out.
+type withheldCause struct{ zone, cause string }
+
 func (e *exchange) newWithheld() *withheld {
-	return &withheld{regions: e.regions(), regionOf: e.server.RegionOf, status: e.server.Evacuations.Statuses(), causes: map[string]string{}}
+	return &withheld{regions: e.regions(), regionOf: e.server.RegionOf, status: e.server.Evacuations.Statuses(), causes: map[withheldCause]bool{}}
 }
 
 // regions returns the regions in which the request may run.
@@ -39,21 +48,29 @@
 // skips reports whether a target is left out.
 func (w *withheld) skips(t deployment.Target) bool {
 	if !w.regions.Allows(w.regionOf[t.Zone]) {
-		w.causes[t.Zone] = outsideRegions
+		w.causes[withheldCause{t.Zone, causeRegion}] = true
 		return true
 	}
 	status := w.status(t.Zone)
 	if status == evacuation.Open {
 		return false
 	}
-	w.causes[t.Zone] = string(status)
+	w.causes[withheldCause{t.Zone, string(status)}] = true
 	return true
 }
 
-// retryAfter returns when a client should come back for a target that is left out: after the
-// given delay if this instance will soon know that it may be used.
-func (w *withheld) retryAfter(t deployment.Target, delay time.Duration) time.Duration {
-	if w.causes[t.Zone] == string(evacuation.Unconfirmed) {
+// limits reports whether a target is left out for which this instance has to wait.
+func (w *withheld) limits(t deployment.Target, wait time.Duration) bool {
+	if wait > 0 {
+		w.causes[withheldCause{t.Zone, causeLimit}] = true
+	}
+	return wait > 0
+}
+
+// retryAfter returns when a client should come back for a target of a zone that is left out:
+// after the given delay if this instance will soon know that it may be used.
+func (w *withheld) retryAfter(zone string, delay time.Duration) time.Duration {
+	if w.status(zone) == evacuation.Unconfirmed {
 		return delay
 	}
 	return withheldRetry
@@ -62,10 +79,10 @@
 // recordWithheld counts the zones whose targets were left out of a choice, and notes them in
 // the trace if no candidate is left.
 func (e *exchange) recordWithheld(w *withheld, candidates int) {
-	for zone, cause := range w.causes {
-		e.server.Metrics.countWithheld(zone, cause)
+	for c := range w.causes {
+		e.server.Metrics.countWithheld(c.zone, c.cause)
 		if candidates == 0 {
-			e.recordStep("select", "", zone+" "+cause)
+			e.recordStep("select", "", c.zone+" "+c.cause)
 		}
 	}
 }
--- a/internal/gatewayinstance/settings_test.go
+++ b/internal/gatewayinstance/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"heatherrelay/internal/gatewayinstance"
 	"heatherrelay/internal/settings"
@@ -58,3 +59,21 @@
 		}
 	}
 }
+
+// TestSettingsOfOptionalLimits checks the settings that only some deployments have.
+func TestSettingsOfOptionalLimits(t *testing.T) {
+	const optional = "evacuation_limit = \"5000ms\"\ncold_over = 1.5\ncold_slack = 5\n[zones]\n\"north\" = \"leon\"\n[listen]"
+	text := strings.Replace(goodSettings, "[listen]", optional, 1)
+	s, err := gatewayinstance.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.EvacuationLimit.Duration != 5*time.Second || s.ColdOver != 1.5 || s.ColdSlack != 5 || s.Zones["north"] != "leon" {
+		t.Errorf("%+v", s)
+	}
+	for from, to := range map[string]string{`"5000ms"`: `"-1s"`, "cold_over = 1.5": "cold_over = -1", "cold_slack = 5": "cold_slack = -1"} {
+		if _, err := gatewayinstance.Parse([]byte(strings.Replace(text, from, to, 1))); err == nil {
+			t.Errorf("no error with %s", to)
+		}
+	}
+}
