--- a/internal/clock/beats.go
+++ b/internal/clock/beats.go
@@ -1,15 +1,20 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"time"
 )
 
-// suspensionGap is the time between two beats from which on the process was suspended.
-const suspensionGap = 2 * time.Second
+const (
+	// beatInterval is the time between two beats, suspensionGap that from which on the
+	// process was suspended between them.
+	beatInterval  = 250 * time.Millisecond
+	suspensionGap = 2 * time.Second
+)
 
 // Beats notices suspensions of the process by the gaps between regular beats. It is safe for
-// concurrent use. Set Now before the first beat, which is that of the start.
+// concurrent use. Set Now before the first beat.
 type Beats struct {
 	Now func() time.Time
 
@@ -18,7 +23,19 @@
 	lastAt, wokeAt time.Time
 }
 
-// Beat is called at the start and regularly while the process runs.
+// Run beats until ctx ends.
+func (b *Beats) Run(ctx context.Context) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for b.Beat(); ctx.Err() == nil; b.Beat() {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// Beat records that the process runs.
 func (b *Beats) Beat() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/gatewayinstance/cold.go
+++ b/internal/gatewayinstance/cold.go
@@ -1,6 +1,8 @@
 package gatewayinstance
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"heatherrelay/internal/clock"
@@ -10,6 +12,10 @@
 	"heatherrelay/internal/warmup"
 )
 
+// staleEntryTime is how long the entry of a process that has crashed may stay listed: the store
+// removes entries that are not renewed.
+const staleEntryTime = 10 * time.Second
+
 // assembleCold creates the component that knows the cold targets, and has the limiter keep the
 // requests to these within their limit. The limiter and the evacuations must exist.
 func (i *Instance) assembleCold() {
@@ -23,8 +29,8 @@
 
 // restarted reports whether the process that a target's entry names is known to have ended.
 func (i *Instance) restarted(t deployment.Target) bool {
-	_, crashed := i.crashes.LearnedAt(crash.Process{Target: t.ID, Generation: t.Generation})
-	return crashed || i.server.Processes.Replaced(t)
+	at, crashed := i.crashes.LearnedAt(crash.Process{Target: t.ID, Generation: t.Generation})
+	return crashed && clock.Since(at) < staleEntryTime || i.server.Processes.Replaced(t)
 }
 
 // coldLimit returns the limit of a target that is cold, and false for one that is warm.
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -184,6 +184,7 @@
 	leaseCtx, stopLeasing := context.WithCancel(runCtx)
 	defer stopLeasing()
 	var group conc.WaitGroup
+	group.Go(func() { i.beats.Run(runCtx) })
 	group.Go(func() { i.catalog.Run(runCtx) })
 	group.Go(func() { i.network.Run(runCtx) })
 	group.Go(func() { i.serveAndLog("peers", func() error { return i.network.Serve(runCtx, listeners.peers) }) })
@@ -461,7 +462,6 @@
 			return
 		case <-ticker.C:
 		}
-		i.beats.Beat()
 		i.client.CloseExpiredIdle(time.Now())
 		i.origins.RemoveExpired()
 		i.crashes.Maintain()
