--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -98,7 +98,7 @@
 // readRequestBody reads the body into memory.
 func (e *exchange) readRequestBody() *refusal.Error {
 	stream := e.client.RequestBodyStream()
-	if stream == nil {
+	if stream == nil || e.bodyLength() == 0 {
 		return nil
 	}
 	conn := e.client.Conn()
