Allowances: a paced team whose clients move is not refused what it leaves unused

Cause (suspected): after a surge an instance admits its part of what was admitted, also when its clients ask for more and the team as a whole for less than its rate. Change: an instance admits up to three times its part as far as the allowance is unused.

--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -63,7 +63,7 @@
 		b.level = min(limit, b.level+elapsed*b.rate*fraction)
 	}
 	b.resuming = max(b.resuming-elapsed*b.rate*fraction*resumeShare/float64(members), 0)
-	b.pace.refill(now, now.Sub(b.refilledAt), b.rate*fraction, members)
+	b.pace.refill(now, now.Sub(b.refilledAt), b.rate*fraction, members, b.level/limit)
 	if b.level < 0 {
 		b.pace.begin(now)
 	}
--- a/internal/quota/pace.go
+++ b/internal/quota/pace.go
@@ -18,6 +18,10 @@
 	leastPart = 0.5
 	// paceDepth is the time for which an instance may save its part.
 	paceDepth = 500 * time.Millisecond
+	// unusedBoost is how much more than its part an instance admits while the team's
+	// allowance is unused, as a multiple of the part: its requests come through other
+	// instances than before.
+	unusedBoost = 2.0
 )
 
 // pace limits what this instance admits of a team that asks for more than its allowance.
@@ -69,12 +73,13 @@
 	return min(max(own/all, least), 1)
 }
 
-// refill adds what accrued in a time at the instance's part of a rate.
-func (p *pace) refill(now time.Time, elapsed time.Duration, rate float64, members int) {
+// refill adds what accrued in a time at the instance's part of a rate. unused is the part of
+// the team's allowance that nobody used.
+func (p *pace) refill(now time.Time, elapsed time.Duration, rate float64, members int, unused float64) {
 	if !p.inForce(now) {
 		return
 	}
-	part := rate * p.part(now, members)
+	part := rate * p.part(now, members) * (1 + unusedBoost*min(max(unused, 0), 1))
 	p.level = min(p.level+elapsed.Seconds()*part, paceDepth.Seconds()*part)
 }
 
--- a/internal/quota/surge_test.go
+++ b/internal/quota/surge_test.go
@@ -104,6 +104,13 @@
 			if most := s.maxWindowTokens(); most > limit*(1+overshoot)+slack {
 				t.Errorf("%.0f tokens admitted in %s, %.0f are allowed", most, testWindow, limit*(1+overshoot)+slack)
 			}
+			s.random.Shuffle(len(s.weights), func(i, j int) { s.weights[i], s.weights[j] = s.weights[j], s.weights[i] })
+			s.run(0.7, time.Second)
+			s.refused = 0
+			moved := s.run(0.7, 4*time.Second)
+			if share := float64(s.refused) * surgeCost / (moved + float64(s.refused)*surgeCost); share > 0.02 {
+				t.Errorf("%.3f of the requests refused below the rate after clients moved", share)
+			}
 			s.run(0.2, 4*time.Second)
 			s.refused = 0
 			if s.run(0.7, 8*time.Second); s.refused > 0 {
