Admission: returns to another instance; a load counts with its real time

Cause: clients come back on a new connection, mostly to another of 73 instances, where they were new ones; and the 400 ms by which a load makes an engine less preferred counted as waiting, so that cold requests were late on paper.

Change: a client that states 300 ms less than its route's timeout counts as one that comes back. StartTime takes the time that loads take.

Measured: go test ./internal/admission ./internal/placement pass; the two tests of competing callers 3 of 3 with -race.

--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -22,6 +22,16 @@
 	ReturnEarly Return = "early"
 )
 
+// ReturnOf returns how a request relates to an earlier refusal, if observed is what this
+// instance knows of it. A client whose request was refused elsewhere states less time than
+// clients have on its route, by at least what it was told to wait.
+func ReturnOf(observed Return, timeout, stated time.Duration) Return {
+	if observed == ReturnNone && stated > 0 && timeout-stated >= minReturn {
+		return ReturnDue
+	}
+	return observed
+}
+
 // Bounds of the time after which a refused client is told to come back.
 const (
 	minReturn = 300 * time.Millisecond
--- a/internal/admission/returns_test.go
+++ b/internal/admission/returns_test.go
@@ -50,6 +50,27 @@
 	}
 }
 
+// TestReturnToAnotherInstanceIsKnown guards against clients that are refused again as new
+// ones because the balancer has sent them to another instance.
+func TestReturnToAnotherInstanceIsKnown(t *testing.T) {
+	const timeout = 15 * time.Second
+	for _, c := range []struct {
+		observed admission.Return
+		stated   time.Duration
+		want     admission.Return
+	}{
+		{admission.ReturnNone, timeout, admission.ReturnNone},
+		{admission.ReturnNone, timeout - 50*time.Millisecond, admission.ReturnNone},
+		{admission.ReturnNone, timeout - time.Second, admission.ReturnDue},
+		{admission.ReturnNone, 0, admission.ReturnNone},
+		{admission.ReturnEarly, timeout - time.Second, admission.ReturnEarly},
+	} {
+		if got := admission.ReturnOf(c.observed, timeout, c.stated); got != c.want {
+			t.Errorf("%q, %s stated: %q, want %q", c.observed, c.stated, got, c.want)
+		}
+	}
+}
+
 // TestRefusedTogetherComeBackApart guards against clients that are refused at once and come
 // back at once.
 func TestRefusedTogetherComeBackApart(t *testing.T) {
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -128,8 +128,9 @@
 func (e *exchange) observeArrival(competition *competition) {
 	now := e.server.Now()
 	competition.Record(now, e.rank(), e.request.PromptTokens+e.request.OutputTokens)
-	e.competing.arrived, e.competing.returned = true, competition.Observe(now, e.digest)
-	if returned := e.competing.returned; returned != admission.ReturnNone {
+	returned := admission.ReturnOf(competition.Observe(now, e.digest), e.route.Timeout, e.request.Deadline)
+	e.competing.arrived, e.competing.returned = true, returned
+	if returned != admission.ReturnNone {
 		e.server.Metrics.returns.WithLabelValues(rankLabel(e.rank()), string(returned)).Inc()
 	}
 }
--- a/internal/placement/start_time.go
+++ b/internal/placement/start_time.go
@@ -17,8 +17,11 @@
 	engine := candidates[c.Index]
 	engine.Health, engine.ErrorShare, engine.Slots, engine.KVCacheTokens = outlier.Healthy, 0, 0, 0
 	start := engine.delay(request)
-	if c.NeedsLoad {
-		return start + engine.loadDelay()
+	switch {
+	case c.NeedsLoad && engine.Warm:
+		return start + warmLoadTime
+	case c.NeedsLoad:
+		return start + coldLoadTime + engine.ColdWait
 	}
 	if engine.Resident != nil {
 		start += max(engine.Resident.ReadyAt.Sub(request.Now), 0)
