Admission: loads that wait for the weight store go by urgency

Change: the lease holder's queue of cold loads is ordered by the rank of who waits; LoadAdapterRequest carries it. Further copies go last. Callers that do not compete have one rank, in order as before.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -70,6 +70,14 @@
 // rank returns the rank of the request among those with which it competes.
 func (e *exchange) rank() inflight.Rank { return inflight.RankOf(e.priority()) }
 
+// loadRank returns the rank with which the request waits for its adapter.
+func (e *exchange) loadRank() inflight.Rank {
+	if !e.competes() {
+		return 0
+	}
+	return e.rank()
+}
+
 // engineRank returns the priority that is sent to the engine.
 func (e *exchange) engineRank() int {
 	if e.behindAll {
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/inflight"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/throttle"
@@ -94,7 +95,7 @@
 	target := candidates[choice.Index].Target
 	e.expectedStart = choice.Delay
 	if choice.NeedsLoad {
-		result := s.Network.Load(e.ctx, e.request.ID, target, request.Adapter, request.Version)
+		result := s.Network.LoadRanked(e.ctx, e.request.ID, target, request.Adapter, request.Version, e.loadRank())
 		e.recordStep("load", target.ID, result.String())
 		if result != placement.Ready {
 			e.excluded[target.ID] = true
@@ -139,10 +140,14 @@
 		return
 	}
 	e.recordStep("copy", target.ID, "asked")
+	rank := e.loadRank()
+	if e.competes() {
+		rank = inflight.Ranks - 1
+	}
 	go func(id string) {
 		ctx, cancel := context.WithTimeout(context.Background(), copyLoadTimeout)
 		defer cancel()
-		result := s.Network.Load(ctx, id, target, request.Adapter, request.Version)
+		result := s.Network.LoadRanked(ctx, id, target, request.Adapter, request.Version, rank)
 		s.Log.Info("copy of an adapter requested", zap.String("request_id", id), targetField(target.ID),
 			zap.String("adapter", request.Adapter.Adapter), zap.Float64("copies_wanted", request.WantedCopies), zap.Stringer("result", result))
 	}(e.request.ID)
--- a/internal/peer/queries.go
+++ b/internal/peer/queries.go
@@ -163,12 +163,17 @@
 // Load has an adapter loaded on an engine by the lease holder of the engine's
 // zone, and records a successful result in the directory.
 func (n *Network) Load(ctx context.Context, requestID string, target deployment.Target, name deployment.AdapterName, version uint64) placement.Result {
+	return n.LoadRanked(ctx, requestID, target, name, version, 0)
+}
+
+// LoadRanked is Load for a request of a rank.
+func (n *Network) LoadRanked(ctx context.Context, requestID string, target deployment.Target, name deployment.AdapterName, version uint64, rank inflight.Rank) placement.Result {
 	var result placement.Result
 	var readyAt time.Time
 	if target.Zone == n.Self.Zone && n.Holder.Holds() {
-		result, readyAt, version = n.Holder.Load(ctx, target.ID, name, version)
+		result, readyAt, version = n.Holder.LoadRanked(ctx, target.ID, name, version, rank)
 	} else {
-		result, readyAt, version = n.requestLoad(ctx, requestID, target, name, version)
+		result, readyAt, version = n.requestLoad(ctx, requestID, target, name, version, rank)
 	}
 	if result == placement.Ready {
 		n.Directory.RecordLoad(target, placement.Resident{AdapterName: name, Version: version, ReadyAt: readyAt})
@@ -218,7 +223,7 @@
 // requestLoad sends a load request to the lease holder of the target's zone.
 // The counts of late and timely adapters that go with it are lost if the call
 // fails.
-func (n *Network) requestLoad(ctx context.Context, requestID string, target deployment.Target, name deployment.AdapterName, version uint64) (placement.Result, time.Time, uint64) {
+func (n *Network) requestLoad(ctx context.Context, requestID string, target deployment.Target, name deployment.AdapterName, version uint64, rank inflight.Rank) (placement.Result, time.Time, uint64) {
 	holder, ok := n.leaseHolder(target.Zone)
 	if !ok {
 		return placement.NotHolder, time.Time{}, 0
@@ -234,6 +239,7 @@
 		RequestId: requestID,
 		Late:      int64(late),
 		Timely:    int64(timely),
+		Rank:      uint32(rank),
 	})
 	if err != nil {
 		if ctx.Err() == nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"heatherrelay/internal/catalog"
 	"heatherrelay/internal/deployment"
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+	"heatherrelay/internal/inflight"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/platformstore"
 )
@@ -69,7 +70,7 @@
 	n, m := s.network, request
 	n.Holder.LoadLimiter.Observe(int(m.GetLate()), int(m.GetTimely()), n.Now())
 	name := deployment.AdapterName{Model: m.GetModel(), Adapter: m.GetAdapter()}
-	result, readyAt, version := n.Holder.Load(ctx, deployment.TargetID(m.GetTargetId()), name, m.GetVersion())
+	result, readyAt, version := n.Holder.LoadRanked(ctx, deployment.TargetID(m.GetTargetId()), name, m.GetVersion(), inflight.RankOf(int(min(m.GetRank(), inflight.Ranks))))
 	response := &v1.LoadAdapterResponse{Result: resultMessage(result), Version: version}
 	if result == placement.Ready {
 		response.ReadyInMs = max(readyAt.Sub(n.Now()).Milliseconds(), 0)
--- a/internal/placement/load_request.go
+++ b/internal/placement/load_request.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/inflight"
 	"heatherrelay/internal/wait"
 )
 
@@ -33,7 +34,9 @@
 // the same adapter share it. The results are set before done is closed.
 type loadRequest struct {
 	loadKey
-	version       uint64
+	version uint64
+	// rank is that of the most urgent caller; the holder's lock guards it.
+	rank          inflight.Rank
 	done          chan struct{}
 	result        Result
 	readyAt       time.Time
@@ -41,7 +44,7 @@
 }
 
 // pendingLoads are the load requests in progress. coldQueue holds those that wait
-// for the weight store, oldest first.
+// for the weight store, the most urgent first and of these the oldest.
 type pendingLoads struct {
 	byKey     map[loadKey]*loadRequest
 	coldQueue []*loadRequest
@@ -50,11 +53,17 @@
 // Load loads an adapter on an engine. It waits until the load is accepted or cannot
 // be ordered, and returns when the adapter is expected to be ready, and its version.
 func (h *Holder) Load(ctx context.Context, id deployment.TargetID, name deployment.AdapterName, version uint64) (Result, time.Time, uint64) {
+	return h.LoadRanked(ctx, id, name, version, 0)
+}
+
+// LoadRanked is Load for a caller of a rank. Of the loads that wait for the weight store, the
+// most urgent is next.
+func (h *Holder) LoadRanked(ctx context.Context, id deployment.TargetID, name deployment.AdapterName, version uint64, rank inflight.Rank) (Result, time.Time, uint64) {
 	t, ok := h.Targets()[id]
 	if !ok || t.Zone != h.Zone || !h.available(t) || !h.Holds() {
 		return NotHolder, time.Time{}, 0
 	}
-	request, ok := h.join(loadKey{target: id, name: name}, version)
+	request, ok := h.join(loadKey{target: id, name: name}, version, rank)
 	if !ok {
 		return Full, time.Time{}, 0
 	}
@@ -69,11 +78,16 @@
 // join returns the load request for an adapter at the given version or a later one,
 // and starts one if there is none. It reports false when too many wait for the weight
 // store.
-func (h *Holder) join(key loadKey, version uint64) (*loadRequest, bool) {
+func (h *Holder) join(key loadKey, version uint64, rank inflight.Rank) (*loadRequest, bool) {
 	limit := h.coldLoadLimit()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if request, ok := h.pending.byKey[key]; ok && request.version >= version {
+		if rank < request.rank {
+			// It takes its new place in the queue with its next step.
+			request.rank = rank
+			h.dequeue(request)
+		}
 		return request, true
 	}
 	if len(h.pending.coldQueue) >= maxWaitersPerLoad*limit {
@@ -84,7 +98,7 @@
 	if h.pending.byKey == nil {
 		h.pending.byKey = map[loadKey]*loadRequest{}
 	}
-	request := &loadRequest{loadKey: key, version: version, done: make(chan struct{})}
+	request := &loadRequest{loadKey: key, version: version, rank: rank, done: make(chan struct{})}
 	h.pending.byKey[key] = request
 	go h.process(request)
 	return request, true
@@ -206,8 +220,7 @@
 	defer h.mu.Unlock()
 	position := slices.Index(h.pending.coldQueue, request)
 	if position < 0 {
-		position = len(h.pending.coldQueue)
-		h.pending.coldQueue = append(h.pending.coldQueue, request)
+		position = h.pending.enqueue(request)
 	}
 	if position >= free {
 		h.LoadLimiter.RecordWait()
@@ -230,6 +243,17 @@
 	return time.Duration(float64(waiting) * float64(coldLoadTime) / max(initialLoadsPerEngine*float64(engines), 1))
 }
 
+// enqueue adds a load request to the queue, behind those that are as urgent, and returns its
+// position.
+func (p *pendingLoads) enqueue(request *loadRequest) int {
+	position := slices.IndexFunc(p.coldQueue, func(other *loadRequest) bool { return other.rank > request.rank })
+	if position < 0 {
+		position = len(p.coldQueue)
+	}
+	p.coldQueue = slices.Insert(p.coldQueue, position, request)
+	return position
+}
+
 // dequeue removes a load request from the queue. The caller holds the lock.
 func (h *Holder) dequeue(request *loadRequest) {
 	if i := slices.Index(h.pending.coldQueue, request); i >= 0 {
