--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -68,6 +68,7 @@
 	ids       []deployment.TargetID
 	known     [][]inflight.Use // what instances know of all engines, a snapshot a newsInterval
 	jobs      []*modelJob
+	scratch   []placement.Candidate // reused for each decision
 	returning []*modelJob
 	refusals  int
 	needless  int // refusals while under half of the slots were taken
@@ -176,7 +177,7 @@
 // candidates returns what an instance knows of the engines for an adapter.
 func (r *loadRun) candidates(instance *modelInstance, j *modelJob) []placement.Candidate {
 	instance.sent = slices.DeleteFunc(instance.sent, func(s modelSent) bool { return r.now-s.at > modelLag })
-	candidates := make([]placement.Candidate, 0, len(r.engines))
+	candidates := r.scratch[:0]
 	for i, e := range r.engines {
 		if r.now < e.downUntil || (i+j.adapter)%3 == 0 {
 			continue
@@ -185,13 +186,14 @@
 		if len(r.known) > 0 {
 			c.Use = r.known[0][i]
 		}
-		for _, s := range instance.sent {
-			if s.engine == i {
-				c.Add(s.use)
+		for n := range instance.sent {
+			if instance.sent[n].engine == i {
+				c.Add(instance.sent[n].use)
 			}
 		}
 		candidates = append(candidates, c)
 	}
+	r.scratch = candidates
 	return candidates
 }
 
