--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -70,6 +70,14 @@
 // rank returns the rank of the request among those with which it competes.
 func (e *exchange) rank() inflight.Rank { return inflight.RankOf(e.priority()) }
 
+// loadRank returns the rank with which the request waits for its adapter.
+func (e *exchange) loadRank() inflight.Rank {
+	if !e.competes() {
+		return 0
+	}
+	return e.rank()
+}
+
 // engineRank returns the priority that is sent to the engine.
 func (e *exchange) engineRank() int {
 	if e.behindAll {
@@ -128,8 +136,9 @@
 func (e *exchange) observeArrival(competition *competition) {
 	now := e.server.Now()
 	competition.Record(now, e.rank(), e.request.PromptTokens+e.request.OutputTokens)
-	e.competing.arrived, e.competing.returned = true, competition.Observe(now, e.digest)
-	if returned := e.competing.returned; returned != admission.ReturnNone {
+	returned := admission.ReturnOf(competition.Observe(now, e.digest), e.route.Timeout, e.request.Deadline)
+	e.competing.arrived, e.competing.returned = true, returned
+	if returned != admission.ReturnNone {
 		e.server.Metrics.returns.WithLabelValues(rankLabel(e.rank()), string(returned)).Inc()
 	}
 }
