--- a/internal/placement/speeds_test.go
+++ b/internal/placement/speeds_test.go
@@ -89,7 +89,7 @@
 		t.Errorf("urgent: %+v", choice)
 	}
 	patient := weighed()
-	patient.Objective, patient.GapObjective = 20*time.Second, 5*time.Second
+	patient.Objective, patient.GapObjective, patient.PromptTokens = 20*time.Second, 5*time.Second, 646
 	candidates[0].Requests, candidates[0].WaitingTokens = 1, 0
 	if choice, _ := placement.Choose(patient, candidates); choice.NeedsLoad {
 		t.Errorf("patient: %+v", choice)
--- a/internal/speed/book.go
+++ b/internal/speed/book.go
@@ -109,15 +109,11 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.shared.init()
+	b.init()
 	s, now := b.service(t.Service), b.Now()
 	key := s.key(t)
 	known := b.total(key, now)
-	usualLog, _ := s.log(k, l)
-	if s.samples[k] == 0 {
-		usualLog = math.Log(l.Nominal.Seconds())
-	}
-	excess := math.Log(took.Seconds()) - usualLog
+	excess := math.Log(took.Seconds()) - s.log(k, l)
 	if weight := s.reliability(k); weight > 0 {
 		own := b.own[key].at(now)
 		own.add(excess, weight, known)
@@ -184,8 +180,7 @@
 	if v.usual.samples[k] < firstSamples || l.Nominal <= 0 {
 		return 0, false
 	}
-	log, _ := v.usual.log(k, l)
-	return time.Duration(math.Exp(log+v.reference) * float64(time.Second)), true
+	return time.Duration(math.Exp(v.usual.log(k, l)+v.reference) * float64(time.Second)), true
 }
 
 // Retain forgets all targets except the given ones, and earlier processes of these.
--- a/internal/speed/evidence.go
+++ b/internal/speed/evidence.go
@@ -20,6 +20,8 @@
 	// target, so that a single one moves little. For the present it is less strict the more
 	// samples there are, as far as a single one is lost in their noise.
 	maxSurprise = 0.7
+	// maxJump bounds how far a sample counts from the present, however many there are.
+	maxJump = 1.6
 	// confidence is how many standard deviations a difference must have to count.
 	confidence = 2.0
 	// maxLog bounds the logarithm of a slowness.
@@ -105,7 +107,7 @@
 	log = clamp(log, maxLog)
 	made, _ := known.build()
 	latest := known.moment.mean(made, momentPrior)
-	bound := max(maxSurprise, confidence*sampleDeviation*math.Sqrt(known.moment.weight))
+	bound := min(max(maxSurprise, confidence*sampleDeviation*math.Sqrt(known.moment.weight)), maxJump)
 	e.moment = e.moment.plus(tally{latest + clamp(log-latest, bound), 1}.times(weight))
 	e.made = e.made.plus(tally{made + clamp(log-made, maxSurprise), 1}.times(weight))
 }
--- a/internal/speed/load_test.go
+++ b/internal/speed/load_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -149,6 +151,7 @@
 	if d.random.Float64() > k.share {
 		k = streamKinds[1]
 	}
+	k.prompt = int(float64(k.prompt) * math.Exp(d.random.NormFloat64()/2))
 	request := placement.Request{
 		PromptTokens: k.prompt, Tokens: k.prompt, Zone: m.Zone, Objective: k.objective, GapObjective: gapObjective,
 		Now: d.now, Random: d.random.IntN, WeighSpeeds: d.chooser != unweighed,
@@ -331,10 +334,11 @@
 }
 
 // TestLoadFollowsSpeed plays each load with targets that are taken as alike, with speeds that
-// are learned, and with an oracle that knows them all. What is learned must be worth nearly
-// as much as what the oracle knows, and no engine may get more than it has slots.
+// are learned, and with an oracle that knows them all at any moment. What is learned must be
+// worth nearly as much as what the oracle knows, with two fifths of its gain at least, and no
+// engine may get more than it has slots.
 func TestLoadFollowsSpeed(t *testing.T) {
-	for _, size := range []struct{ instances, engines int }{{66, 60}, {300, 276}} {
+	for _, size := range []struct{ instances, engines, days int }{{66, 60, 3}, {300, 276, 1}} {
 		for _, sc := range scenarios {
 			length := 16 * time.Second
 			if size.instances > 66 {
@@ -346,18 +350,23 @@
 				share := map[chooser]float64{}
 				busiest := map[chooser]int{}
 				for _, c := range []chooser{unweighed, learned, oracle} {
-					d := newDay(c, size.instances, size.engines)
-					d.garbled, d.zone = sc.garbled, sc.zone(d)
-					if sc.happens != nil {
-						d.happens = sc.happens
+					for seed := range size.days {
+						d := newDay(c, size.instances, size.engines)
+						d.random = rand.New(rand.NewPCG(uint64(seed), 9))
+						d.garbled, d.zone = sc.garbled, sc.zone(d)
+						if sc.happens != nil {
+							d.happens = sc.happens
+						}
+						d.run(length)
+						share[c] += float64(d.inTime) / float64(d.requests*size.days)
+						busiest[c] = max(busiest[c], d.busiest)
 					}
-					d.run(length)
-					share[c], busiest[c] = float64(d.inTime)/float64(d.requests), d.busiest
 				}
 				t.Logf("in time: %.3f as alike, %.3f learned, %.3f oracle (learned to oracle %.3f); busiest engine %d, %d, %d requests",
 					share[unweighed], share[learned], share[oracle], share[learned]/share[oracle], busiest[unweighed], busiest[learned], busiest[oracle])
-				if share[learned] < 0.95*share[oracle] || share[learned] < share[unweighed] {
-					t.Error("what is learned is worth too little")
+				gained := (share[learned] - share[unweighed]) / (share[oracle] - share[unweighed])
+				if share[learned] < 0.95*share[oracle] || gained < 0.4 {
+					t.Errorf("what is learned is worth too little: %.2f of what the oracle gains", gained)
 				}
 				if busiest[learned] > 48 {
 					t.Errorf("an engine with 48 slots gets %d requests", busiest[learned])
--- a/internal/speed/shared.go
+++ b/internal/speed/shared.go
@@ -214,7 +214,7 @@
 func (b *Book) Play(p Part) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.shared.init()
+	b.init()
 	same := b.part.Zone == p.Zone && b.part.Relaying == p.Relaying && b.part.Relayed == p.Relayed && maps.Equal(b.part.First, p.First)
 	if !same {
 		b.part = p
@@ -228,7 +228,7 @@
 func (b *Book) Changes(scope Scope, after uint64, receiver string) ([]Statement, uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.shared.init()
+	b.init()
 	now := b.Now()
 	b.publish(now)
 	after = fromCursor(scope, after)
@@ -269,7 +269,7 @@
 func (b *Book) Merge(from Source, statements []Statement, number uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.shared.init()
+	b.init()
 	now := b.Now()
 	s := b.sources[from.ID]
 	if s == nil || s.Source != from {
--- a/internal/speed/shared_test.go
+++ b/internal/speed/shared_test.go
@@ -179,7 +179,7 @@
 				}
 				m.tick()
 			}
-			wrong, busiest, least := 0, 0, math.Inf(1)
+			wrong, least := 0, math.Inf(1)
 			var bytes []int
 			for _, i := range m.all {
 				view := i.book.View("models")
@@ -198,8 +198,7 @@
 				}
 			}
 			slices.SortFunc(bytes, cmp.Compare[int])
-			busiest = bytes[len(bytes)-1]
-			median := bytes[len(bytes)/2]
+			busiest, median := bytes[len(bytes)-1], bytes[len(bytes)/2]
 			t.Logf("%d instances, %d targets: %.1f%% of estimates off by over a quarter, %.0f to %d samples known; bytes a second: median %d, busiest %d",
 				size.instances, size.targets, 100*float64(wrong)/float64(size.instances*size.targets), least, observed, median, busiest)
 			if float64(wrong) > 0.05*float64(size.instances*size.targets) {
--- a/internal/speed/usual.go
+++ b/internal/speed/usual.go
@@ -63,12 +63,9 @@
 	}
 }
 
-// log returns the logarithm of the usual time in seconds; false if nothing is known.
-func (u *usual) log(k Kind, l Load) (float64, bool) {
-	if u.samples[k] == 0 {
-		return 0, false
-	}
-	return math.Log(l.Nominal.Seconds()) + u.factor[k] + u.level[k][l.level(k)].factor, true
+// log returns the logarithm of the usual time in seconds.
+func (u *usual) log(k Kind, l Load) float64 {
+	return math.Log(l.Nominal.Seconds()) + u.factor[k] + u.level[k][l.level(k)].factor
 }
 
 // learn adds a sample whose time was excess above the usual one, as logarithms, of which
