--- a/internal/speed/shared_test.go
+++ b/internal/speed/shared_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -298,3 +299,45 @@
 		}
 	}
 }
+
+// BenchmarkBookOfARelay measures the memory of what a relay knows of 300 targets from 100
+// instances, by entry, and the time to state what changed.
+func BenchmarkBookOfARelay(b *testing.B) {
+	const instances, targets = 100, 300
+	now := time.Unix(1000, 0)
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	book := &speed.Book{Now: func() time.Time { return now }}
+	book.Play(speed.Part{Zone: "zone-0", Relaying: true})
+	for i := range instances {
+		id := fmt.Sprint("instance-", i)
+		m := &speed.Message{}
+		for t := range targets {
+			m.Processes = append(m.Processes, uint32(t+1))
+			m.MomentMeans, m.MomentWeights = append(m.MomentMeans, 10), append(m.MomentWeights, 10)
+			m.MadeMeans, m.MadeWeights = append(m.MadeMeans, 10), append(m.MadeWeights, 10)
+		}
+		for from := 0; from < targets; from += 60 {
+			part := &speed.Message{
+				Processes: m.Processes[from : from+60], MomentMeans: m.MomentMeans[from : from+60], MomentWeights: m.MomentWeights[from : from+60],
+				MadeMeans: m.MadeMeans[from : from+60], MadeWeights: m.MadeWeights[from : from+60],
+			}
+			statements, err := part.Statements(now)
+			if err != nil {
+				b.Fatal(err)
+			}
+			book.Merge(speed.Source{ID: id, Zone: "zone-0", Incarnation: id}, statements, uint64(from))
+		}
+	}
+	bytes := float64(heap() - before)
+	for b.Loop() {
+		now = now.Add(250 * time.Millisecond)
+		book.Changes(speed.ScopeOthers, 0, "instance-1")
+	}
+	b.ReportMetric(bytes/(instances*targets), "B/entry")
+}
