--- a/internal/forwarding/client.go
+++ b/internal/forwarding/client.go
@@ -19,6 +19,7 @@
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
 	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
 	"heatherrelay/internal/liveness"
+	"heatherrelay/internal/memory"
 	"heatherrelay/internal/upstream"
 )
 
@@ -45,6 +46,8 @@
 	Address netip.AddrPort
 	// SameZone is set when the peer is in this instance's availability zone.
 	SameZone bool
+	// Region is the peer's region; empty if it is not known.
+	Region string
 }
 
 // Client has peers carry out the attempts of this instance. It is safe for concurrent use.
@@ -55,8 +58,10 @@
 	Peers func(service string) []Peer
 	// Upstream is the client that the responses belong to.
 	Upstream *upstream.Client
-	Now      func() time.Time
-	Log      *zap.Logger
+	// Memory is charged for the copies of requests that are sent; nil means no bound.
+	Memory *memory.Account
+	Now    func() time.Time
+	Log    *zap.Logger
 
 	once sync.Once
 	http *http.Client
@@ -78,10 +83,17 @@
 // package upstream, and of ErrPeer unless they concern the target. A peer that cannot
 // reach the target may be cut off as well, so the next one is asked.
 func (c *Client) Do(ctx context.Context, target deployment.Target, request *upstream.Request, attempt *upstream.Attempt) (*upstream.Response, error) {
+	// The peer gets a copy of the request.
+	charge := c.Memory.Open(memory.Owner{}, func() {})
+	defer charge.Close()
+	charge.Complete()
+	if err := charge.Grow(int64(len(request.Body)), memoryPatience); err != nil {
+		return nil, upstream.ErrNotSent.Wrap(ErrPeer.Wrap(err))
+	}
 	asked := map[string]bool{}
 	failure := upstream.ErrNotSent.Wrap(ErrPeer.New("no peer to ask"))
 	for range maxPeers {
-		peer, ok := c.choose(target.Service, asked)
+		peer, ok := c.choose(target.Service, attempt.Regions, asked)
 		if !ok {
 			break
 		}
@@ -104,15 +116,15 @@
 	return nil, failure
 }
 
-// choose returns the peer to ask next: of those in the same zone, or of all if there is
+// choose returns the peer to ask next in one of the regions: of those in the same zone, or of all if there is
 // none there, the one with fewer attempts of two that are picked at random.
-func (c *Client) choose(service string, asked map[string]bool) (Peer, bool) {
+func (c *Client) choose(service string, regions deployment.Regions, asked map[string]bool) (Peer, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var near, all []Peer
 	now := c.Now()
 	for _, p := range c.Peers(service) {
-		if l, ok := c.links[p.ID]; asked[p.ID] || ok && now.Sub(l.failedAt) < peerFailureTime {
+		if l, ok := c.links[p.ID]; asked[p.ID] || !regions.Allows(p.Region) || ok && now.Sub(l.failedAt) < peerFailureTime {
 			continue
 		}
 		all = append(all, p)
@@ -229,7 +241,7 @@
 	asked := map[string]bool{}
 	outcomes := make(chan error, maxProbePeers)
 	for range maxProbePeers {
-		p, ok := c.choose(target.Service, asked)
+		p, ok := c.choose(target.Service, nil, asked)
 		if !ok {
 			break
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,12 +44,20 @@
 
 // trackedRequest counts a request as in flight at a target until end is called.
 // The zero value counts nothing, and ending it has no effect.
-type trackedRequest struct{ *inflight.TrackedRequest }
+type trackedRequest struct {
+	*inflight.TrackedRequest
+	// onEnd is called at the end; may be nil.
+	onEnd func()
+}
 
 func (r *trackedRequest) end() {
-	if r.TrackedRequest != nil {
-		r.End()
-		r.TrackedRequest = nil
+	if r.TrackedRequest == nil {
+		return
+	}
+	r.End()
+	r.TrackedRequest = nil
+	if r.onEnd != nil {
+		r.onEnd()
 	}
 }
 
@@ -64,7 +72,13 @@
 	// expectedStart is the estimated delay until the chosen engine starts the
 	// request.
 	expectedStart time.Duration
-	sample        speedSample
+	// assignedTo is the engine's assignment to the prompt; the zero value if it has none.
+	assignedTo assignedEngine
+	// cached is what the chosen engine is expected to hold of the prompt.
+	cached cachedPrompt
+	sample speedSample
+	// behindAll is set when the engine is to serve the request after all others.
+	behindAll bool
 	// waitedForLoad is set when the request waited for its adapter to load before
 	// this attempt.
 	waitedForLoad bool
@@ -148,6 +162,7 @@
 		e.forwardResponse(e.lastFailure)
 	default:
 		e.reserveForReturn(refused)
+		e.expectReturn(refused)
 		e.refuse(refused)
 	}
 }
@@ -172,6 +187,9 @@
 		if attempt == nil {
 			continue
 		}
+		if !e.stillOpen() {
+			continue
+		}
 		if !e.server.Limits.Take(e.target) {
 			e.recordStep("select", e.target.ID, "limit")
 			continue
@@ -259,12 +277,16 @@
 	if s.Detector.Health(e.target.ID) != outlier.Healthy {
 		s.Detector.RecordProbe(e.target.ID)
 	}
-	e.tracked = trackedRequest{s.Tracker.Begin(e.target.ID, e.request.Adapter, e.request.PromptTokens, e.request.OutputTokens)}
+	e.tracked = e.track()
+	e.tracked.SkipPrefill(e.cached.tokens)
 	s.Network.Holder.RecordUse(e.target.ID, e.request.Adapter, 1)
 	var ctx context.Context
 	ctx, e.cancelAttempt = context.WithCancelCause(e.ctx)
 	e.uncounted, e.sentAt, e.firstEventAt, e.soundRecorded = true, s.Now(), time.Time{}, false
 	response, err := s.Send(ctx, e.target, e.request, attempt)
+	if response != nil {
+		response.Hold = &e.responses
+	}
 	result := e.classify(response, err)
 	if h := e.settleHedge(result == attemptAnswered); h != nil {
 		if response != nil {
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -44,7 +44,8 @@
 	attempt := &upstream.Attempt{
 		Target:      target.ID,
 		Deadline:    e.remaining(),
-		Priority:    e.priority(),
+		Priority:    e.engineRank(),
+		Regions:     e.regions(),
 		LastEventID: e.lastEventID,
 
 		PossibleCauses: e.possibleCauses(),
@@ -85,16 +86,18 @@
 		Now:        s.Now(),
 
 		PromptTokens: e.request.PromptTokens,
+		GapObjective: e.route.GapObjective,
 	}
-	candidates := e.engineCandidates(service)
-	e.addSpeeds(&request, candidates)
-	request.WantedCopies = s.Demand.WantedCopies(request.Adapter, len(candidates))
-	candidates, choice, refused := e.chooseEngine(service, request, candidates)
+	candidates := e.weighedCandidates(service, &request)
+	candidates, choice, refused := e.admitToEngine(service, request, candidates)
 	if refused != nil {
 		return nil, refused
 	}
+	assigned := e.assignEngine(request, candidates, choice)
+	choice = assigned.Choice
 	target := candidates[choice.Index].Target
 	e.expectedStart = choice.Delay
+	e.recordCacheChoice(candidates, choice)
 	e.beginSample(&candidates[choice.Index], speed.Start, startLoad(&candidates[choice.Index], &request))
 	if choice.NeedsLoad {
 		result := s.Network.Load(e.ctx, e.request.ID, target, request.Adapter, request.Version)
@@ -111,9 +114,8 @@
 	if !e.waitForAdapter(target, request, attempt) {
 		return nil, nil
 	}
-	if s.StreamPauses.Frequent() {
-		e.pacePrompt(target, attempt)
-	}
+	e.pacePrompt(assigned, request, candidates, attempt)
+	e.cached.setVersion(attempt)
 	if !s.Availability.Available(target) {
 		e.recordStep("select", target.ID, "unavailable")
 		return nil, nil
@@ -121,19 +123,6 @@
 	return attempt, nil
 }
 
-// pacePrompt reserves time on the engine for the prompt and delays the attempt
-// until the engine should have processed the prompts reserved before it.
-func (e *exchange) pacePrompt(target deployment.Target, attempt *upstream.Attempt) {
-	delay := e.server.Network.ReservePrompt(e.ctx, target, e.request.PromptTokens)
-	if delay > 0 {
-		e.recordStep("pace", target.ID, delay.String())
-		// The sleep ends early only if the exchange is cancelled, which the attempt
-		// itself detects.
-		_ = wait.Sleep(e.ctx, delay)
-	}
-	attempt.Deadline = e.remaining()
-}
-
 // requestCopy requests the load of an additional copy of an adapter, for later
 // requests. It does not wait for the load.
 func (e *exchange) requestCopy(target deployment.Target, request placement.Request) {
@@ -212,8 +201,9 @@
 func (e *exchange) candidates(service *deployment.Service) []placement.Candidate {
 	s := e.server
 	var candidates []placement.Candidate
+	withheld := e.newWithheld()
 	for id, t := range s.Catalog.Targets() {
-		if t.Service != service.Name || t.Draining || e.excluded[id] || !e.admits(t) || !s.Availability.Available(t) || s.Limits.Wait(t) > 0 {
+		if t.Service != service.Name || t.Draining || e.excluded[id] || !e.admits(t) || !s.Availability.Available(t) || withheld.skips(t) || s.Limits.Wait(t) > 0 {
 			continue
 		}
 		candidates = append(candidates, placement.Candidate{
@@ -224,6 +214,7 @@
 			Slots:      t.Slots,
 		})
 	}
+	e.recordWithheld(withheld, len(candidates))
 	return candidates
 }
 
@@ -234,10 +225,15 @@
 func (e *exchange) retryAfter(service *deployment.Service, delay time.Duration) time.Duration {
 	s := e.server
 	var delays []time.Duration
+	withheld := e.newWithheld()
 	for _, t := range s.Catalog.Targets() {
 		if t.Service != service.Name || t.Draining || !e.admits(t) || s.Availability.Leaving(t) {
 			continue
 		}
+		if withheld.skips(t) {
+			delays = append(delays, withheld.retryAfter(t, delay))
+			continue
+		}
 		pause := max(s.Availability.PausedFor(t), s.Limits.Wait(t))
 		if pause == 0 || pause == throttle.OthersOnly {
 			pause = delay
@@ -250,6 +246,16 @@
 	return slices.Min(delays)
 }
 
+// weighedCandidates returns the candidates of an engine service with what is known of their
+// speed and of what they hold of the prompt, and completes the request to placement.
+func (e *exchange) weighedCandidates(service *deployment.Service, request *placement.Request) []placement.Candidate {
+	candidates := e.engineCandidates(service)
+	e.addSpeeds(request, candidates)
+	request.WantedCopies = e.server.Demand.WantedCopies(request.Adapter, len(candidates))
+	e.chooseByCache(request, candidates)
+	return candidates
+}
+
 // engineCandidates returns the candidates of an engine service, with their
 // capacity and the state of the request's adapter on each.
 func (e *exchange) engineCandidates(service *deployment.Service) []placement.Candidate {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -15,13 +16,15 @@
 	"heatherrelay/internal/catalog"
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/evacuation"
 	"heatherrelay/internal/inflight"
+	"heatherrelay/internal/memory"
 	"heatherrelay/internal/origin"
 	"heatherrelay/internal/outlier"
 	"heatherrelay/internal/peer"
 	"heatherrelay/internal/placement"
+	"heatherrelay/internal/promptcache"
 	"heatherrelay/internal/quota"
-	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/retry"
 	"heatherrelay/internal/speed"
 	"heatherrelay/internal/throttle"
@@ -60,13 +63,27 @@
 	// Processes knows which processes of targets run, as far as they were met.
 	Processes *origin.Processes
 	// Limits holds the limits that targets state.
-	Limits    *throttle.Limiter
-	Tracker   *inflight.Tracker
-	Directory *placement.Directory
-	Demand    *placement.Demand
+	Limits *throttle.Limiter
+	// RegionOf holds the region of each zone.
+	RegionOf map[string]string
+	// Evacuations knows the zones whose targets get nothing.
+	Evacuations *evacuation.Zones
+	Tracker     *inflight.Tracker
+	Directory   *placement.Directory
+	Demand      *placement.Demand
+	// PromptCache knows what engines still hold of prompts. CachesPrompts reports whether
+	// engines of a service are chosen for that; if it is nil, none are.
+	PromptCache   *promptcache.State
+	CachesPrompts CachesPrompts
+	// CompetesFor reports whether callers of a service compete by urgency for its engines;
+	// nil if for none.
+	CompetesFor func(configuration *deployment.Configuration, service string) bool
 	// StreamPauses records whether streams paused for longer than their objective;
 	// if many did, prompts are paced.
 	StreamPauses placement.PauseMonitor
+	// AssignsPrompts reports whether prompts for a service's engines are assigned by the
+	// instance that holds the lease for them; nil means for none.
+	AssignsPrompts func(configuration *deployment.Configuration, service string) bool
 	// Speeds is what is known of the speeds of targets. WeighSpeeds reports whether those
 	// of a service are compared by them; nil means that none are.
 	Speeds      *speed.Book
@@ -77,6 +94,8 @@
 	Send func(ctx context.Context, target deployment.Target, request *upstream.Request, attempt *upstream.Attempt) (*upstream.Response, error)
 	// Forwarded returns the number of attempts that this instance carries out for peers.
 	Forwarded func() int
+	// Memory is charged for the bodies of requests and responses; nil means no bound.
+	Memory *memory.Account
 	// OnFailure is called when a target was silent or gave no complete response.
 	OnFailure func(deployment.Target)
 	// Availability records whether targets state that they take requests. The calls to
@@ -92,11 +111,16 @@
 	// is not. During shutdown each connection is closed after its response.
 	Leaving func() (time.Duration, bool)
 	Metrics *Metrics
-	Now     func() time.Time
-	Log     *zap.Logger
+	// CutClients counts the clients that were cut since they did not take their responses,
+	// ClosedConnections the connections that were closed since there are too many.
+	CutClients, ClosedConnections atomic.Uint64
+	Now                           func() time.Time
+	Log                           *zap.Logger
 
 	connections activeConnections
 	scarcity    scarcity
+	promptRates promptRates
+	admissions  admissions
 }
 
 // Serve serves clients on a listener until the listener is closed. Connections that
@@ -106,6 +130,8 @@
 		Handler:                       s.handle,
 		ConnState:                     s.connections.observe,
 		MaxRequestBodySize:            maxBodyBytes,
+		StreamRequestBody:             true,
+		DisablePreParseMultipartForm:  true,
 		ReadBufferSize:                maxHeaderBytes,
 		ReadTimeout:                   readTimeout,
 		IdleTimeout:                   idleTimeout,
@@ -115,7 +141,7 @@
 		DisableHeaderNamesNormalizing: true,
 		Logger:                        discardLogger{},
 	}
-	return server.Serve(&retryingListener{Listener: listener, log: s.Log})
+	return server.Serve(&retryingListener{Listener: &clientListener{Listener: listener, memory: s.Memory, cuts: &s.CutClients, closed: &s.ClosedConnections, log: s.Log}, log: s.Log})
 }
 
 // discardLogger drops the log lines of the HTTP library: the gateway logs every
@@ -140,29 +166,21 @@
 
 // handle serves one request.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
-	startedAt := s.Now()
+	request, err := s.DecodeRequest(&c.Request.Header, nil)
+	e := &exchange{server: s, client: c, request: request, startedAt: s.Now()}
+	e.progress = &progress{responses: memory.Hold{Account: s.Memory}}
+	c.Response.Header.DisableNormalizing()
+	refused := e.receive(err)
 	s.Metrics.inFlight.Add(1)
-	request, err := s.DecodeRequest(&c.Request.Header, c.Request.Body())
-	e := &exchange{server: s, client: c, request: request, startedAt: startedAt}
-	e.progress = &progress{}
 	defer e.finish()
-	leavingFor, leaving := s.Leaving()
-	if leaving {
-		c.SetConnectionClose()
-	}
-	c.Response.Header.DisableNormalizing()
-	if err != nil {
-		e.refuse(invalidRequest(err))
-		return
-	}
-	if leaving && leavingFor > shutdownAdmissionPeriod {
-		e.refuse(refusal.NotRun(refusal.CodeShuttingDown, "the instance shuts down").WithRetryAfter(retryElsewhere))
-		return
+	if refused == nil {
+		refused = e.admit()
 	}
-	if refused := e.admit(); refused != nil {
+	if refused != nil {
 		e.refuse(refused)
 		return
 	}
+	setServing(c.Conn(), true)
 	e.deliver()
 }
 
--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -52,7 +52,7 @@
 	if !e.weighsSpeeds() {
 		return
 	}
-	request.WeighSpeeds, request.GapObjective = true, e.route.GapObjective
+	request.WeighSpeeds = true
 	view := e.server.Speeds.View(e.service)
 	for i := range candidates {
 		c := &candidates[i]
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,6 +37,7 @@
 	s.timeToFirstEvent = e.server.Now().Sub(e.startedAt)
 	e.server.Metrics.firstEvent.Observe(s.timeToFirstEvent.Seconds())
 	e.writeHead(&e.response.ResponseHead)
+	s.endLimit = limitStall(e.client.Conn())
 	e.streaming = true
 	e.client.Response.ImmediateHeaderFlush = true
 	e.client.Response.SetBodyStream(s, -1)
@@ -64,6 +65,8 @@
 	// the longest time between two events.
 	timeToFirstEvent, longestPause time.Duration
 	lastEventAt                    time.Time
+	// endLimit ends the limit on how far the client may be behind.
+	endLimit func()
 }
 
 // attach makes the exchange's response the source of further events.
@@ -103,6 +106,9 @@
 	if s.events == 0 || s.resumes > 0 {
 		s.tracked.ObserveFirstEvent()
 	}
+	if s.events == 0 {
+		s.observePrompt(s.server.Now())
+	}
 	s.lastEventID = event.ID
 	s.bindToTarget()
 	s.recordPause()
@@ -192,6 +198,7 @@
 // Close ends the exchange. The HTTP server calls it after the last byte was
 // written or after the client's connection failed.
 func (s *stream) Close() error {
+	s.endLimit()
 	s.response.Close()
 	outcome := "streamed"
 	if !errors.Is(s.err, io.EOF) {
@@ -200,6 +207,7 @@
 	if gap := s.route.GapObjective; gap > 0 && s.resumes == 0 {
 		s.server.StreamPauses.Observe(s.longestPause > gap)
 	}
+	s.recordRun()
 	s.server.Metrics.observeResponse(s.response.Status, s.server.Now().Sub(s.startedAt))
 	s.logOutcome(outcome, append(s.speedFields(), targetField(s.target.ID), s.versionField(), framingField(&s.response.ResponseHead), zap.Int("events", s.events), zap.Duration("first_event", s.timeToFirstEvent),
 		zap.Duration("longest_pause", s.longestPause), zap.Duration("expected_start", s.expectedStart), zap.Int("resumed", s.resumes),
--- a/internal/gatewayinstance/forwarding.go
+++ b/internal/gatewayinstance/forwarding.go
@@ -22,13 +22,13 @@
 // assembleForwarding creates the components that send attempts to targets, directly or
 // through peers. The network, the crash ledger and the server must exist.
 func (i *Instance) assembleForwarding() {
-	i.forwardClient = &forwarding.Client{Peers: i.forwardingPeers, Upstream: i.client, Now: clock.Now, Log: i.Log}
+	i.forwardClient = &forwarding.Client{Peers: i.forwardingPeers, Upstream: i.client, Memory: i.memory, Now: clock.Now, Log: i.Log}
 	i.reach = &reach.Monitor{
 		Zone: i.Settings.Zone, Probe: i.client.Probe, PeerProbe: i.forwardClient.Probe, Targets: i.catalog.Targets, OnChange: i.pathChanged, Now: clock.Now, Log: i.Log,
 	}
 	i.client.OnConnect, i.client.OnSkipped = i.reach.RecordConnected, i.logSkipped
 	monitor := &liveness.Monitor{Open: i.client.Open, Probe: i.client.Probe, OnFinding: i.countFindings(), Log: i.Log}
-	direct := &forwarding.Direct{Upstream: i.client, Limits: i.limits, Liveness: monitor}
+	direct := &forwarding.Direct{Upstream: i.client, Limits: i.limits, Liveness: monitor, Withheld: i.withheld}
 	sender := &forwarding.Sender{Direct: direct, Reach: i.reach, Peers: i.forwardClient, TargetAt: i.targetAt}
 	i.server.Send, i.server.OnFailure = sender.Do, i.reach.Suspect
 	i.crashDetector.Probe = sender.Probe
@@ -39,6 +39,7 @@
 		Blocked:      i.requestBlocked,
 		Unable:       i.unableToForward,
 		Cut:          i.reach.Cut,
+		Memory:       i.memory,
 		Log:          i.Log,
 	}
 	i.server.Forwarded = i.forwardServer.InFlight
@@ -73,7 +74,7 @@
 func (i *Instance) forwardingPeers(service string) []forwarding.Peer {
 	var peers []forwarding.Peer
 	for _, m := range i.network.ReachingService(service) {
-		peers = append(peers, forwarding.Peer{ID: m.ID, Address: m.Address, SameZone: m.Zone == i.Settings.Zone})
+		peers = append(peers, forwarding.Peer{ID: m.ID, Address: m.Address, SameZone: m.Zone == i.Settings.Zone, Region: i.Settings.Zones[m.Zone]})
 	}
 	return peers
 }
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -21,14 +21,17 @@
 	"heatherrelay/internal/clock"
 	"heatherrelay/internal/crash"
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/evacuation"
 	"heatherrelay/internal/forwarding"
 	"heatherrelay/internal/gateway"
 	"heatherrelay/internal/inflight"
+	"heatherrelay/internal/memory"
 	"heatherrelay/internal/origin"
 	"heatherrelay/internal/outlier"
 	"heatherrelay/internal/peer"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/platformstore"
+	"heatherrelay/internal/promptcache"
 	"heatherrelay/internal/quota"
 	"heatherrelay/internal/reach"
 	"heatherrelay/internal/retry"
@@ -36,6 +39,7 @@
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/internal/wait"
+	"heatherrelay/internal/warmup"
 )
 
 // The kinds of the objects that instances write to the store.
@@ -96,22 +100,30 @@
 	// oddCrashes logs the stored reports that cannot be decoded.
 	oddCrashes oddObjects
 
-	catalog   *catalog.Catalog
-	network   *peer.Network
-	holder    *placement.Holder
-	lease     *placement.Lease
-	directory *placement.Directory
-	prompts   *placement.PromptPacer
-	detector  *outlier.Detector
-	speeds    *speed.Book
-	origins   *origin.Table
-	versions  *origin.Versions
+	catalog     *catalog.Catalog
+	network     *peer.Network
+	holder      *placement.Holder
+	lease       *placement.Lease
+	directory   *placement.Directory
+	prompts     *placement.PromptPacer
+	promptCache *promptcache.State
+	detector    *outlier.Detector
+	origins     *origin.Table
+	versions    *origin.Versions
+	speeds      *speed.Book
 	// versionsReading is when the versions in the store were last read.
 	versionsReading versionsReading
 	crashes         *crash.Ledger
 	// crashDetector finds crashed targets.
 	crashDetector *crash.Detector
 	limits        *throttle.Limiter
+	// beats notices suspensions of the process.
+	beats       clock.Beats
+	evacuations *evacuation.Zones
+	// cold knows the cold targets; nil if these are not limited.
+	cold *warmup.Targets
+	// evacuatedZones is a gauge for each evacuated zone.
+	evacuatedZones *prometheus.GaugeVec
 	// reach knows the targets that this instance reaches only through peers.
 	// forwardClient has peers carry out attempts at these, forwardServer carries out
 	// those of peers.
@@ -124,6 +136,8 @@
 	budget         *retry.Budget
 	client         *upstream.Client
 	server         *gateway.Server
+	// memory bounds the bodies of requests and responses.
+	memory *memory.Account
 }
 
 // Platform holds the parts of an instance that depend on the platform's protocols.
@@ -207,6 +221,9 @@
 	i.crashDetector = &crash.Detector{Ledger: i.crashes, Now: clock.Now}
 	kinds := i.Kinds
 	kinds.Crashes = crashKind
+	if s.EvacuationLimit.Duration <= 0 {
+		kinds.Evacuations = ""
+	}
 	i.catalog = &catalog.Catalog{
 		Kinds:               kinds,
 		SanitizeCrashes:     i.sanitizeCrashes,
@@ -217,11 +234,13 @@
 		DecodeTarget:        i.Platform.Decoders.DecodeTarget,
 		DecodeVersion:       i.Platform.Decoders.DecodeVersion,
 		OnTargetsChange:     i.applyTargets,
+		OnEvacuationsChange: i.applyEvacuations,
 		TrimTarget:          i.Platform.Decoders.TrimTarget,
 		ReadsForPeers:       func() bool { return i.network.ReadsStore() },
 		Bootstrap:           s.Bootstrap,
 		ConfigurationLimit:  s.ConfigurationLimit.Duration,
 		TargetsLimit:        s.TargetsLimit.Duration,
+		EvacuationLimit:     s.EvacuationLimit.Duration,
 		Now:                 clock.Now,
 		Log:                 i.Log,
 	}
@@ -260,16 +279,24 @@
 	i.client = i.Platform.Client
 	i.server = i.Platform.Gateway
 	i.server.Availability.Now, i.server.Availability.Log = clock.Now, i.Log
-	i.server.Zone, i.server.KeyLimit = s.Zone, s.KeyLimit.Duration-keyMargin
+	i.server.Zone, i.server.RegionOf, i.server.KeyLimit = s.Zone, s.Zones, s.KeyLimit.Duration-keyMargin
 	i.server.Catalog, i.server.Network, i.server.Meter, i.server.Budget = i.catalog, i.network, i.meter, i.budget
 	i.server.Detector, i.server.Tracker, i.server.Directory, i.server.Upstream = i.detector, tracker, i.directory, i.client
 	i.server.Demand = &placement.Demand{Now: clock.Now}
+	i.server.AssignsPrompts = s.Decisions.Prompts.For()
 	i.server.Leaving, i.server.Now, i.server.Log = i.leavingFor, clock.Now, i.Log
 	i.server.Metrics = gateway.NewMetrics(i.Registry)
+	i.memory = i.newMemoryAccount()
+	i.server.Memory = i.memory
+	i.server.CompetesFor = s.Decisions.Admission.For()
 	i.server.Crashes, i.server.CrashDetector = i.crashes, i.crashDetector
 	i.assembleOrigins()
 	i.assembleCrashes()
 	i.assembleLimits()
+	i.assembleEvacuations()
+	i.assembleCold()
+	i.promptCache = &promptcache.State{Now: clock.Now}
+	i.server.PromptCache, i.server.CachesPrompts = i.promptCache, s.Decisions.PromptCache.For()
 	i.assembleSpeeds()
 	i.assembleForwarding()
 	i.registerMetrics()
@@ -301,10 +328,14 @@
 func (i *Instance) applyTargets(listed map[deployment.TargetID]deployment.Target) {
 	i.directory.Retain(listed)
 	i.prompts.Retain(listed)
+	i.promptCache.Retain(listed)
 	i.detector.Retain(listed)
 	i.speeds.Retain(listed)
 	i.crashDetector.RecordTargets(listed)
 	i.limits.Retain(listed)
+	if i.cold != nil {
+		i.cold.Apply(listed)
+	}
 	i.server.Availability.Retain(listed)
 	i.observeVersions(listed)
 }
@@ -389,10 +420,10 @@
 // leaving reports whether the instance is shutting down.
 func (i *Instance) leaving() bool { return i.shutdownStartedAt.Load() != nil }
 
-// isReady reports whether requests can be served: the configuration and targets are
-// known, and the instance is not shutting down.
+// isReady reports whether requests can be served: the configuration, the targets and the
+// evacuated zones are known, and the instance is not shutting down.
 func (i *Instance) isReady() bool {
-	ready := !i.leaving() && i.catalog.Configuration() != nil && len(i.catalog.Targets()) > 0
+	ready := !i.leaving() && i.catalog.Configuration() != nil && len(i.catalog.Targets()) > 0 && i.evacuations.Known()
 	if i.lastReady.Swap(ready) != ready {
 		i.Log.Info("readiness changed", zap.Bool("ready", ready))
 	}
@@ -430,6 +461,7 @@
 			return
 		case <-ticker.C:
 		}
+		i.beats.Beat()
 		i.client.CloseExpiredIdle(time.Now())
 		i.origins.RemoveExpired()
 		i.crashes.Maintain()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -33,6 +34,7 @@
 	n.addMembers(request.GetMembers(), n.Now())
 	n.mergeCrashes(request.GetCrashes())
 	n.mergeLimits(request.GetLimits())
+	n.receiveSpeeds(request.GetSender(), request.GetSpeeds(), request.GetSpeedsChange())
 	response := &v1.ExchangeResponse{ProtocolVersion: protocolVersion, Beliefs: n.newerReplicas(request.GetBeliefs(), version)}
 	n.addState(response, request, requester)
 	if version == 0 {
@@ -41,7 +43,7 @@
 	if o, ok := n.Catalog.RetainedConfiguration(request.GetConfigurationVersion()); ok {
 		response.RetainedConfiguration = objectMessage(o)
 	}
-	n.addNotices(response, request)
+	n.addNotices(response, request, requester)
 	return response, nil
 }
 
@@ -84,6 +86,21 @@
 	return &v1.ReservePromptResponse{DelayMs: delay.Milliseconds()}, nil
 }
 
+// AssignPrompt chooses the engine for a prompt out of those that this instance assigns
+// prompts to.
+func (s *server) AssignPrompt(_ context.Context, request *v1.AssignPromptRequest) (*v1.AssignPromptResponse, error) {
+	offers, err := offersFrom(request)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	a := s.network.Prompts.Assign(offers, placement.AssignmentLimits{
+		Objective: time.Duration(request.GetObjectiveMs()) * time.Millisecond,
+		MaxDelay:  time.Duration(request.GetMaxDelayMs()) * time.Millisecond,
+		MaxWait:   time.Duration(request.GetMaxWaitMs()) * time.Millisecond,
+	})
+	return &v1.AssignPromptResponse{Index: uint32(a.Index), DelayMs: a.Delay.Milliseconds(), WaitMs: a.Wait.Milliseconds(), Assigned: a.Assigned}, nil
+}
+
 // replicaStates describes how new this instance's replicas are.
 func (n *Network) replicaStates() []*v1.BeliefState {
 	var states []*v1.BeliefState
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,7 +63,10 @@
 	// Tokens are those of the prompt and the output, PromptTokens those of the prompt.
 	Tokens       int
 	PromptTokens int
-	Zone         string
+	// Shared is the beginning of the prompt that other requests may have too. Engines are
+	// chosen for what they still hold of prompts only if it is set.
+	Shared *SharedPrompt
+	Zone   string
 	// Priority is the request's rank, 0 is the most urgent. Objective is the time within
 	// which the first event is wanted, Remaining the time left until the deadline; zero
 	// is unknown.
@@ -132,6 +136,14 @@
 	startScale float64
 }
 
+// Factor returns how many times as long as a usual target the target takes.
+func (s Speed) Factor() float64 {
+	if s.Slowness <= 0 {
+		return 1
+	}
+	return s.Slowness
+}
+
 // loadDelay estimates the time until the adapter is loaded.
 func (c *Candidate) loadDelay() time.Duration {
 	if c.Warm {
@@ -154,6 +166,8 @@
 	// CopyIndex is the index of the engine that should load another copy of the
 	// adapter for later requests; -1 if none should.
 	CopyIndex int
+	// Home is set when hashing prefers the engine for the beginning of the prompt.
+	Home bool
 }
 
 // Choose returns the engine for a request: the one with the adapter where the
@@ -175,7 +189,7 @@
 	if len(copies) == 0 {
 		return preferred, hasPreferred
 	}
-	best := soonest(request, copies)
+	best := soonestOrCheapest(request, candidates, copies)
 	if !hasPreferred {
 		return best, true
 	}
@@ -196,7 +210,13 @@
 
 // findCopies returns the engines on which the adapter is loaded or loading.
 func findCopies(request Request, candidates []Candidate, worstHealth outlier.Health) []Choice {
-	var copies []Choice
+	holders := 0
+	for i := range candidates {
+		if candidates[i].Resident != nil || request.Adapter.Adapter == "" {
+			holders++
+		}
+	}
+	copies := make([]Choice, 0, holders)
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Health > worstHealth || !c.HasModel || !c.canServe(&request) {
@@ -211,6 +231,14 @@
 	return copies
 }
 
+// soonestOrCheapest returns the copy for a request.
+func soonestOrCheapest(request Request, candidates []Candidate, copies []Choice) Choice {
+	if request.Shared != nil {
+		return cheapest(request, candidates, copies)
+	}
+	return soonest(request, copies)
+}
+
 // soonest returns the copy on which the request starts soonest, out of two that
 // are picked at random if there are more. Counts of requests in flight arrive
 // late, so that with a comparison of all copies every instance would send to the
@@ -291,7 +319,7 @@
 // those that pass the filter and cost no more than maxCost.
 func hashPreferred(request Request, candidates []Candidate, maxCost time.Duration, filter func(*Candidate) bool) (Choice, bool) {
 	adapterHash := xxhash.Sum64String(request.Adapter.Model + "/" + request.Adapter.Adapter)
-	best, bestScore, found := Choice{NeedsLoad: true, CopyIndex: -1}, uint64(0), false
+	best, bestScore, found := Choice{NeedsLoad: true, CopyIndex: -1}, 0.0, false
 	for i := range candidates {
 		c := &candidates[i]
 		if !filter(c) {
@@ -301,7 +329,7 @@
 		if cost > maxCost {
 			continue
 		}
-		if score := rendezvousScore(adapterHash, string(c.ID)); !found || score > bestScore {
+		if score := c.hashRank(adapterHash); !found || score > bestScore {
 			best.Index, best.cost, best.Full = i, cost, c.full(&request)
 			bestScore, found = score, true
 		}
@@ -313,6 +341,15 @@
 	return best, found
 }
 
+// hashRank returns the engine's rank for an adapter by weighted rendezvous hashing: a faster
+// engine is preferred for more adapters. Engines that are alike rank by the hash alone.
+func (c *Candidate) hashRank(adapterHash uint64) float64 {
+	const mantissa = 53
+	uniform := (float64(rendezvousScore(adapterHash, string(c.ID))>>(64-mantissa)) + 0.5) / (1 << mantissa)
+	speed := 1 / c.Speed.slowness()
+	return speed * speed / -math.Log(uniform)
+}
+
 // rendezvousScore returns the rank of a target for an adapter.
 func rendezvousScore(adapterHash uint64, target string) uint64 {
 	var b [8]byte
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -41,6 +41,8 @@
 	// PromptParts are the ids of the parts of the prompt, in their order. Requests share
 	// parts; the last part is the request's own, or that of its session.
 	PromptParts []string
+	// PromptPartTokens holds the tokens of each of PromptParts.
+	PromptPartTokens []int
 	// LastEventID is the id of the event after which the client resumes a stream.
 	LastEventID string
 	// ResumedID is the id of the request that brought the first event of the stream
@@ -72,6 +74,8 @@
 	// LastEventID is the id of the event after which the stream resumes; empty if
 	// it starts from the beginning.
 	LastEventID string
+	// Regions are those of the instances to which the request may be forwarded.
+	Regions deployment.Regions
 	// PossibleCauses are what is to blame if the target crashes: the digest of the request
 	// and the shared parts of its prompt. They are not sent to the target.
 	PossibleCauses []string
