--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -55,7 +55,7 @@
 // pause estimates the longest pause of the engine's streams for the request: an engine
 // prefills the prompts that wait there in a row, between two events.
 func (c *Candidate) pause(request *Request) time.Duration {
-	return c.Speed.EventInterval + c.prefill(request)
+	return max(c.Speed.EventInterval, c.prefill(request))
 }
 
 // lateness returns how likely it is, from 0 to 1, that an objective is missed if a time is
