--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -64,13 +64,15 @@
 	Assigned bool
 }
 
-// AssignmentLimits are the limits on an assignment; zero means none.
+// AssignmentLimits are the limits on an assignment.
 type AssignmentLimits struct {
-	// Objective is the time in which the first event is wanted.
+	// Objective is the time in which the first event is wanted; zero means
+	// defaultObjective.
 	Objective time.Duration
-	// MaxDelay is the longest time to hold the prompt back, MaxWait the longest wait with
-	// which an engine is assigned.
-	MaxDelay, MaxWait time.Duration
+	// MaxDelay is the longest time to hold the prompt back; zero means maxPromptDelay.
+	MaxDelay time.Duration
+	// MaxWait is the longest wait with which an engine is assigned; zero means none.
+	MaxWait time.Duration
 }
 
 // Assign chooses the engine for a prompt, and reserves time there. Prompts that come together
@@ -106,10 +108,13 @@
 	if limits.MaxWait > 0 && wait > limits.MaxWait {
 		return Assignment{Index: best, Wait: wait}
 	}
-	delay := o.delay(wait)
-	if limits.MaxDelay > 0 && delay > limits.MaxDelay {
-		wait -= delay - limits.MaxDelay
-		delay = limits.MaxDelay
+	delay, maxDelay := o.delay(wait), limits.MaxDelay
+	if maxDelay <= 0 {
+		maxDelay = maxPromptDelay
+	}
+	if delay > maxDelay {
+		wait -= delay - maxDelay
+		delay = maxDelay
 	}
 	p.freeAt[o.Target] = now.Add(wait + time.Duration(prefillSpacing*float64(o.Prefill)))
 	return Assignment{Index: best, Delay: delay, Wait: wait, Assigned: true}
