--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -291,7 +291,7 @@
 	minCost, requests, engines, speeds := time.Duration(-1), 0, 0, 0.0
 	for i := range candidates {
 		if c := &candidates[i]; eligible(c) {
-			requests, engines, speeds = requests+c.Requests, engines+1, speeds+1/c.Speed.slowness()
+			requests, engines, speeds = requests+c.Requests, engines+1, speeds+1/c.Speed.Factor()
 			if cost := c.loadCost(&request); minCost < 0 || cost < minCost {
 				minCost = cost
 			}
@@ -301,7 +301,7 @@
 		return Choice{}, false
 	}
 	notBusy := func(c *Candidate) bool {
-		return eligible(c) && (c.Warm || float64(c.Requests)*c.Speed.slowness()*speeds <= float64(requests+engines))
+		return eligible(c) && (c.Warm || float64(c.Requests)*c.Speed.Factor()*speeds <= float64(requests+engines))
 	}
 	maxCost := minCost + preferredSlack
 	if preferred, ok := hashPreferred(request, candidates, maxCost, notBusy); ok {
@@ -346,7 +346,7 @@
 func (c *Candidate) hashRank(adapterHash uint64) float64 {
 	const mantissa = 53
 	uniform := (float64(rendezvousScore(adapterHash, string(c.ID))>>(64-mantissa)) + 0.5) / (1 << mantissa)
-	speed := 1 / c.Speed.slowness()
+	speed := 1 / c.Speed.Factor()
 	return speed * speed / -math.Log(uniform)
 }
 
--- a/internal/placement/choose_plain.go
+++ b/internal/placement/choose_plain.go
@@ -44,7 +44,7 @@
 	if requestTime == 0 {
 		requestTime = plainRequestTime
 	}
-	slowness := c.Speed.slowness()
+	slowness := c.Speed.Factor()
 	if !request.Repeatable {
 		slowness *= math.Exp(c.Speed.Uncertainty)
 	}
--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -12,14 +12,6 @@
 	return Speed{PrefillTokensPerMS: prefillTokensPerMS / (scale * slowness), Slowness: slowness, startScale: scale}
 }
 
-// slowness returns the slowness; 1 if nothing is known.
-func (s *Speed) slowness() float64 {
-	if s.Slowness == 0 {
-		return 1
-	}
-	return s.Slowness
-}
-
 // weighedStart estimates the time until the first event of the request: the engine prefills
 // the prompts that wait there, and the request's own as far as it is not cached.
 func (c *Candidate) weighedStart(request *Request) time.Duration {
@@ -27,7 +19,7 @@
 	if scale == 0 {
 		scale = 1
 	}
-	return c.prefill(request) + time.Duration(float64(c.Requests)*scale*c.Speed.slowness()*float64(requestDelay))
+	return c.prefill(request) + time.Duration(float64(c.Requests)*scale*c.Speed.Factor()*float64(requestDelay))
 }
 
 // prefill estimates for how long the engine prefills the prompts that wait there and the
@@ -35,7 +27,7 @@
 func (c *Candidate) prefill(request *Request) time.Duration {
 	rate := c.Speed.PrefillTokensPerMS
 	if rate == 0 {
-		rate = prefillTokensPerMS / c.Speed.slowness()
+		rate = prefillTokensPerMS / c.Speed.Factor()
 	}
 	tokens := c.WaitingTokens + max(request.PromptTokens-c.CachedTokens, 0)
 	return time.Duration(float64(tokens) / rate * float64(time.Millisecond))
