--- a/internal/speed/book.go
+++ b/internal/speed/book.go
@@ -138,23 +138,24 @@
 }
 
 func (s *service) newView(known *shared, now time.Time) *View {
-	v := &View{formedAt: now, usual: s.usual, targets: map[Process]Estimate{}}
-	evidence := map[Process]Evidence{}
-	var made []float64
+	v := &View{formedAt: now, usual: s.usual}
+	processes, evidence := make([]Process, 0, len(s.targets)), make([]Evidence, 0, len(s.targets))
+	made := make([]float64, 0, len(s.targets))
 	for p, key := range s.targets {
 		if e := known.total(key, now); e.made.weight >= minWeight {
-			evidence[p] = e
+			processes, evidence = append(processes, p), append(evidence, e)
 			log, _ := e.build()
 			made = append(made, log)
 		}
 	}
-	if len(evidence) < minTargets {
+	if len(made) < minTargets {
 		return v
 	}
 	slices.Sort(made)
 	v.reference = (made[(len(made)-1)/2] + made[len(made)/2]) / 2
-	for p, e := range evidence {
-		v.targets[p] = e.estimate(v.reference)
+	v.targets = make(map[Process]Estimate, len(processes))
+	for i, p := range processes {
+		v.targets[p] = evidence[i].estimate(v.reference)
 	}
 	return v
 }
