Speeds: engines of one make are compared as before

Change: engines are compared by speed only if those of a service differ by make, a factor of 1.8 between the slowest and the fastest tenth. Result: TestOnlyTargetsOfUnlikeMakeAreWeighed; measured next.

--- a/internal/gateway/speeds.go
+++ b/internal/gateway/speeds.go
@@ -47,13 +47,16 @@
 }
 
 // addSpeeds sets what is known of the speeds of engines, and what the choice of one needs of
-// the request.
+// the request, unless the engines are made alike.
 func (e *exchange) addSpeeds(request *placement.Request, candidates []placement.Candidate) {
 	if !e.weighsSpeeds() {
 		return
 	}
-	request.WeighSpeeds = true
 	view := e.server.Speeds.View(e.service)
+	if !view.Unlike() {
+		return
+	}
+	request.WeighSpeeds = true
 	for i := range candidates {
 		c := &candidates[i]
 		estimate := view.Of(&c.Target)
--- a/internal/speed/book.go
+++ b/internal/speed/book.go
@@ -23,6 +23,8 @@
 	viewInterval = 100 * time.Millisecond
 	// minTargets is the number of targets that must be known for a comparison.
 	minTargets = 2
+	// unlikeSpread is the spread from which targets differ by make, a factor of 1.8.
+	unlikeSpread = 0.6
 	// minWeight is the weight of the samples from which a target counts as known.
 	minWeight = 1.0
 )
@@ -77,8 +79,15 @@
 	targets  map[Process]Estimate
 	// reference is the logarithm of the slowness of the median target.
 	reference float64
+	// spread is the difference between the logarithms of how a slow and a fast target are
+	// made: one in ten is slower, and one in ten faster.
+	spread float64
 }
 
+// Unlike reports whether the targets differ so much by make that load should follow it. What
+// is learned of targets that are alike differs too, with the load that each of them has.
+func (v *View) Unlike() bool { return v.spread > unlikeSpread }
+
 func (b *Book) service(name string) *service {
 	if b.services == nil {
 		b.services = map[string]*service{}
@@ -153,6 +162,7 @@
 	}
 	slices.Sort(made)
 	v.reference = (made[(len(made)-1)/2] + made[len(made)/2]) / 2
+	v.spread = made[len(made)-1-len(made)/10] - made[len(made)/10]
 	v.targets = make(map[Process]Estimate, len(processes))
 	for i, p := range processes {
 		v.targets[p] = evidence[i].estimate(v.reference)
--- a/internal/speed/book_test.go
+++ b/internal/speed/book_test.go
@@ -178,3 +178,26 @@
 		}
 	}
 }
+
+// TestOnlyTargetsOfUnlikeMakeAreWeighed guards against load that moves between engines of one
+// make by what their load does to their answers, also while one of them is slow for a moment.
+func TestOnlyTargetsOfUnlikeMakeAreWeighed(t *testing.T) {
+	for name, c := range map[string]struct {
+		factors []float64
+		want    bool
+	}{
+		"alike":               {alike(20), false},
+		"one of twenty slow":  {append(alike(19), 4), false},
+		"slightly unlike":     {[]float64{1, 1, 1, 1, 1, 1, 1, 1, 1.3, 1.3, 1.3, 1.3}, false},
+		"three speeds":        {[]float64{0.6, 0.6, 0.6, 1, 1, 1, 1, 1.6, 1.6, 1.6}, true},
+		"nothing known of it": {nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, c.factors...)
+			f.run(3, 12*time.Second)
+			if got := f.book.View("models").Unlike(); got != c.want {
+				t.Errorf("unlike: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
