Assigned prompts: a request that probes an engine stays with it

Cause (found by reading): the holder is offered healthy engines only, so that a request which placement had chosen to probe an engine after its ejection was always moved to another one, and the engine would not have been found healthy again under load. Change: such a choice is not assigned. The metric of cached prompts counts a home again that the holder confirms.

--- a/internal/gateway/assign.go
+++ b/internal/gateway/assign.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherrelay/internal/deployment"
+	"heatherrelay/internal/outlier"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/upstream"
 	"heatherrelay/internal/wait"
@@ -71,11 +72,11 @@
 }
 
 // assignEngine has the lease holder of a zone choose among the engines that hold the
-// adapter. The choice stays as it is if the adapter is to be loaded first, or if no holder
-// assigns an engine.
+// adapter. The choice stays as it is if the adapter is to be loaded first, if the request
+// probes an engine that failed, or if no holder assigns an engine.
 func (e *exchange) assignEngine(request placement.Request, candidates []placement.Candidate, choice placement.Choice) assignedEngine {
 	unchanged := assignedEngine{Choice: choice}
-	if choice.NeedsLoad || !e.assignsPrompts() {
+	if choice.NeedsLoad || candidates[choice.Index].Health != outlier.Healthy || !e.assignsPrompts() {
 		return unchanged
 	}
 	rate := e.promptRate().TokensPerMS()
@@ -90,8 +91,7 @@
 	if ok && !a.assigned {
 		limits.MaxWait = a.Delay
 		if b, _ := e.assign(away, candidates, limits); b.assigned {
-			b.CopyIndex = choice.CopyIndex
-			return b
+			return b.after(choice)
 		}
 		limits.MaxWait = 0
 		a, ok = e.assign(home, candidates, limits)
@@ -103,7 +103,13 @@
 		e.server.Metrics.countAssignment(assignedByNone)
 		return unchanged
 	}
+	return a.after(choice)
+}
+
+// after returns the assignment with what else was chosen before it.
+func (a assignedEngine) after(choice placement.Choice) assignedEngine {
 	a.CopyIndex = choice.CopyIndex
+	a.Home = choice.Home && a.Index == choice.Index
 	return a
 }
 
