--- a/cmd/heatherrelay/configuration_test.go
+++ b/cmd/heatherrelay/configuration_test.go
@@ -1,9 +1,12 @@
-package main
+package main_test
 
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -12,6 +15,13 @@
 	"heatherrelay/platform/platformtest"
 )
 
+// The exit codes that the documentation names.
+const (
+	exitOK           = 0
+	exitFailure      = 1
+	exitInvalidInput = 2
+)
+
 // TestConfigurationCheckTellsByExitCode covers files that are sound, have findings, or cannot
 // be read, alone and against another file and the store.
 func TestConfigurationCheckTellsByExitCode(t *testing.T) {
@@ -50,17 +60,36 @@
 		{[]string{sound, "--against", "store", "--store", store.Address().String()}, exitFailure, "change: route app.example/ added"},
 	} {
 		var stdout, stderr bytes.Buffer
-		if code := run(append([]string{"configuration", "check"}, c.args...), &stdout, &stderr); code != c.code || !strings.Contains(stdout.String(), c.says) {
+		if code := runBinary(t, append([]string{"configuration", "check"}, c.args...), &stdout, &stderr); code != c.code || !strings.Contains(stdout.String(), c.says) {
 			t.Errorf("%v: exit code %d, %s%s", c.args, code, stdout.String(), stderr.String())
 		}
 		stdout.Reset()
 		if strings.Contains(strings.Join(c.args, " "), "--format") {
 			continue
 		}
-		_ = run(append([]string{"configuration", "check", "--format", "json"}, c.args...), &stdout, &stderr)
+		_ = runBinary(t, append([]string{"configuration", "check", "--format", "json"}, c.args...), &stdout, &stderr)
 		var report configcheck.Report
 		if err := json.Unmarshal(stdout.Bytes(), &report); c.says != "" && (err != nil || c.code != exitOK && len(report.Findings) == 0) {
 			t.Errorf("%v: %v in %s", c.args, err, stdout.String())
 		}
 	}
 }
+
+// runBinary runs the command and returns its exit code.
+func runBinary(t *testing.T, args []string, stdout, stderr io.Writer) int {
+	t.Helper()
+	path, err := binary()
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(path, args...)
+	command.Stdout, command.Stderr = stdout, stderr
+	var exit *exec.ExitError
+	switch err := command.Run(); {
+	case errors.As(err, &exit):
+		return exit.ExitCode()
+	case err != nil:
+		t.Fatal(err)
+	}
+	return 0
+}
