--- a/internal/catalog/confirm.go
+++ b/internal/catalog/confirm.go
@@ -83,6 +83,6 @@
 		return sentAt, err
 	}
 	page.Objects = f.usable(page.Objects)
-	f.update(func(r *Replica) bool { return r.ApplyWatch(from, page, sentAt) })
+	f.update(sourceWatch, func(r *Replica) bool { return r.ApplyWatch(from, page, sentAt) })
 	return sentAt, nil
 }
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -170,7 +170,7 @@
 	}
 	hasObjects := len(page.Objects) > 0
 	page.Objects = f.usable(page.Objects)
-	f.update(func(r *Replica) bool { return r.ApplyWatch(from, page, sentAt) })
+	f.update(sourceWatch, func(r *Replica) bool { return r.ApplyWatch(from, page, sentAt) })
 	return stepResult{hasObjects: hasObjects, behind: page.Position().Compare(from) < 0}, nil
 }
 
@@ -181,7 +181,7 @@
 		return page, err
 	}
 	page.Objects = f.usable(page.Objects)
-	f.update(func(r *Replica) bool { return r.ApplyList(page, sentAt) })
+	f.update(sourceList, func(r *Replica) bool { return r.ApplyList(page, sentAt) })
 	return page, nil
 }
 
@@ -216,12 +216,12 @@
 
 // Merge applies a peer's replica; see Replica.Merge.
 func (f *Follower) Merge(peer State, complete bool, objects []platformstore.Object) {
-	f.update(func(r *Replica) bool { return r.Merge(peer, complete, objects) })
+	f.update(sourcePeer, func(r *Replica) bool { return r.Merge(peer, complete, objects) })
 }
 
 // MergeChanges applies what changed of a peer's replica; see Replica.MergeChanges.
 func (f *Follower) MergeChanges(peer State, after uint64, objects []platformstore.Object) {
-	f.update(func(r *Replica) bool { return r.MergeChanges(peer, after, objects) })
+	f.update(sourcePeerChanges, func(r *Replica) bool { return r.MergeChanges(peer, after, objects) })
 }
 
 // NeedsComplete reports whether only all objects of a peer can bring the replica up to
@@ -305,8 +305,19 @@
 	return f.lastRestore
 }
 
+// source is where a change of a replica came from, in the log.
+type source string
+
+const (
+	sourceList  source = "list"
+	sourceWatch source = "watch"
+	// sourcePeer stands for all objects of a peer, sourcePeerChanges for those that changed.
+	sourcePeer        source = "peer"
+	sourcePeerChanges source = "peer_changes"
+)
+
 // update applies a change to the replica and reports it to OnChange.
-func (f *Follower) update(change func(*Replica) bool) {
+func (f *Follower) update(from source, change func(*Replica) bool) {
 	f.notifyMu.Lock()
 	defer f.notifyMu.Unlock()
 	f.mu.Lock()
@@ -320,8 +331,8 @@
 	}
 	f.mu.Unlock()
 	if changed {
-		f.Log.Info("replica changed", zap.String("kind", string(f.Kind)), zap.Uint64("revision", state.Revision),
-			zap.Int("objects", len(objects)), zap.Duration("age", f.Now().Sub(state.ConfirmedAt)))
+		f.Log.Info("replica changed", zap.String("kind", string(f.Kind)), zap.String("source", string(from)), zap.Uint64("revision", state.Revision),
+			zap.Uint64("generation", state.Generation), zap.Int("objects", len(objects)), zap.Duration("age", f.Now().Sub(state.ConfirmedAt)))
 		f.OnChange(objects)
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,9 +85,11 @@
 	// lastEventID is the id of the last event passed to the client; at first, of the
 	// event after which the client's request resumes the stream.
 	lastEventID string
-	// sentAt is when the current attempt was started.
-	sentAt   time.Time
-	response *upstream.Response
+	// chosenAt is when the choice of the current target began, sentAt when the current
+	// attempt was started, choiceAge the time between the two.
+	chosenAt, sentAt time.Time
+	choiceAge        time.Duration
+	response         *upstream.Response
 	// firstEventAt is when the current target sent its first event; zero before that.
 	firstEventAt time.Time
 	// soundRecorded is set when the current target's answer has cleared the request
@@ -283,6 +285,7 @@
 	var ctx context.Context
 	ctx, e.cancelAttempt = context.WithCancelCause(e.ctx)
 	e.uncounted, e.sentAt, e.firstEventAt, e.soundRecorded = true, s.Now(), time.Time{}, false
+	e.choiceAge = e.sentAt.Sub(e.chosenAt)
 	response, err := s.Send(ctx, e.target, e.request, attempt)
 	if response != nil {
 		response.Hold = &e.responses
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -270,6 +270,9 @@
 			allFields = append(allFields, zap.String("resumes", e.request.ResumedID), zap.String("origin_source", string(e.software.source)), zap.String("versions_confirmed_by", string(e.software.confirmedBy)))
 		}
 	}
+	if !e.sentAt.IsZero() {
+		allFields = append(allFields, zap.Duration("choice_age", e.choiceAge))
+	}
 	if e.response != nil && e.response.Limited {
 		allFields = append(allFields, zap.Float64("target_limit", e.response.RequestsPerSecond))
 	}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -27,6 +27,7 @@
 // select again.
 func (e *exchange) prepareAttempt() (*upstream.Attempt, *refusal.Error) {
 	e.resolveVersion()
+	e.chosenAt = e.server.Now()
 	service := e.configuration.Services[e.service]
 	if service == nil {
 		return nil, refusal.NotRun(refusal.CodeNoTarget, "service %s is not configured", e.service).WithRetryAfter(retrySoon)
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -356,7 +356,7 @@
 	}
 	n.mu.Unlock()
 	if err != nil {
-		n.Log.Debug("exchange with peer failed", zap.String("peer", call.id), zap.Error(err))
+		n.logFailedExchange(call.id, n.Now().Sub(sentAt), err)
 		return
 	}
 	if err := n.applyResponse(response, request, sent, sentAt); err != nil {
@@ -370,3 +370,14 @@
 		n.Catalog.AdoptConfiguration(objectFrom(o))
 	}
 }
+
+// logFailedExchange logs an exchange without a response. One that a peer began to answer and
+// did not end in time is more than the silence of an instance that has ended.
+func (n *Network) logFailedExchange(id string, after time.Duration, err error) {
+	fields := []zap.Field{zap.String("peer", id), zap.Duration("after", after), zap.Error(err)}
+	if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+		n.Log.Info("exchange with peer timed out", fields...)
+		return
+	}
+	n.Log.Debug("exchange with peer failed", fields...)
+}
