Requests that wait are not sent to a target that left meanwhile

Cause: a request chooses its target and then waits, for the load of its adapter (up to 1.5 s), for an adapter that is loading, for its turn at the engine (up to half of its objective), to ask the target which process it is and to connect (0.4 s each). After these waits only the target's own statements and the zone's evacuation were looked at, not its entry: a choice that was right when it was made was carried out after the leaving was known. Orders to engines were checked against the entry from before the wait for the engine's state, too.

Mend: Server.Withheld says why a chosen target gets nothing now: its entry is removed, replaced or draining, the target pauses or leaves, or its zone is evacuated. It is asked after all waits, by the sender before it turns to a peer, and by Direct right before the bytes are written, once the connection is there. First attempts, retries, resumes, hedges, assigned prompts, probes and peers' attempts go this one way. The holder looks up the entry before each order and report.

TestEngineThatLeavesBeforeItsOrderGetsNone failed before the change of holder.go (one order in each of 3 cases). TestAttemptIsCheckedOnceConnected guards the check after the connection is there.

--- a/internal/catalog/targets.go
+++ b/internal/catalog/targets.go
@@ -33,6 +33,33 @@
 	scheduled bool
 }
 
+// Departure is why a target gets no more requests; empty if it does.
+type Departure string
+
+// The departures of a target.
+const (
+	// Removed targets are not listed any more, Replaced ones have another process or another
+	// address, Draining ones are about to leave.
+	Removed  Departure = "removed"
+	Replaced Departure = "replaced"
+	Draining Departure = "draining"
+)
+
+// Departed returns why a target that was listed gets no more requests, empty if it does. A
+// target that was chosen earlier may have left since.
+func (c *Catalog) Departed(t deployment.Target) Departure {
+	listed, ok := c.Targets()[t.ID]
+	switch {
+	case !ok:
+		return Removed
+	case listed.Generation != t.Generation, listed.Address != t.Address, listed.Service != t.Service:
+		return Replaced
+	case listed.Draining:
+		return Draining
+	}
+	return ""
+}
+
 // applyTargets replaces the targets by the listed ones and those that are retained.
 func (c *Catalog) applyTargets(objects []platformstore.Object) {
 	listed := make(map[deployment.TargetID]deployment.Target, len(objects))
--- a/internal/forwarding/direct.go
+++ b/internal/forwarding/direct.go
@@ -50,12 +50,14 @@
 	if err := d.checkWithheld(target); err != nil {
 		return nil, err
 	}
+	checked := *attempt
+	checked.MaySend = func() error { return d.checkWithheld(target) }
 	risk, ok := d.Limits.Risk(target)
 	if !ok {
 		return nil, upstream.ErrNotSent.Wrap(errNoRoom.New("target %s", target.ID))
 	}
 	sentAt := time.Now()
-	response, err := d.Upstream.Do(ctx, target.Address, request, attempt)
+	response, err := d.Upstream.Do(ctx, target.Address, request, &checked)
 	risk.Settle(err == nil && response.Rejected())
 	// Of a refusal only the head matters.
 	if err == nil && response.Length == upstream.LengthUntilClose && !response.NotRun {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -189,7 +189,7 @@
 		if attempt == nil {
 			continue
 		}
-		if !e.stillOpen() {
+		if !e.stillUsable() {
 			continue
 		}
 		if !e.server.Limits.Take(e.target) {
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -118,10 +118,6 @@
 	}
 	e.pacePrompt(assigned, request, candidates, attempt)
 	e.cached.setVersion(attempt)
-	if !s.Availability.Available(target) {
-		e.recordStep("select", target.ID, "unavailable")
-		return nil, nil
-	}
 	return attempt, nil
 }
 
--- a/internal/gateway/withheld.go
+++ b/internal/gateway/withheld.go
@@ -18,6 +18,9 @@
 	// causeLimit is that of targets whose limit, stated or that of a cold one, leaves this
 	// instance no request at present.
 	causeLimit = "limit"
+	// causeUnavailable is that of targets that have stated that they leave, or that they take
+	// no requests for a while.
+	causeUnavailable = "unavailable"
 )
 
 // withheld leaves out the targets of a choice that may not get the request whatever their
@@ -87,14 +90,29 @@
 	}
 }
 
-// stillOpen reports whether the current target may still get requests: its zone may have been
-// evacuated while the request waited for its adapter or for other prompts.
-func (e *exchange) stillOpen() bool {
-	status := e.server.Evacuations.Status(e.target.Zone)
-	if status == evacuation.Open {
+// Withheld returns why a target that was chosen is to get no requests at present; empty if it
+// is. It may have left, asked for a pause, or be in a zone that was evacuated since.
+func (s *Server) Withheld(t deployment.Target) string {
+	if departure := s.Catalog.Departed(t); departure != "" {
+		return string(departure)
+	}
+	if !s.Availability.Available(t) {
+		return causeUnavailable
+	}
+	if status := s.Evacuations.Status(t.Zone); status != evacuation.Open {
+		return string(status)
+	}
+	return ""
+}
+
+// stillUsable reports whether the current target may still get requests: the request may have
+// waited for its adapter or for other prompts since the choice.
+func (e *exchange) stillUsable() bool {
+	reason := e.server.Withheld(e.target)
+	if reason == "" {
 		return true
 	}
-	e.server.Metrics.countWithheld(e.target.Zone, string(status))
-	e.recordStep("select", e.target.ID, string(status))
+	e.server.Metrics.countWithheld(e.target.Zone, reason)
+	e.recordStep("select", e.target.ID, reason)
 	return false
 }
--- a/internal/gatewayinstance/evacuations.go
+++ b/internal/gatewayinstance/evacuations.go
@@ -37,11 +37,3 @@
 		i.evacuatedZones.WithLabelValues(zone).Set(1)
 	}
 }
-
-// withheld returns why a target gets no requests at present; empty if it does.
-func (i *Instance) withheld(t deployment.Target) string {
-	if status := i.evacuations.Status(t.Zone); status != evacuation.Open {
-		return "zone " + t.Zone + " is " + string(status)
-	}
-	return ""
-}
--- a/internal/gatewayinstance/forwarding.go
+++ b/internal/gatewayinstance/forwarding.go
@@ -28,7 +28,7 @@
 	}
 	i.client.OnConnect, i.client.OnSkipped = i.reach.RecordConnected, i.logSkipped
 	monitor := &liveness.Monitor{Open: i.client.Open, Probe: i.client.Probe, OnFinding: i.countFindings(), Log: i.Log}
-	direct := &forwarding.Direct{Upstream: i.client, Limits: i.limits, Liveness: monitor, Withheld: i.withheld}
+	direct := &forwarding.Direct{Upstream: i.client, Limits: i.limits, Liveness: monitor, Withheld: i.server.Withheld}
 	sender := &forwarding.Sender{Direct: direct, Reach: i.reach, Peers: i.forwardClient, TargetAt: i.targetAt}
 	i.server.Send, i.server.OnFailure = sender.Do, i.reach.Suspect
 	i.crashDetector.Probe = sender.Probe
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -143,9 +143,11 @@
 	return engines
 }
 
-// available reports whether an engine may be called.
+// available reports whether an engine may be called. It may have left since it was read from
+// Targets.
 func (h *Holder) available(t deployment.Target) bool {
-	return !t.Draining && (h.Available == nil || h.Available(t))
+	listed, ok := h.Targets()[t.ID]
+	return ok && listed.Generation == t.Generation && !listed.Draining && (h.Available == nil || h.Available(t))
 }
 
 func (h *Holder) engine(t deployment.Target) *managedEngine {
--- a/internal/placement/holder_test.go
+++ b/internal/placement/holder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -301,3 +302,34 @@
 		t.Errorf("%d reports and %d orders, want 1 and none", n, len(e.orders))
 	}
 }
+
+// TestEngineThatLeavesBeforeItsOrderGetsNone guards against an order to an engine that drains,
+// is removed, or has another process since the load request began (DRAIN).
+func TestEngineThatLeavesBeforeItsOrderGetsNone(t *testing.T) {
+	listed := deployment.Target{ID: testTarget, Zone: "zone", Service: "models", Generation: 1}
+	draining, replaced := listed, listed
+	draining.Draining, replaced.Generation = true, 2
+	for name, left := range map[string]map[deployment.TargetID]deployment.Target{
+		"draining": {testTarget: draining}, "removed": {}, "replaced": {testTarget: replaced},
+	} {
+		e := &testEngine{answer: placement.Started}
+		h := newHolder(t, e)
+		var targets atomic.Pointer[map[deployment.TargetID]deployment.Target]
+		targets.Store(&map[deployment.TargetID]deployment.Target{testTarget: listed})
+		h.Targets = func() map[deployment.TargetID]deployment.Target { return *targets.Load() }
+		ordered := 0
+		h.Order = func(_ context.Context, target deployment.Target, o placement.Order) (placement.Outcome, error) {
+			if target.Generation == listed.Generation {
+				ordered++
+			}
+			return e.order(context.Background(), target, o)
+		}
+		h.Report = func(ctx context.Context, target deployment.Target) (placement.Report, error) {
+			targets.Store(&left)
+			return e.report(ctx, target)
+		}
+		if _, _, _ = h.Load(context.Background(), testTarget, adapterName(1), 0); ordered != 0 {
+			t.Errorf("%s: %d orders", name, ordered)
+		}
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -34,8 +34,8 @@
 	// connection is closed.
 	idleMargin     = 300 * time.Millisecond
 	readBufferSize = 4 << 10
-	// probedIdleTimeout is how long a connection of Probe is kept if no request uses
-	// it. How long the target keeps it is not known.
+	// probedIdleTimeout is how long a connection that carried no request is kept if none
+	// uses it. How long the target keeps it is not known.
 	probedIdleTimeout = time.Second
 )
 
@@ -94,6 +94,9 @@
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err)
 	}
+	if err := c.checkMaySend(address, cn, attempt); err != nil {
+		return nil, ErrNotSent.Wrap(err)
+	}
 	r := &Response{client: c, address: address, conn: cn, withoutBody: request.Method == http.MethodHead}
 	r.stopAbort = context.AfterFunc(ctx, cn.abort)
 	cn.setSilence(attempt.Silence, attempt.OnSilence)
@@ -111,6 +114,19 @@
 	return r, nil
 }
 
+// checkMaySend returns an error if an attempt must not be sent any more. The connection is
+// then kept for others.
+func (c *Client) checkMaySend(address netip.AddrPort, cn *conn, attempt *Attempt) error {
+	if attempt.MaySend == nil {
+		return nil
+	}
+	err := attempt.MaySend()
+	if err != nil {
+		c.putIdle(address, cn, probedIdleTimeout)
+	}
+	return err
+}
+
 // encode returns the bytes of a request, in one part or, if it is large, two.
 func (c *Client) encode(request *Request, attempt *Attempt) net.Buffers {
 	if c.EncodeHead == nil || len(request.Body) <= maxSyncWriteBytes {
--- a/internal/upstream/not_sent_test.go
+++ b/internal/upstream/not_sent_test.go
@@ -123,3 +123,43 @@
 		t.Errorf("%q, error %v", body, err)
 	}
 }
+
+// TestAttemptIsCheckedOnceConnected guards against a request that is sent although its target
+// left while the connection was opened (DRAIN). The connection is kept for other requests.
+func TestAttemptIsCheckedOnceConnected(t *testing.T) {
+	var arrived sync.Map
+	address := serve(t, func(_, _ int, id string) string {
+		arrived.Store(id, true)
+		return okResponse(id, "ran")
+	})
+	client := newClient()
+	left := false
+	client.Dial = func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+		left = true
+		return upstream.DialTCP(ctx, address)
+	}
+	errLeft := errors.New("the target has left")
+	attempt := &upstream.Attempt{MaySend: func() error {
+		if left {
+			return errLeft
+		}
+		return nil
+	}}
+	request := func(id string) *upstream.Request {
+		return &upstream.Request{ID: id, Method: http.MethodPost, URI: "/"}
+	}
+	if _, err := client.Do(context.Background(), address, request("late"), attempt); !upstream.ErrNotSent.Has(err) || !errors.Is(err, errLeft) {
+		t.Errorf("error %v", err)
+	}
+	left = false
+	response, err := client.Do(context.Background(), address, request("next"), attempt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := response.ReadAll(); err != nil {
+		t.Error(err)
+	}
+	if _, ok := arrived.Load("late"); ok || client.Dials.Load() != 1 {
+		t.Errorf("the late request arrived: %v; %d connections, want 1", ok, client.Dials.Load())
+	}
+}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -89,6 +89,9 @@
 	// request; zero means any.
 	Identify   bool
 	Generation int64
+	// MaySend is called once there is a connection to the target, right before the request is
+	// written. An error ends the attempt, which was not sent. Nil means that it may be.
+	MaySend func() error
 	// Silence is how long the target may send nothing, or no complete event of a stream,
 	// before OnSilence is called, and is called again after each further Silence. Zero
 	// means that it is never called.
