Large responses between instances are compressed

Cause: each change of the configuration goes to each instance as the whole object, from each relay that it asks. With 1,440 routes that is 0.38 MB, 0.3 s of a link of 10 Mbit/s, within exchanges of 0.7 s; a zone whose large instances are lost has a relay with such a link for 25 instances.

Of the 0.7 s some 0.3 s are the object on the link.

Mend: responses from 32 KiB on are compressed at the cheapest level; all versions in service accept that.

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -197,7 +197,7 @@
 func (n *Network) Handler() http.Handler {
 	n.init()
 	mux := http.NewServeMux()
-	mux.Handle(heatherrelayv1connect.NewFleetServiceHandler(n.Service(), connect.WithCompressMinBytes(maxMessageBytes), connect.WithReadMaxBytes(maxMessageBytes), connect.WithCodec(codec{n.Log})))
+	mux.Handle(heatherrelayv1connect.NewFleetServiceHandler(n.Service(), withCompression, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCodec(codec{n.Log})))
 	if n.Forwarding != nil {
 		mux.Handle(n.Forwarding())
 	}
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -41,6 +41,8 @@
 	stop     context.CancelFunc
 	done     chan struct{}
 	listener *stallingListener
+	// wrap replaces the listener; nil keeps it.
+	wrap func(net.Listener) net.Listener
 }
 
 // stallingListener is a listener whose connections can be stalled for a while, as those
@@ -103,9 +105,12 @@
 		if i == 0 {
 			seed = address
 		}
-		listener = &stallingListener{Listener: listener}
 		m := newMember(peer.Member{ID: fmt.Sprintf("instance-%02d", i), Zone: fmt.Sprint("zone-", i%3), Address: address, Capacity: float64(i % 5)}, seed)
 		edit(i, m)
+		if m.wrap != nil {
+			listener = m.wrap(listener)
+		}
+		listener = &stallingListener{Listener: listener}
 		ctx, cancel := context.WithCancel(context.Background())
 		m.stop, m.done, m.listener = cancel, make(chan struct{}), listener.(*stallingListener)
 		go func() {
