Instances read the configuration themselves while enough of the limit is left

Cause: an instance that leaves reading the store to another one read it itself 0.8 of the limit after its last confirmation, 2.4 s of 3 s. A large configuration then takes 0.3 s of a link of 10 Mbit/s and was decoded for a fifth of a second: too late wherever the reader is cut off from the store, and the same 2.4 s were waited for a reader that had ended.

Mend: 0.65 for the configuration, whose watches last 0.2 of the limit in place of 0.3 so that sound operation needs no reads of others; 0.4 for all kinds once the instance has not heard its reader for the time after which that one counts as dead. TestInstanceReadsTheStoreInTimeForALargeConfiguration: with the old fraction the store is read after 2.4 s, 2.2 s wanted; TestReaderConfirmsOftenEnoughForPeers checks the new bound.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -23,6 +23,9 @@
 	// bounds how long a dead connection goes unnoticed. A confirmation gets up to
 	// two waits old, since it counts from when the watch was sent.
 	watchWaitFraction = 0.3
+	// configurationWaitFraction is the same for the configuration. It is large, so that an
+	// instance that reads it itself needs a greater part of the limit.
+	configurationWaitFraction = 0.2
 	// targetsBatchDelay and versionsBatchDelay are the pauses between a result with
 	// changes and the next watch. The one for targets is long because target entries
 	// change with each adapter that an engine loads.
@@ -40,8 +43,35 @@
 	// not confirmed its replica reads the store itself. The rest of the limit is left
 	// for applying the change.
 	ownReadFraction = 0.8
+	// configurationOwnReadFraction is the same for the configuration.
+	configurationOwnReadFraction = 0.65
+	// unheardReadFraction is the same for an instance that no longer hears the one which
+	// reads for it.
+	unheardReadFraction = 0.4
 )
 
+// cadence is how often a follower reads the store.
+type cadence struct {
+	// limit is the time within which a change must be applied. The store may hold a watch for
+	// wait, and an instance whose peers have not confirmed its replica for ownRead reads it
+	// itself.
+	limit, wait, ownRead time.Duration
+}
+
+// usual returns the cadence for a limit.
+func usual(limit time.Duration) cadence {
+	return cadence{limit: limit, wait: fraction(watchWaitFraction, limit), ownRead: fraction(ownReadFraction, limit)}
+}
+
+// forConfiguration returns the cadence of the configuration.
+func forConfiguration(limit time.Duration) cadence {
+	return cadence{limit: limit, wait: fraction(configurationWaitFraction, limit), ownRead: fraction(configurationOwnReadFraction, limit)}
+}
+
+func fraction(part float64, of time.Duration) time.Duration {
+	return time.Duration(part * float64(of))
+}
+
 // Kinds names the kinds under which the store holds the deployment's objects.
 type Kinds struct {
 	Configuration platformstore.Kind
@@ -77,6 +107,9 @@
 	// peers. An instance that does not relies on the replicas of its peers as long as
 	// these are recent. Nil means that it does.
 	ReadsForPeers func() bool
+	// HearsReader reports whether an instance that reads the store for this one has lately
+	// sent it anything; nil means that it has.
+	HearsReader func() bool
 	// Bootstrap is set when the whole fleet starts for the first time.
 	Bootstrap bool
 	// ConfigurationLimit and TargetsLimit are the times within which a change of the
@@ -130,16 +163,16 @@
 
 func (c *Catalog) init() {
 	c.once.Do(func() {
-		c.configurationFollower = c.follower(c.Kinds.Configuration, c.ConfigurationLimit, c.applyConfiguration)
+		c.configurationFollower = c.follower(c.Kinds.Configuration, forConfiguration(c.ConfigurationLimit), c.applyConfiguration)
 		c.configurationFollower.Sanitize, c.configurationFollower.Check = c.HashKeys, c.checkConfigurationName
-		c.targetsFollower = c.follower(c.Kinds.Targets, c.TargetsLimit, c.applyTargets)
+		c.targetsFollower = c.follower(c.Kinds.Targets, usual(c.TargetsLimit), c.applyTargets)
 		c.targetsFollower.Sanitize, c.targetsFollower.BatchDelay = c.TrimTarget, targetsBatchDelay
-		c.versionsFollower = c.follower(c.Kinds.Versions, versionsLimit, c.applyVersions)
+		c.versionsFollower = c.follower(c.Kinds.Versions, usual(versionsLimit), c.applyVersions)
 		c.targetsFollower.Check = func(o platformstore.Object) error { return decodeError(c.DecodeTarget(o.Name, o.Value)) }
 		c.versionsFollower.BatchDelay = versionsBatchDelay
 		c.versionsFollower.Check = func(o platformstore.Object) error { return decodeError(c.DecodeVersion(o.Name, o.Value)) }
 		if c.Kinds.Crashes != "" {
-			c.crashesFollower = c.follower(c.Kinds.Crashes, crashesLimit, c.OnCrashesChange)
+			c.crashesFollower = c.follower(c.Kinds.Crashes, usual(crashesLimit), c.OnCrashesChange)
 			c.crashesFollower.Sanitize = c.SanitizeCrashes
 		}
 		if c.Kinds.Evacuations != "" {
@@ -152,18 +185,29 @@
 	})
 }
 
-// follower returns a follower of a kind whose changes must be applied within limit.
-func (c *Catalog) follower(kind platformstore.Kind, limit time.Duration, onChange func([]platformstore.Object)) Follower {
-	maxPeerAge := time.Duration(ownReadFraction * float64(limit))
+// follower returns a follower of a kind.
+func (c *Catalog) follower(kind platformstore.Kind, t cadence, onChange func([]platformstore.Object)) Follower {
 	wait := time.Duration(0)
 	if c.Bootstrap {
 		wait = firstReplicaWait
 	}
 	return Follower{
 		FirstReplicaWait: wait,
-		Store:            c.Store, Kind: kind, MaxWatchWait: time.Duration(watchWaitFraction * float64(limit)), OnChange: onChange, Now: c.Now, Log: c.Log,
-		CoveredByPeers: func(age time.Duration) bool { return c.ReadsForPeers != nil && !c.ReadsForPeers() && age < maxPeerAge },
+		Store:            c.Store, Kind: kind, MaxWatchWait: t.wait, OnChange: onChange, Now: c.Now, Log: c.Log,
+		CoveredByPeers: func(age time.Duration) bool { return c.coveredByPeers(t, age) },
+	}
+}
+
+// coveredByPeers reports whether this instance need not read the store, since a peer does that
+// whose last confirmation is as old as given.
+func (c *Catalog) coveredByPeers(t cadence, age time.Duration) bool {
+	switch {
+	case c.ReadsForPeers == nil || c.ReadsForPeers() || age >= t.ownRead:
+		return false
+	case age < fraction(unheardReadFraction, t.limit) || c.HearsReader == nil:
+		return true
 	}
+	return c.HearsReader()
 }
 
 func decodeError[T any](_ T, err error) error { return err }
--- a/internal/catalog/evacuations.go
+++ b/internal/catalog/evacuations.go
@@ -22,8 +22,8 @@
 
 // initEvacuations creates the follower of the evacuated zones.
 func (c *Catalog) initEvacuations() {
-	limit := time.Duration(evacuationReadFraction * float64(c.EvacuationLimit))
-	c.evacuationsFollower = c.follower(c.Kinds.Evacuations, limit, c.applyEvacuations)
+	limit := fraction(evacuationReadFraction, c.EvacuationLimit)
+	c.evacuationsFollower = c.follower(c.Kinds.Evacuations, usual(limit), c.applyEvacuations)
 	c.evacuationsFollower.Check = checkEvacuation
 	c.evacuationsFollower.Sanitize = func(o platformstore.Object) platformstore.Object {
 		o.Value = evacuationValue
--- a/internal/catalog/wait_test.go
+++ b/internal/catalog/wait_test.go
@@ -56,12 +56,61 @@
 		}
 		cancel()
 		<-done
-		if oldest == 0 || oldest+sampleEvery+exchangeDelay > limit*8/10 {
-			t.Errorf("a confirmation gets %s old, peers read the store from an age of %s on", oldest+sampleEvery, limit*8/10)
+		if oldest == 0 || oldest+sampleEvery+exchangeDelay > limit*65/100 {
+			t.Errorf("a confirmation gets %s old, peers read the store from an age of %s on", oldest+sampleEvery, limit*65/100)
 		}
 	})
 }
 
+// TestInstanceReadsTheStoreInTimeForALargeConfiguration guards against a change of a large
+// configuration that is late (CONFIG) at an instance which leaves reading to another one: once
+// that one ends or is cut off from the store, the read of its own has to begin while enough of the
+// limit is left to carry and decode 0.4 MB on a link of 10 Mbit/s with a seventh of a core.
+func TestInstanceReadsTheStoreInTimeForALargeConfiguration(t *testing.T) {
+	const (
+		limit = 3 * time.Second
+		// largeRead is the time that such a read takes, less what it may wait for others.
+		largeRead = 800 * time.Millisecond
+	)
+	for name, c := range map[string]struct {
+		hears  bool
+		within time.Duration
+	}{
+		"the reader is cut off": {true, limit - largeRead},
+		"the reader has ended":  {false, limit / 2},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			catalog, startedAt := readingCatalog(limit), time.Now()
+			catalog.ReadsForPeers, catalog.HearsReader = func() bool { return false }, func() bool { return c.hears }
+			firstRead := make(chan time.Duration, 1)
+			list := catalog.Store.List
+			catalog.Store.List = func(ctx context.Context, kind platformstore.Kind, stale bool) (platformstore.Page, error) {
+				if kind == catalog.Kinds.Configuration {
+					select {
+					case firstRead <- time.Since(startedAt):
+					default:
+					}
+				}
+				return list(ctx, kind, stale)
+			}
+			catalog.Followers()[catalog.Kinds.Configuration].Merge(confirmedConfiguration(startedAt))
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); catalog.Run(ctx) }()
+			if after := <-firstRead; after > c.within {
+				t.Errorf("%s: the store is read after %s, want %s at most", name, after, c.within)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
+
+// confirmedConfiguration returns the replica of a peer that was confirmed at a time.
+func confirmedConfiguration(at time.Time) (catalog.State, bool, []platformstore.Object) {
+	return catalog.State{Revision: 1, ConfirmedAt: at}, true, []platformstore.Object{{Name: "main", Revision: 1, Value: json.RawMessage(`{}`)}}
+}
+
 // readingCatalog returns a catalog that reads an unchanging store; limit is its limit
 // for the configuration and for the targets.
 func readingCatalog(limit time.Duration) *catalog.Catalog {
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -238,6 +238,7 @@
 		OnEvacuationsChange: i.applyEvacuations,
 		TrimTarget:          i.Platform.Decoders.TrimTarget,
 		ReadsForPeers:       func() bool { return i.network.ReadsStore() },
+		HearsReader:         func() bool { return i.network.HearsReader() },
 		Bootstrap:           s.Bootstrap,
 		ConfigurationLimit:  s.ConfigurationLimit.Duration,
 		TargetsLimit:        s.TargetsLimit.Duration,
