TestStreamAtLeavingEngineContinues: the leaving is stated in the stream's own head

Since a request is not sent once the engine has stated that it leaves, also when it did so as it was asked which process it is. The test had it state that from then on, so that no stream reached it (0 requests, 1 wanted).

--- a/internal/gatewayinstance/target_hints_test.go
+++ b/internal/gatewayinstance/target_hints_test.go
@@ -107,8 +107,10 @@
 func TestStreamAtLeavingEngineContinues(t *testing.T) {
 	t.Parallel()
 	cluster, i := newClusterWithNearEngine(t)
-	// An answer to a report call would state it as well, before the stream begins.
-	cluster.waitFor("report of the engine", func() bool { return cluster.engine1.EngineCalls() > 0 })
+	// An answer to a report call would state it as well, before the stream begins, and so would
+	// that of a process which is asked who it is, once on each connection.
+	cluster.waitFor("stream before", func() bool { return cluster.send(http.MethodPost, "/stream/", withModel).status == http.StatusOK })
+	before := len(cluster.engine1.ReceivedRequests())
 	cluster.engine1.Inject(func(e *platformtest.Target) { e.Leaving, e.EventGap = true, 100*time.Millisecond })
 	response, err := cluster.open(context.Background(), i, http.MethodPost, "/stream/", withModel)
 	if err != nil {
@@ -124,8 +126,8 @@
 	if err != nil || string(body) != streamBody(eventCount) {
 		t.Errorf("body %q, error %v", body, err)
 	}
-	if n := len(cluster.engine1.ReceivedRequests()); n != 1 {
-		t.Errorf("%d requests reached the leaving engine, want 1", n)
+	if n := len(cluster.engine1.ReceivedRequests()) - before; before != 1 || n != 1 {
+		t.Errorf("%d requests reached the leaving engine, want 1; %d before", n, before)
 	}
 }
 
