A planned stop answers all requests that it takes, whatever the grace is

It happens here: requests were taken for 2.7 s after SIGTERM whatever the grace is and however long they may run, and what ran at the end lost its connection.

Mend: requests are taken in the first 0.4 of the time for which the stop waits, 2.7 s at most (the same as before for a grace of 8 s). A call that must not be repeated and whose time limit ends later than that wait is refused as not run.

--- a/cmd/heatherrelay/uncontrolled_clients_test.go
+++ b/cmd/heatherrelay/uncontrolled_clients_test.go
@@ -44,7 +44,7 @@
 configuration_limit = "2s"
 targets_limit = "2s"
 order_quiet_time = "3s"
-shutdown_grace = "8s"
+shutdown_grace = "%s"
 memory_mb = %d
 allowance_window = "8s"
 
@@ -61,6 +61,7 @@
 // gatewayProcess is the gateway command in a process of its own, in front of a target.
 type gatewayProcess struct {
 	t              *testing.T
+	store          *platformtest.Store
 	target         *platformtest.Target
 	clients, ready netip.AddrPort
 	pid            int
@@ -94,19 +95,32 @@
 // startGateway starts a store, a target and a gateway, which end with the test, and returns
 // when the gateway is ready.
 func startGateway(t *testing.T, maxBodyBytes int) *gatewayProcess {
+	t.Helper()
+	return startGatewayWith(t, maxBodyBytes, usualGrace)
+}
+
+// usualGrace is the time from SIGTERM until a process must have ended.
+const usualGrace = 8 * time.Second
+
+// startGatewayWith is startGateway of a process with a given shutdown grace.
+func startGatewayWith(t *testing.T, maxBodyBytes int, grace time.Duration) *gatewayProcess {
 	t.Helper()
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
+	routes := append(platformtest.StandardRoutes(), platformtest.Route{
+		"name": "events", "host": platformtest.Host, "path-prefix": "/events/", "kind": "streaming", "timeout-ms": 4000, "target-latency-ms": 1000,
+		"gap-aim-ms": 300, "service": platformtest.PlainService, "max-attempts": 2, "can-resume": true,
+	})
 	platformtest.Config{
-		Version: 1, Routes: platformtest.StandardRoutes(), Keys: map[string]string{testKey: "roads"}, Rate: 1_000_000, Burst: 1_000_000, MaxBodyBytes: maxBodyBytes,
+		Version: 1, Routes: routes, Keys: map[string]string{testKey: "roads"}, Rate: 1_000_000, Burst: 1_000_000, MaxBodyBytes: maxBodyBytes,
 	}.Publish(store)
-	p := &gatewayProcess{t: t, clients: freeAddress(t), ready: freeAddress(t), exited: make(chan struct{})}
+	p := &gatewayProcess{t: t, store: store, clients: freeAddress(t), ready: freeAddress(t), exited: make(chan struct{})}
 	p.target = &platformtest.Target{ID: "plain-1", Service: platformtest.PlainService, Zone: "north"}
 	p.target.Start()
 	t.Cleanup(p.target.Close)
 	p.target.Register(store, "ready")
 	settings := filepath.Join(t.TempDir(), "instance.toml")
-	text := fmt.Sprintf(settingsFormat, store.Address(), memoryMB, p.clients, p.ready, freeAddress(t))
+	text := fmt.Sprintf(settingsFormat, store.Address(), grace, memoryMB, p.clients, p.ready, freeAddress(t))
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -242,6 +242,8 @@
 	switch cause := context.Cause(e.ctx); {
 	case errors.Is(cause, errClientGone):
 		return e.downgradeNotRun(refusal.NotRun(refusal.CodeCallerGone, "client gone").WithCause(cause))
+	case errors.Is(cause, errShutdown):
+		return e.downgradeNotRun(refuseShutdown().WithCause(cause))
 	case errors.Is(cause, errBlocked):
 		return e.downgradeNotRun(refusal.NotRun(refusal.CodeRequestBlocked, "%s", cause).WithRetryAfter(blockedRetryAfter))
 	case cause != nil || e.remaining() < minRemainingTime:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -107,6 +107,9 @@
 		}
 	}
 	e.setDeadline()
+	if refused := e.checkEndsInTime(); refused != nil {
+		return refused
+	}
 	e.setDigest()
 	if refused := e.checkBlocked(); refused != nil || e.team == nil {
 		return refused
@@ -176,8 +179,8 @@
 func (e *exchange) remaining() time.Duration { return e.deadline.Sub(e.server.Now()) }
 
 // watchClient starts a goroutine that cancels the exchange when the client closes
-// its connection, the deadline passes, or the request turns out to crash targets before
-// one has begun to answer.
+// its connection, the deadline passes, the instance ends, or the request turns out to crash
+// targets before one has begun to answer.
 func (e *exchange) watchClient() {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	e.ctx, e.cancel = ctx, cancel
@@ -194,6 +197,9 @@
 			case <-deadline.C:
 				cancel(errDeadline)
 				return
+			case <-e.server.aborted.done():
+				cancel(errShutdown)
+				return
 			case <-ticker.C:
 				if tcp != nil && connection.Peek(tcp) == connection.Closed {
 					cancel(errClientGone)
--- a/internal/gateway/request_body.go
+++ b/internal/gateway/request_body.go
@@ -51,19 +51,6 @@
 	return e.admitHead()
 }
 
-// checkLeaving has the connection closed after the response if the instance is shutting down,
-// and refuses the request if it might not end in time.
-func (e *exchange) checkLeaving() *refusal.Error {
-	leavingFor, leaving := e.server.Leaving()
-	if leaving {
-		e.client.SetConnectionClose()
-	}
-	if leaving && leavingFor > shutdownAdmissionPeriod {
-		return refusal.NotRun(refusal.CodeShuttingDown, "the instance shuts down").WithRetryAfter(retryElsewhere)
-	}
-	return nil
-}
-
 // bodyLength returns the length that the client states; negative if it states none.
 func (e *exchange) bodyLength() int { return e.client.Request.Header.ContentLength() }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -29,19 +29,19 @@
 	"heatherrelay/internal/speed"
 	"heatherrelay/internal/throttle"
 	"heatherrelay/internal/upstream"
-	"heatherrelay/internal/wait"
 )
 
 // Limits on connections from clients, and times of the shutdown.
 const (
-	maxBodyBytes      = 8 << 20
-	maxHeaderBytes    = 20 << 10
-	readTimeout       = 20 * time.Second
-	idleTimeout       = 75 * time.Second
-	drainPollInterval = 50 * time.Millisecond
-	// shutdownAdmissionPeriod is how long a leaving instance still accepts requests.
-	// Requests accepted later might not finish before the process exits.
-	shutdownAdmissionPeriod = 2700 * time.Millisecond
+	maxBodyBytes   = 8 << 20
+	maxHeaderBytes = 20 << 10
+	readTimeout    = 20 * time.Second
+	idleTimeout    = 75 * time.Second
+	// maxShutdownAdmission is how long a leaving instance still accepts requests at most,
+	// shutdownAdmissionShare the part of DrainTimeout for which it does. Requests accepted
+	// later might not finish before the process exits.
+	maxShutdownAdmission   = 2700 * time.Millisecond
+	shutdownAdmissionShare = 0.4
 )
 
 // Server serves the requests of clients. Set the exported fields before Serve.
@@ -110,13 +110,16 @@
 	// Leaving returns how long the instance has been shutting down, or false if it
 	// is not. During shutdown each connection is closed after its response.
 	Leaving func() (time.Duration, bool)
-	Metrics *Metrics
+	// DrainTimeout is how long after the shutdown began requests may still run.
+	DrainTimeout time.Duration
+	Metrics      *Metrics
 	// CutClients counts the clients that were cut since they did not take their responses,
 	// ClosedConnections the connections that were closed since there are too many.
 	CutClients, ClosedConnections atomic.Uint64
 	Now                           func() time.Time
 	Log                           *zap.Logger
 
+	aborted     abortSignal
 	connections activeConnections
 	scarcity    scarcity
 	promptRates promptRates
@@ -155,15 +158,6 @@
 // to their clients, and of attempts of peers.
 func (s *Server) InFlight() int { return s.connections.count() + s.Forwarded() }
 
-// Drain waits until the responses of all requests are written or ctx ends.
-func (s *Server) Drain(ctx context.Context) {
-	for s.InFlight() > 0 {
-		if wait.Sleep(ctx, drainPollInterval) != nil {
-			return
-		}
-	}
-}
-
 // handle serves one request.
 func (s *Server) handle(c *fasthttp.RequestCtx) {
 	request, err := s.DecodeRequest(&c.Request.Header, nil)
--- a/internal/gatewayinstance/instance.go
+++ b/internal/gatewayinstance/instance.go
@@ -286,7 +286,7 @@
 	i.server.Detector, i.server.Tracker, i.server.Directory, i.server.Upstream = i.detector, tracker, i.directory, i.client
 	i.server.Demand = &placement.Demand{Now: clock.Now}
 	i.server.AssignsPrompts = s.Decisions.Prompts.For()
-	i.server.Leaving, i.server.Now, i.server.Log = i.leavingFor, clock.Now, i.Log
+	i.server.Leaving, i.server.DrainTimeout, i.server.Now, i.server.Log = i.leavingFor, s.drainTimeout(), clock.Now, i.Log
 	i.server.Metrics = gateway.NewMetrics(i.Registry)
 	i.memory = i.newMemoryAccount()
 	i.server.Memory = i.memory
@@ -434,8 +434,8 @@
 
 // drain shuts the instance down gracefully: it fails the readiness probe, releases
 // the lease, announces to the peers that the instance leaves, hands the origins of
-// streams over to them, and waits for the requests in flight, all within the shutdown
-// grace.
+// streams over to them, waits for the requests in flight and ends those that last longer, all
+// within the shutdown grace.
 func (i *Instance) drain(stopLeasing context.CancelFunc) {
 	now := clock.Now()
 	i.shutdownStartedAt.Store(&now)
@@ -450,6 +450,14 @@
 	}
 	i.Log.Info("drain ended", zap.String("instance", i.Settings.InstanceID), zap.Int("in_flight", i.server.InFlight()),
 		zap.Duration("after", clock.Since(now)))
+	i.abort()
+}
+
+// abort ends the requests that are still under way, and waits until their answers are written.
+func (i *Instance) abort() {
+	ctx, cancel := context.WithTimeout(context.Background(), i.Settings.shutdownMargin()/2)
+	defer cancel()
+	i.server.Abort(ctx)
 }
 
 // runMaintenance periodically closes connections to targets that were idle for too
--- a/internal/gatewayinstance/settings.go
+++ b/internal/gatewayinstance/settings.go
@@ -221,6 +221,11 @@
 
 // drainTimeout returns how long a shutdown may wait for the requests in flight.
 func (s *Settings) drainTimeout() time.Duration {
-	grace := s.ShutdownGrace.Duration
-	return grace - min(maxShutdownMargin, time.Duration(shutdownMarginFraction*float64(grace)))
+	return s.ShutdownGrace.Duration - s.shutdownMargin()
+}
+
+// shutdownMargin returns the part of the grace that is left for ending the requests in flight
+// and the process.
+func (s *Settings) shutdownMargin() time.Duration {
+	return min(maxShutdownMargin, time.Duration(shutdownMarginFraction*float64(s.ShutdownGrace.Duration)))
 }
