Replicas arrive over a narrow link: one peer at a time sends them

Cause: an instance that has just started, or has fallen behind, got all objects of the replicas from every peer that it exchanged with, up to 16 at once. With a configuration of 1,440 routes that is 0.38 MB each. On a link of 10 Mbit/s none arrives within the 0.7 s of an exchange, all are thrown away and asked for again, and the instance's own reads of the store time out behind them. Class: concurrent transfers of the same content, retried without regard to what is on the way.

Mend: while a replica is missing, or for 2 s after a response came late, an instance asks one peer at a time for objects, the next 0.3 s later if the first has not answered; the others send only what they are at (without_objects, which instances of earlier versions ignore).

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -135,6 +135,7 @@
 	// of its zone. sumsFrom holds the relay that supplies each source of fleetSums.
 	fleetSums, zoneSums useSums
 	sumsFrom            map[string]string
+	objectExchanges     objectExchanges
 	// removedAt is when instances were removed whose admissions are remembered.
 	removedAt map[string]time.Time
 	// adaptersCountedAt is when the adapters in use were last counted.
@@ -349,7 +350,11 @@
 	defer cancel()
 	request, sent := n.newRequest(call.id)
 	sentAt := n.Now()
+	request.WithoutObjects = !n.beginObjects()
 	response, err := call.client.Exchange(ctx, request)
+	if !request.GetWithoutObjects() {
+		n.endObjects(respondsLate(err))
+	}
 	n.mu.Lock()
 	if r, ok := n.remotes[call.id]; ok {
 		r.exchangeInFlight = false
@@ -371,6 +376,11 @@
 	}
 }
 
+// respondsLate reports whether a peer was reached whose response did not arrive in time.
+func respondsLate(err error) bool {
+	return err != nil && connect.CodeOf(err) == connect.CodeDeadlineExceeded && !connection.ErrDial.Has(err)
+}
+
 // logFailedExchange logs an exchange without a response. One that a peer began to answer and
 // did not end in time is more than the silence of an instance that has ended.
 func (n *Network) logFailedExchange(id string, after time.Duration, err error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -36,7 +36,7 @@
 	n.mergeCrashes(request.GetCrashes())
 	n.mergeLimits(request.GetLimits())
 	n.receiveSpeeds(request.GetSender(), request.GetSpeeds(), request.GetSpeedsChange())
-	response := &v1.ExchangeResponse{ProtocolVersion: protocolVersion, Beliefs: n.newerReplicas(request.GetBeliefs(), version)}
+	response := &v1.ExchangeResponse{ProtocolVersion: protocolVersion, Beliefs: n.newerReplicas(request.GetBeliefs(), version, request.GetWithoutObjects())}
 	n.addState(response, request, requester)
 	if version == 0 {
 		n.addCompleteLists(response, request, requester)
@@ -114,9 +114,9 @@
 }
 
 // newerReplicas returns, for each kind in known, this instance's replica for an
-// instance of a protocol version whose own replica has the known state. It skips the
-// kinds for which newerReplica returns nil.
-func (n *Network) newerReplicas(known []*v1.BeliefState, version uint32) []*v1.Belief {
+// instance of a protocol version whose own replica has the known state, just their states if
+// it wants no objects. It skips the kinds for which newerReplica returns nil.
+func (n *Network) newerReplicas(known []*v1.BeliefState, version uint32, withoutObjects bool) []*v1.Belief {
 	followers := n.Catalog.Followers()
 	var replicas []*v1.Belief
 	for _, k := range known {
@@ -124,7 +124,7 @@
 		if !ok {
 			continue
 		}
-		if b := newerReplica(k, f, version, n); b != nil {
+		if b := newerReplica(k, f, version, withoutObjects, n); b != nil {
 			replicas = append(replicas, b)
 		}
 	}
@@ -133,15 +133,15 @@
 
 // newerReplica returns this instance's replica of one kind; nil if no read of
 // the store ever confirmed it. The objects are left out if the receiver's replica
-// has the same content or a position that is not before this one's. Only those that
-// changed are listed if the replica remembers which these are.
-func newerReplica(known *v1.BeliefState, f *catalog.Follower, version uint32, n *Network) *v1.Belief {
+// has the same content or a position that is not before this one's, or if it wants none.
+// Only those that changed are listed if the replica remembers which these are.
+func newerReplica(known *v1.BeliefState, f *catalog.Follower, version uint32, withoutObjects bool, n *Network) *v1.Belief {
 	state := f.State()
 	if state.ConfirmedAt.IsZero() {
 		return nil
 	}
 	position := platformstore.Position{Generation: known.GetGeneration(), Revision: known.GetPosition()}
-	if state.ContentHash == known.GetContent() || state.Position().Compare(position) <= 0 {
+	if withoutObjects || state.ContentHash == known.GetContent() || state.Position().Compare(position) <= 0 {
 		return &v1.Belief{State: replicaStateMessage(f.Kind, state, n.Now())}
 	}
 	if version > 0 && !known.GetNeedsComplete() {
