--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -41,7 +41,7 @@
 	if version == 0 {
 		n.addCompleteLists(response, request, requester)
 	}
-	if o, ok := n.Catalog.RetainedConfiguration(request.GetConfigurationVersion()); ok {
+	if o, ok := n.Catalog.RetainedConfiguration(request.GetConfigurationVersion()); ok && !request.GetWithoutObjects() {
 		response.RetainedConfiguration = objectMessage(o)
 	}
 	n.addNotices(response, request, requester)
