--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -23,8 +23,8 @@
 	// bounds how long a dead connection goes unnoticed. A confirmation gets up to
 	// two waits old, since it counts from when the watch was sent.
 	watchWaitFraction = 0.3
-	// configurationWaitFraction is the same for the configuration. It is large, so that an
-	// instance that reads it itself needs a greater part of the limit.
+	// configurationWaitFraction is the same for the configuration. An instance that reads a
+	// large one itself needs more of the limit for that.
 	configurationWaitFraction = 0.2
 	// targetsBatchDelay and versionsBatchDelay are the pauses between a result with
 	// changes and the next watch. The one for targets is long because target entries
