--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -256,9 +256,14 @@
 }
 
 // authorizeAttempt checks, right before an attempt, that the request may still be
-// sent: the key may have been withdrawn or the request blocked while it waited, and the
-// retry budget, which bounds retries over all instances, may be used up.
+// sent: the client may have left, the key may have been withdrawn or the request blocked
+// while it waited, and the retry budget, which bounds retries over all instances, may be
+// used up.
 func (e *exchange) authorizeAttempt() *refusal.Error {
+	if e.clientLeft() {
+		e.cancel(errClientGone)
+		return e.checkClientAndDeadline()
+	}
 	if refused := e.checkKey(); refused != nil {
 		e.recordStep("key", e.target.ID, string(refused.Code))
 		return refused
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -184,7 +184,6 @@
 func (e *exchange) watchClient() {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	e.ctx, e.cancel = ctx, cancel
-	tcp := clientTCP(e.client.Conn())
 	go func() {
 		ticker := time.NewTicker(clientPollInterval)
 		defer ticker.Stop()
@@ -201,7 +200,7 @@
 				cancel(errShutdown)
 				return
 			case <-ticker.C:
-				if tcp != nil && connection.Peek(tcp) == connection.Closed {
+				if e.clientLeft() {
 					cancel(errClientGone)
 					return
 				}
@@ -214,6 +213,16 @@
 	}()
 }
 
+// clientLeft reports whether the client has closed its connection. A hedge has no client of its
+// own.
+func (e *exchange) clientLeft() bool {
+	if e.client == nil {
+		return false
+	}
+	tcp := clientTCP(e.client.Conn())
+	return tcp != nil && connection.Peek(tcp) == connection.Closed
+}
+
 // finish releases what the exchange holds. It has no effect while the response is
 // still being streamed; stream.Close calls it again after that.
 func (e *exchange) finish() {
