Large events of streams count against the memory for bodies

Traced: an event is bounded by 1 MB, but what all streams hold of unfinished events was counted nowhere.

Mend: beyond 8 KiB an event is charged to the account of bodies and responses; a stream for which there is no memory breaks off. TestLargeEventsAreHeld.

--- a/cmd/heatherrelay/endless_answers_test.go
+++ b/cmd/heatherrelay/endless_answers_test.go
@@ -23,6 +23,9 @@
 // and then repeats a text until the caller closes the connection.
 type endlessTarget struct {
 	head, repeated string
+	// stopAfter is the number of bytes after which the target sends nothing more and leaves
+	// the connection open; 0 for none.
+	stopAfter int
 }
 
 // start serves the target until the test ends, and registers it in place of a target of the
@@ -57,9 +60,11 @@
 		return
 	}
 	piece := bytes.Repeat([]byte(e.repeated), max(1, 64<<10/len(e.repeated)))
-	for err == nil {
+	for sent := 0; err == nil && (e.stopAfter == 0 || sent < e.stopAfter); sent += len(piece) {
 		_, err = conn.Write(piece)
 	}
+	// Returns once the caller closes.
+	_, _ = io.Copy(io.Discard, conn)
 }
 
 // answer returns a head of a target's response with a status and further fields.
@@ -77,30 +82,37 @@
 	)
 	noise, field := strings.Repeat("x", 1000), "X-Field: "+strings.Repeat("x", 1000)+"\r\n"
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(noise), noise)
-	for name, c := range map[string]struct{ path, head, repeated string }{
-		"no head":                   {"/read/x", "", noise},
-		"informational heads":       {"/read/x", "", "HTTP/1.1 100 Continue\r\n\r\n"},
-		"head":                      {"/read/x", answer("200 OK", ""), field},
-		"line of a head":            {"/read/x", answer("200 OK", "X-Field: "), noise},
-		"body without length":       {"/read/x", answer("200 OK", "\r\n"), noise},
-		"body in chunks":            {"/read/x", answer("200 OK", chunked), chunk},
-		"chunks of one byte":        {"/read/x", answer("200 OK", chunked), "1\r\nx\r\n"},
-		"body of a great length":    {"/read/x", answer("200 OK", "Content-Length: 1099511627776\r\n\r\n"), noise},
-		"size of a chunk":           {"/read/x", answer("200 OK", chunked), "0"},
-		"trailer":                   {"/read/x", answer("200 OK", chunked) + "0\r\n", field},
-		"body of a failure":         {"/read/x", answer("500 Internal Server Error", "\r\n"), noise},
-		"body of a refusal":         {"/read/x", answer("503 Service Unavailable", "Not-Executed: 1\r\n\r\n"), noise},
-		"request not repeated":      {"/post/x", answer("200 OK", "\r\n"), noise},
-		"line of an event":          {"/events/x", answer("200 OK", events+"\r\n") + "data: ", noise},
-		"lines of an event":         {"/events/x", answer("200 OK", events+"\r\n"), "data: " + noise + "\n"},
-		"text that is no event":     {"/events/x", answer("200 OK", events+"\r\n"), noise + "\n\n"},
-		"comments in a stream":      {"/events/x", answer("200 OK", events+"\r\n"), ": " + noise + "\n\n"},
-		"chunked lines of an event": {"/events/x", answer("200 OK", events+chunked), "3ed\r\ndata:" + noise[:999] + "\n\r\n"},
+	// stopShort is less than the longest event that an instance takes.
+	const stopShort = 900_000
+	for name, c := range map[string]struct {
+		path, head, repeated string
+		stopAfter            int
+	}{
+		"no head":                   {"/read/x", "", noise, 0},
+		"informational heads":       {"/read/x", "", "HTTP/1.1 100 Continue\r\n\r\n", 0},
+		"head":                      {"/read/x", answer("200 OK", ""), field, 0},
+		"line of a head":            {"/read/x", answer("200 OK", "X-Field: "), noise, 0},
+		"body without length":       {"/read/x", answer("200 OK", "\r\n"), noise, 0},
+		"body in chunks":            {"/read/x", answer("200 OK", chunked), chunk, 0},
+		"chunks of one byte":        {"/read/x", answer("200 OK", chunked), "1\r\nx\r\n", 0},
+		"body of a great length":    {"/read/x", answer("200 OK", "Content-Length: 1099511627776\r\n\r\n"), noise, 0},
+		"size of a chunk":           {"/read/x", answer("200 OK", chunked), "0", 0},
+		"trailer":                   {"/read/x", answer("200 OK", chunked) + "0\r\n", field, 0},
+		"body of a failure":         {"/read/x", answer("500 Internal Server Error", "\r\n"), noise, 0},
+		"body of a refusal":         {"/read/x", answer("503 Service Unavailable", "Not-Executed: 1\r\n\r\n"), noise, 0},
+		"request not repeated":      {"/post/x", answer("200 OK", "\r\n"), noise, 0},
+		"line of an event":          {"/events/x", answer("200 OK", events+"\r\n") + "data: ", noise, 0},
+		"lines of an event":         {"/events/x", answer("200 OK", events+"\r\n"), "data: " + noise + "\n", 0},
+		"text that is no event":     {"/events/x", answer("200 OK", events+"\r\n"), noise + "\n\n", 0},
+		"comments in a stream":      {"/events/x", answer("200 OK", events+"\r\n"), ": " + noise + "\n\n", 0},
+		"chunked lines of an event": {"/events/x", answer("200 OK", events+chunked), "3ed\r\ndata:" + noise[:999] + "\n\r\n", 0},
+		"event that stops short":    {"/events/x", answer("200 OK", events+"\r\n") + "data: ", noise, stopShort},
+		"body that stops short":     {"/read/x", answer("200 OK", "\r\n"), noise, stopShort},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := startGateway(t, bodyLimit)
 			faulty := &platformtest.Target{ID: "plain-2", Service: platformtest.PlainService, Zone: "north"}
-			(&endlessTarget{head: c.head, repeated: c.repeated}).start(t, p.store, faulty)
+			(&endlessTarget{head: c.head, repeated: c.repeated, stopAfter: c.stopAfter}).start(t, p.store, faulty)
 			p.besiege(c.path)
 			p.check()
 		})
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -18,11 +18,23 @@
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
 	bufferSize    = 4 << 10
+	// freeEventBytes is the size up to which an event is read without a call of Hold, and
+	// holdStep the least that a call adds.
+	freeEventBytes = 8 << 10
+	holdStep       = 64 << 10
+	// bufferGrowth is how much memory an event takes, for each of its bytes, while it grows.
+	bufferGrowth = 2
 )
 
 // Reader reads the events of a stream. A line ends with a line feed, perhaps after a
 // carriage return, or, in a stream whose first line ends so, with a carriage return alone.
 type Reader struct {
+	// Hold is called with the memory that a large event is about to take, in bytes, and with
+	// what it gives back as a negative number. An error ends the stream. Nil means no bound
+	// but that of one event.
+	Hold func(bytes int) error
+
+	held   int
 	reader *bufio.Reader
 	// lineEndKnown is set when the end of the first line was read; carriageReturns if it was
 	// a carriage return alone.
@@ -37,6 +49,9 @@
 // longer than maxEventBytes. With another error it returns the bytes that it read of the
 // event before it.
 func (r *Reader) Next() (Event, error) {
+	if err := r.release(); err != nil {
+		return Event{}, err
+	}
 	var event Event
 	for {
 		start := len(event.Raw)
@@ -65,6 +80,9 @@
 func (r *Reader) appendLine(event *Event) error {
 	for {
 		part, ended, err := r.readPart()
+		if e := r.hold(len(event.Raw) + len(part)); e != nil {
+			return e
+		}
 		event.Raw = append(event.Raw, part...)
 		switch {
 		case len(event.Raw) > maxEventBytes:
@@ -75,6 +93,30 @@
 	}
 }
 
+// hold has an event of a size be held in memory.
+func (r *Reader) hold(size int) error {
+	needed := bufferGrowth * size
+	if r.Hold == nil || size <= freeEventBytes || needed <= r.held {
+		return nil
+	}
+	more := max(needed-r.held, holdStep)
+	if err := r.Hold(more); err != nil {
+		return err
+	}
+	r.held += more
+	return nil
+}
+
+// release gives back the memory of the event before, which the caller has passed on.
+func (r *Reader) release() error {
+	if r.held == 0 {
+		return nil
+	}
+	held := r.held
+	r.held = 0
+	return r.Hold(-held)
+}
+
 // readPart reads the next part of a line, whether it ends the line, and the error after it.
 // The part is valid until the next read.
 func (r *Reader) readPart() (part []byte, ended bool, err error) {
--- a/internal/eventstream/reader_test.go
+++ b/internal/eventstream/reader_test.go
@@ -146,3 +146,33 @@
 		t.Errorf("%d bytes read", line.read)
 	}
 }
+
+// TestLargeEventsAreHeld guards against events that take memory without being counted, and
+// against a call for each of the usual small ones.
+func TestLargeEventsAreHeld(t *testing.T) {
+	errShort := errors.New("no memory")
+	for _, c := range []struct{ size, limit int }{{50, 0}, {4 << 10, 0}, {300 << 10, 1 << 20}, {900 << 10, 1 << 20}} {
+		held, most := 0, 0
+		event := "data: " + strings.Repeat("x", c.size) + "\n\n"
+		reader := eventstream.NewReader(strings.NewReader(event + event))
+		reader.Hold = func(bytes int) error {
+			if held+bytes > c.limit {
+				return errShort
+			}
+			held += bytes
+			most = max(most, held)
+			return nil
+		}
+		var err error
+		for err == nil {
+			_, err = reader.Next()
+		}
+		fits := 2*len(event) <= c.limit || c.limit == 0
+		if fits != errors.Is(err, io.EOF) || !fits != errors.Is(err, errShort) {
+			t.Errorf("%d bytes, limit %d: %v", c.size, c.limit, err)
+		}
+		if fits && (held != 0 || c.limit > 0 && most < 2*len(event)) {
+			t.Errorf("%d bytes: held %d at most, %d at the end", c.size, most, held)
+		}
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -37,7 +37,9 @@
 
 // newEventReader returns a reader of the exchange's response.
 func (e *exchange) newEventReader() *eventReader {
-	return &eventReader{reader: eventstream.NewReader(e.response), furtherFields: e.server.EventFields}
+	reader := eventstream.NewReader(e.response)
+	reader.Hold = func(bytes int) error { return e.responses.Add(int64(bytes)) }
+	return &eventReader{reader: reader, furtherFields: e.server.EventFields}
 }
 
 // next returns the next event, which must follow the one with the id last. Its raw bytes
