--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,10 +30,13 @@
 // exchange is one request of a client, from its arrival to the last byte of the
 // response. It is used by one goroutine at a time.
 type exchange struct {
-	server    *Server
-	client    *fasthttp.RequestCtx
-	request   *upstream.Request
-	startedAt time.Time
+	server *Server
+	client *fasthttp.RequestCtx
+	// clientConn is the client's connection once the exchange watches it. The HTTP library
+	// uses client again for other requests after the handler returned.
+	clientConn *net.TCPConn
+	request    *upstream.Request
+	startedAt  time.Time
 
 	// configuration is the one that admitted the request. Later ones do not change where
 	// it may go.
@@ -183,7 +187,7 @@
 // targets before one has begun to answer.
 func (e *exchange) watchClient() {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	e.ctx, e.cancel = ctx, cancel
+	e.ctx, e.cancel, e.clientConn = ctx, cancel, clientTCP(e.client.Conn())
 	go func() {
 		ticker := time.NewTicker(clientPollInterval)
 		defer ticker.Stop()
@@ -216,11 +220,7 @@
 // clientLeft reports whether the client has closed its connection. A hedge has no client of its
 // own.
 func (e *exchange) clientLeft() bool {
-	if e.client == nil {
-		return false
-	}
-	tcp := clientTCP(e.client.Conn())
-	return tcp != nil && connection.Peek(tcp) == connection.Closed
+	return e.clientConn != nil && connection.Peek(e.clientConn) == connection.Closed
 }
 
 // finish releases what the exchange holds. It has no effect while the response is
