--- a/internal/catalog/departure_test.go
+++ b/internal/catalog/departure_test.go
@@ -77,17 +77,21 @@
 	}
 }
 
-// followTargets runs a catalog of a store with two targets for a test in virtual time.
-func followTargets(t *testing.T, s *scriptedStore, limit time.Duration) *catalog.Catalog {
-	t.Helper()
+// newTargetsCatalog returns a catalog of a store with two targets, for a test in virtual time.
+func newTargetsCatalog(s *scriptedStore, limit time.Duration) *catalog.Catalog {
 	s.targets, s.revision, s.cut = []string{"t1", "t2"}, 1, make(chan struct{})
 	c := readingCatalog(limit)
 	c.Store, c.DecodeTarget = s.store(), platform.DecodeTarget
+	return c
+}
+
+// runCatalog runs a catalog until the test ends.
+func runCatalog(t *testing.T, c *catalog.Catalog) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { defer close(done); c.Run(ctx) }()
 	t.Cleanup(func() { cancel(); <-done })
-	return c
 }
 
 // targetState is the state of two targets in a store.
@@ -106,7 +110,8 @@
 	const limit, silence = 3 * time.Second, time.Second
 	synctest.Test(t, func(t *testing.T) {
 		s := &scriptedStore{}
-		c := followTargets(t, s, limit)
+		c := newTargetsCatalog(s, limit)
+		runCatalog(t, c)
 		time.Sleep(limit)
 		s.remove("t2")
 		removedAt := time.Now()
@@ -124,16 +129,11 @@
 	for _, limit := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second} {
 		synctest.Test(t, func(t *testing.T) {
 			s := &scriptedStore{}
-			c := readingCatalog(limit)
+			c := newTargetsCatalog(s, limit)
 			c.ReadsForPeers = func() bool { return false }
-			c.Store, c.DecodeTarget = s.store(), platform.DecodeTarget
-			s.targets, s.revision, s.cut = []string{"t1", "t2"}, 1, make(chan struct{})
 			state, objects := targetState(1, time.Now())
 			c.Followers()["targets"].Merge(state, true, objects)
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() { defer close(done); c.Run(ctx) }()
-			t.Cleanup(func() { cancel(); <-done })
+			runCatalog(t, c)
 			s.remove("t2")
 			time.Sleep(limit)
 			checkRemoved(t, c)
