TestHeadThatStopsIsNoAnswer begins once both paths are known to be cut

Cause, in the test: its set-up returned when ten requests were served and a service was reached through peers, which holds when one of the two paths is known to be cut. The first attempt at the other target is then a dial that hangs for 400 ms, and two attempts are all that the route allows.

The set-up now waits for both paths. No check of the test has changed.

--- a/internal/gatewayinstance/cut_head_test.go
+++ b/internal/gatewayinstance/cut_head_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -84,7 +85,7 @@
 	for _, throughPeer := range []bool{false, true} {
 		t.Run(fmt.Sprintf("through a peer: %t", throughPeer), func(t *testing.T) {
 			t.Parallel()
-			c, a := newScriptedCluster(t, 2, 2, func(attempt int, w http.ResponseWriter, r *http.Request) {
+			c, a := newScriptedCluster(t, scriptedTargets, 2, func(attempt int, w http.ResponseWriter, r *http.Request) {
 				request, ok := parseCutRequest(r.Header.Get("Request-Id"))
 				switch {
 				case !ok:
@@ -127,11 +128,24 @@
 				served++
 			}
 		}
-		return served == 10 && c.logs.FilterMessage("services reached through peers changed").Len() > 0
+		return served == 10 && c.cutPaths() == scriptedTargets
 	})
 	return alone
 }
 
+// scriptedTargets is the number of targets of the tests with startInstanceBehindPeer.
+const scriptedTargets = 2
+
+// cutPaths returns to how many targets the path was found to be cut.
+func (c *testCluster) cutPaths() int {
+	cut := map[any]bool{}
+	for _, entry := range c.logs.FilterMessage("path to a target changed").All() {
+		fields := entry.ContextMap()
+		cut[fields["target"]] = fields["cut"] == true
+	}
+	return len(slices.DeleteFunc(slices.Collect(maps.Values(cut)), func(cut bool) bool { return !cut }))
+}
+
 // checkCut sends a request whose first answer is cut. It must get the whole answer of another
 // target if it may be repeated, else an answer that promises nothing.
 func (c *testCluster) checkCut(t *testing.T, a *arrivals, through *instance, r cutRequest) {
