--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -28,8 +28,6 @@
 	// generation is that of the process; zero if the target does not say.
 	identified bool
 	generation int64
-	// readErr is the error that ended reading; nil before that.
-	readErr error
 	// aborted is set when this side closed the connection.
 	aborted   atomic.Bool
 	closeOnce sync.Once
@@ -62,12 +60,10 @@
 			deadline = c.silentSince.Add(c.silence)
 		}
 		if err := c.SetReadDeadline(deadline); err != nil {
-			c.readErr = err
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.readErr = err
 			return n, err
 		}
 		c.silentSince = time.Now()
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"errors"
 	"io"
 	"net"
@@ -16,6 +15,7 @@
 	"github.com/zeebo/errs"
 
 	"heatherrelay/internal/memory"
+	"heatherrelay/internal/responsehead"
 )
 
 const (
@@ -99,9 +99,8 @@
 		var header fasthttp.ResponseHeader
 		header.DisableNormalizing()
 		header.SetNoDefaultContentType(true)
-		if err := header.Read(r.conn.reader); err != nil {
-			// The library returns io.EOF for any error before the first byte.
-			return cmp.Or(r.conn.readErr, err)
+		if err := responsehead.Read(r.conn.reader, &header); err != nil {
+			return err
 		}
 		if header.StatusCode()/100 == 1 {
 			continue
