--- a/internal/gatewayinstance/broken_answer_test.go
+++ b/internal/gatewayinstance/broken_answer_test.go
@@ -115,3 +115,37 @@
 	t.Parallel()
 	checkBrokenAnswers(t, answersOfNoStatus(), "status")
 }
+
+// answersOfOddNames are answers with a line whose field name is none.
+func answersOfOddNames() map[string]string {
+	const status = "HTTP/1.1 200 OK"
+	answers := map[string]string{
+		"length with blank":        status + "\r\n" + brokenFields + "Content-Length : 1\r\n\r\n" + brokenBody,
+		"chunks with blank":        status + "\r\n" + brokenFields + "Transfer-Encoding : chunked\r\n\r\n" + brokenBody,
+		"length, and one in blank": withLength(status, "Content-Length : 1\r\n"),
+		"blank first":              status + "\r\n X-Note: a\r\n" + brokenFields + "\r\n" + brokenBody,
+		"blank later":              withLength(status, "X-Note: a\r\n X-Other: b\r\n"),
+		"tab later":                withLength(status, "X-Note: a\r\n\tX-Other: b\r\n"),
+		"length after blank":       status + "\r\n" + brokenFields + " Content-Length: 1\r\n\r\n" + brokenBody,
+		"after 100":                "HTTP/1.1 100 Continue\r\n\r\n" + withLength(status, "X Note: a\r\n"),
+		"in 103":                   "HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\n" + withLength(status, ""),
+		"failure":                  withLength("HTTP/1.1 500 Internal Server Error", "X Note: a\r\n"),
+		"refusal":                  withLength("HTTP/1.1 503 Service Unavailable", "X Note: a\r\nNot-Executed: 1\r\n"),
+	}
+	for name, field := range map[string]string{
+		"blank within": "X Note", "blank at end": "X-Note ", "blanks at end": "X-Note  ", "tab within": "X\tNote", "tab at end": "X-Note\t",
+		"NUL": "X\x00Note", "control": "X\x01Note", "escape": "X\x1bNote", "delete": "X\x7fNote", "carriage return": "X\rNote", "high byte": "X\xe9Note",
+		"blank in a known name": "Retry After", "empty": "", "comma": "X,Note", "quoted": `"X-Note"`,
+	} {
+		answers[name] = withLength(status, field+": a\r\n")
+	}
+	return answers
+}
+
+// TestFieldOfNoNameIsInNoAnswer guards against an answer in whose head the name of a field
+// holds a blank or a control byte, and that a client gets as an answer, with that line passed
+// on or with a body that is not the target's (MIXED).
+func TestFieldOfNoNameIsInNoAnswer(t *testing.T) {
+	t.Parallel()
+	checkBrokenAnswers(t, answersOfOddNames(), "field name")
+}
--- a/internal/responsehead/head.go
+++ b/internal/responsehead/head.go
@@ -80,6 +80,8 @@
 			err = c.checkStatusLine(line)
 		case len(line) == 0:
 			return true, nil
+		default:
+			err = CheckField(line)
 		}
 		if err != nil {
 			return false, err
