--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -20,8 +20,9 @@
 	// writeErr is set before that.
 	writeDone chan struct{}
 	writeErr  error
-	// largeAckTimeout is set while largeRequestAckTimeout applies to the connection.
-	largeAckTimeout bool
+	// large is set when the last request was large: it was written in the background, and
+	// largeRequestAckTimeout applies to the connection.
+	large bool
 	// carried are the requests that the connection has carried.
 	carried carriedRequests
 	// identified is set when the target was asked which process the connection leads to,
@@ -98,8 +99,7 @@
 // the response can be read meanwhile: a target may respond before it has read the
 // complete body. An error means that nothing was written.
 func (c *conn) writeRequest(id string, message net.Buffers) error {
-	large := len(message) > 1 || len(message[0]) > maxSyncWriteBytes
-	if err := c.adjustAckTimeout(large); err != nil {
+	if err := c.setLarge(len(message) > 1 || len(message[0]) > maxSyncWriteBytes); err != nil {
 		return err
 	}
 	c.carried.add(id)
@@ -108,7 +108,7 @@
 		defer close(c.writeDone)
 		_, c.writeErr = message.WriteTo(c.Conn)
 	}
-	if large {
+	if c.large {
 		go write()
 		return nil
 	}
@@ -116,13 +116,14 @@
 	return nil
 }
 
-// adjustAckTimeout sets the limit on unacknowledged bytes for the next request.
-func (c *conn) adjustAckTimeout(large bool) error {
-	tcp := connection.TCP(c.Conn)
-	if large == c.largeAckTimeout || tcp == nil {
+// setLarge records whether the next request is large, and sets the limit on unacknowledged
+// bytes for it.
+func (c *conn) setLarge(large bool) error {
+	tcp, changed := connection.TCP(c.Conn), large != c.large
+	c.large = large
+	if !changed || tcp == nil {
 		return nil
 	}
-	c.largeAckTimeout = large
 	if large {
 		return connection.SetAckTimeout(tcp, largeRequestAckTimeout)
 	}
@@ -130,10 +131,16 @@
 }
 
 // requestWritten reports whether the request was completely written.
-func (c *conn) requestWritten() bool {
+func (c *conn) requestWritten() bool { return c.writeEnded() && c.writeErr == nil }
+
+// writeFailed reports whether writing the request failed.
+func (c *conn) writeFailed() bool { return c.writeEnded() && c.writeErr != nil }
+
+// writeEnded reports whether the request is no longer being written.
+func (c *conn) writeEnded() bool {
 	select {
 	case <-c.writeDone:
-		return c.writeErr == nil
+		return true
 	default:
 		return false
 	}
