An answer whose framing is uncertain is no answer

What callers saw: an answer with both a length and chunks came as the content of its chunks; one in chunks that calls itself HTTP/1.0 came with the framing of the chunks as its body: 31 bytes for 20 (MIXED).

Cause: the library takes one of two statements about where the body ends, and drops a transfer encoding in any version but 1.1.

What changed: responsehead records what a head says of its framing. A head with both, or with a transfer encoding in HTTP/1.0, is malformed (RFC 9112, section 6.1: such a message is to be handled as an error). Two lengths, lengths that are none and other encodings were refused already.

--- a/internal/gatewayinstance/broken_answer_test.go
+++ b/internal/gatewayinstance/broken_answer_test.go
@@ -149,3 +149,31 @@
 	t.Parallel()
 	checkBrokenAnswers(t, answersOfOddNames(), "field name")
 }
+
+// answersOfOddFraming are answers of which it is not certain where their bodies end.
+func answersOfOddFraming() map[string]string {
+	const chunks = "Transfer-Encoding: chunked\r\n"
+	length, chunked := fmt.Sprintf("Content-Length: %d\r\n", len(brokenBody)), fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(brokenBody), brokenBody)
+	answer := func(version, lines, body string) string {
+		return version + " 200 OK\r\n" + brokenFields + lines + "\r\n" + body
+	}
+	return map[string]string{
+		"length and chunks": answer("HTTP/1.1", length+chunks, chunked),
+		"chunks and length": answer("HTTP/1.1", chunks+length, chunked),
+		"zero and chunks":   answer("HTTP/1.1", "content-length: 0\r\ntransfer-encoding: chunked\r\n", chunked),
+		"chunks in 1.0":     answer("HTTP/1.0", chunks, chunked),
+		"chunks in 1.2":     answer("HTTP/1.2", chunks, chunked),
+		"chunks in 9.9":     answer("HTTP/9.9", chunks, chunked),
+		"two lengths":       answer("HTTP/1.1", length+"Content-Length: 1\r\n", brokenBody),
+		"no number":         answer("HTTP/1.1", "Content-Length: x\r\n", brokenBody),
+		"other encoding":    answer("HTTP/1.1", "Transfer-Encoding: gzip\r\n", brokenBody),
+	}
+}
+
+// TestAnswerOfUncertainFramingIsNone guards against an answer that a client gets with a body
+// that is not the target's, since its head says in two ways, or in none that holds, where the
+// body ends (MIXED).
+func TestAnswerOfUncertainFramingIsNone(t *testing.T) {
+	t.Parallel()
+	checkBrokenAnswers(t, answersOfOddFraming(), "malformed response head")
+}
--- a/internal/responsehead/field.go
+++ b/internal/responsehead/field.go
@@ -6,6 +6,16 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// checkField checks a line of a head, and records what it says of the framing.
+func (c *checker) checkField(line []byte) error {
+	if err := CheckField(line); err != nil {
+		return err
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	c.framing.record(string(name))
+	return nil
+}
+
 // CheckField checks a line of a head or of a trailer, without its end: a field's name, a
 // colon, and the field's value, which may be empty. No blank may stand around the name.
 // Lines that continue the one before are obsolete, and malformed. The error is of class
--- a/internal/responsehead/head.go
+++ b/internal/responsehead/head.go
@@ -60,6 +60,7 @@
 	// checked is the number of bytes of the lines that were checked.
 	checked int
 	status  int
+	framing framing
 }
 
 // check checks the further lines of a text that begins with a head, and reports whether the
@@ -79,9 +80,9 @@
 		case first:
 			err = c.checkStatusLine(line)
 		case len(line) == 0:
-			return true, nil
+			return true, c.framing.check()
 		default:
-			err = CheckField(line)
+			err = c.checkField(line)
 		}
 		if err != nil {
 			return false, err
--- a/internal/responsehead/status_line.go
+++ b/internal/responsehead/status_line.go
@@ -33,5 +33,6 @@
 		return ErrMalformed.New("reason phrase in status line %.64q", line)
 	}
 	c.status = int(status)
+	c.framing.earlierVersion = string(version) == "HTTP/1.0"
 	return nil
 }
