What follows the last chunk of an answer must be a trailer

What callers saw: an answer in chunks counted as whole, and its connection was used again, whatever lines followed the last chunk: a name with a blank, a line without a colon, the status line of another response.

Cause: lines up to an empty one were discarded unread.

What changed: responsehead.SkipTrailer, which upstream uses in place of its own loop, asks of each line what it asks of a line of a head. A malformed trailer makes the answer incomplete; the bounds on lines are as before.

--- a/internal/responsehead/head.go
+++ b/internal/responsehead/head.go
@@ -73,10 +73,10 @@
 		}
 		first := c.checked == 0
 		c.checked += len(line) + 1
-		line, found = bytes.CutSuffix(line, []byte("\r"))
+		if line, err = cutLineEnd(line); err != nil {
+			return false, err
+		}
 		switch {
-		case !found:
-			return false, ErrMalformed.New("line without carriage return: %.64q", line)
 		case first:
 			err = c.checkStatusLine(line)
 		case len(line) == 0:
@@ -89,3 +89,12 @@
 		}
 	}
 }
+
+// cutLineEnd cuts the carriage return off a line that was cut before its line feed.
+func cutLineEnd(line []byte) ([]byte, error) {
+	line, found := bytes.CutSuffix(line, []byte("\r"))
+	if !found {
+		return nil, ErrMalformed.New("line without carriage return: %.64q", line)
+	}
+	return line, nil
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -151,7 +150,7 @@
 	case r.Length >= 0 && r.remaining > 0:
 		return n, errTruncated.New("%d bytes missing: %w", r.remaining, io.ErrUnexpectedEOF)
 	case r.chunked:
-		if err := r.readTrailer(); err != nil {
+		if err := responsehead.SkipTrailer(r.conn.reader, maxTrailerLines); err != nil {
 			return n, errTruncated.Wrap(err)
 		}
 	case r.Length == LengthUntilClose && r.conn != nil:
@@ -162,24 +161,6 @@
 	return n, io.EOF
 }
 
-// readTrailer discards the trailer after the last chunk, up to the empty line.
-func (r *Response) readTrailer() error {
-	for range maxTrailerLines {
-		line, err := r.conn.reader.ReadSlice('\n')
-		if errors.Is(err, io.EOF) {
-			// Wrapped as it is, io.EOF would mark the response as complete.
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return nil
-		}
-	}
-	return errTruncated.New("trailer too long")
-}
-
 // Read reads from the body. It returns io.EOF only after the complete body, and
 // then returns the connection to the pool if it can be reused. Other errors are of
 // class ErrIncompleteResponse and close the connection.
