Header values of any bytes come through peers

What callers saw: a whole, sound answer with a field whose value is not UTF-8, such as one in Latin-1, was lost when a peer had fetched it: 502 may_have_run, after the request had run, also twice on routes that may be repeated.

Cause: the message between instances holds the value as a string of protobuf, which has to be UTF-8, so the peer can't encode the head ("forwarding peer: internal: marshal message: string field contains invalid UTF-8"). Requests with such fields, and calls to services through another zone (role serve), are encoded by the same message.

What changed: a value that is not UTF-8 is in a new field of the message, raw_value; internal/headerfield converts for both users of the message.

Before, it failed through a peer for "high bytes" alone, on all routes and with all status lines; now it passes.

--- a/internal/forwarding/message.go
+++ b/internal/forwarding/message.go
@@ -6,6 +6,7 @@
 
 	"heatherrelay/internal/deployment"
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+	"heatherrelay/internal/headerfield"
 	"heatherrelay/internal/upstream"
 )
 
@@ -53,7 +54,7 @@
 func headerMessages(headers []upstream.HeaderField) []*v1.Header {
 	messages := make([]*v1.Header, 0, len(headers))
 	for _, h := range headers {
-		messages = append(messages, &v1.Header{Name: h.Name, Value: h.Value})
+		messages = append(messages, headerfield.Message(h.Name, h.Value))
 	}
 	return messages
 }
@@ -61,7 +62,7 @@
 func headersFrom(messages []*v1.Header) []upstream.HeaderField {
 	headers := make([]upstream.HeaderField, 0, len(messages))
 	for _, m := range messages {
-		headers = append(headers, upstream.HeaderField{Name: m.GetName(), Value: m.GetValue()})
+		headers = append(headers, upstream.HeaderField{Name: m.GetName(), Value: headerfield.Value(m)})
 	}
 	return headers
 }
--- a/internal/instance/messages.go
+++ b/internal/instance/messages.go
@@ -6,6 +6,7 @@
 	"heatherrelay/internal/adapter"
 	"heatherrelay/internal/dispatch"
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
+	"heatherrelay/internal/headerfield"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/target"
 	"heatherrelay/pkg/release"
@@ -108,7 +109,7 @@
 func headersToMessage(headers []dispatch.Header) []*v1.Header {
 	messages := make([]*v1.Header, 0, len(headers))
 	for _, h := range headers {
-		messages = append(messages, &v1.Header{Name: h.Name, Value: h.Value})
+		messages = append(messages, headerfield.Message(h.Name, h.Value))
 	}
 	return messages
 }
@@ -116,7 +117,7 @@
 func headersFromMessage(messages []*v1.Header) []dispatch.Header {
 	headers := make([]dispatch.Header, 0, len(messages))
 	for _, m := range messages {
-		headers = append(headers, dispatch.Header{Name: m.GetName(), Value: m.GetValue()})
+		headers = append(headers, dispatch.Header{Name: m.GetName(), Value: headerfield.Value(m)})
 	}
 	return headers
 }
