A peer's message holds the head of an answer, or none

What callers saw, while an earlier version runs beside this one: a peer of that version passes on the head of a broken answer (a status of 000 as 200, 099, a name with a blank), and this instance gives it to the client.

Cause: headFrom converts what the message holds, whatever it is.

What changed: the head is checked as it is read from the message: a final status, a length or one of its constants, fields by the grammar. What fails is an incomplete response of the target.

Not reached: what an earlier peer has decoded already, a length with a blank before the colon, can't be told.

--- a/internal/forwarding/client.go
+++ b/internal/forwarding/client.go
@@ -213,14 +213,14 @@
 	s.onClose = func(failed bool) { c.close(l, failed) }
 	s.SetSilence(attempt.Silence, attempt.OnSilence)
 	head, err := s.readHead()
-	if err == nil && attempt.Identify && attempt.Generation != 0 && !head.GetIdentified() {
+	if err == nil && attempt.Identify && attempt.Generation != 0 && !head.Identified {
 		err = upstream.ErrIncompleteResponse.Wrap(ErrPeer.New("the peer does not ask targets which of their processes they are"))
 	}
 	if err != nil {
 		s.Close()
 		return nil, err
 	}
-	return c.Upstream.ResponseFrom(headFrom(head), upstream.Source{Body: s, Close: s.Close, SetSilence: s.SetSilence, MarkProgress: s.MarkProgress}), nil
+	return c.Upstream.ResponseFrom(head, upstream.Source{Body: s, Close: s.Close, SetSilence: s.SetSilence, MarkProgress: s.MarkProgress}), nil
 }
 
 // linkError returns the error of an attempt whose link failed. Without a connection nothing
--- a/internal/forwarding/message.go
+++ b/internal/forwarding/message.go
@@ -7,6 +7,7 @@
 	"heatherrelay/internal/deployment"
 	v1 "heatherrelay/internal/gen/heatherrelay/v1"
 	"heatherrelay/internal/headerfield"
+	"heatherrelay/internal/responsehead"
 	"heatherrelay/internal/upstream"
 )
 
@@ -51,6 +52,22 @@
 	}
 }
 
+// checkHead returns an error of class responsehead.ErrMalformed for a head that is none.
+func checkHead(h *upstream.ResponseHead) error {
+	if err := responsehead.CheckFinalStatus(h.Status); err != nil {
+		return err
+	}
+	if h.Length < upstream.LengthUntilClose {
+		return responsehead.ErrMalformed.New("length %d", h.Length)
+	}
+	for _, field := range h.Headers {
+		if err := responsehead.CheckField(field.Name, field.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func headerMessages(headers []upstream.HeaderField) []*v1.Header {
 	messages := make([]*v1.Header, 0, len(headers))
 	for _, h := range headers {
--- a/internal/forwarding/stream.go
+++ b/internal/forwarding/stream.go
@@ -112,17 +112,22 @@
 	}
 }
 
-// readHead returns the head of the response.
-func (s *stream) readHead() (*v1.ForwardedHead, error) {
+// readHead returns the head of the response. A peer of an earlier version passes heads on that
+// are none.
+func (s *stream) readHead() (upstream.ResponseHead, error) {
 	message, err := s.next()
 	if err != nil {
-		return nil, err
+		return upstream.ResponseHead{}, err
 	}
 	if message.GetHead() == nil {
-		return nil, upstream.ErrIncompleteResponse.Wrap(ErrPeer.New("body without a head"))
+		return upstream.ResponseHead{}, upstream.ErrIncompleteResponse.Wrap(ErrPeer.New("body without a head"))
 	}
-	s.unframed = message.GetHead().GetLength() == upstream.LengthUntilClose
-	return message.GetHead(), nil
+	head := headFrom(message.GetHead())
+	if err := checkHead(&head); err != nil {
+		return upstream.ResponseHead{}, upstream.ErrIncompleteResponse.New("at the peer: %w", err)
+	}
+	s.unframed = head.Length == upstream.LengthUntilClose
+	return head, nil
 }
 
 // endError returns the error that the end of the attempt means. A peer of an earlier
--- a/internal/responsehead/status_line.go
+++ b/internal/responsehead/status_line.go
@@ -8,12 +8,23 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// The status codes that RFC 9110 defines as valid.
+// The status codes that RFC 9110 defines as valid. Those below minFinalStatus are
+// informational.
 const (
-	minStatus = 100
-	maxStatus = 599
+	minStatus      = 100
+	minFinalStatus = 200
+	maxStatus      = 599
 )
 
+// CheckFinalStatus checks the status of a response, which is not informational. The error is
+// of class ErrMalformed.
+func CheckFinalStatus(status int) error {
+	if status < minFinalStatus || status > maxStatus {
+		return ErrMalformed.New("status code %d", status)
+	}
+	return nil
+}
+
 // checkStatusLine checks the first line of a head: version, status code and reason phrase,
 // which may be empty or left out.
 func (c *checker) checkStatusLine(line []byte) error {
--- a/internal/responsehead/trailer.go
+++ b/internal/responsehead/trailer.go
@@ -24,7 +24,7 @@
 		if line, err = cutLineEnd(line[:len(line)-1]); err != nil || len(line) == 0 {
 			return err
 		}
-		if err := CheckField(line); err != nil {
+		if err := CheckLine(line); err != nil {
 			return err
 		}
 	}
