Answers of peers that are none change nothing

What an instance did: it took an exchange of state, or an attempt that a peer had carried out, from an answer of a peer in whose head a name held a blank, or whose length stood after one; an answer that ends with its connection counted whole wherever a part of it is a message as well.

Cause: net/http tolerates blanks in names and lets a connection's end be that of a body. Callers were not seen to get anything of it.

What changed: both use responsehead.Transport, which asks for a final status, fields by the grammar, and a length or chunks, which peers' servers always write. The instances of role serve speak HTTP/2 to each other, which has no such heads.

--- a/internal/forwarding/client.go
+++ b/internal/forwarding/client.go
@@ -20,6 +20,7 @@
 	"heatherrelay/internal/gen/heatherrelay/v1/heatherrelayv1connect"
 	"heatherrelay/internal/liveness"
 	"heatherrelay/internal/memory"
+	"heatherrelay/internal/responsehead"
 	"heatherrelay/internal/upstream"
 )
 
@@ -161,9 +162,9 @@
 func (c *Client) open(p Peer) *link {
 	c.once.Do(func() {
 		dialer := &connection.Dialer{ConnectTimeout: connectTimeout, AckTimeout: ackTimeout, KeepAlive: true}
-		c.http = &http.Client{Transport: &http.Transport{
+		c.http = &http.Client{Transport: responsehead.Transport{RoundTripper: &http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleLinks, IdleConnTimeout: idleLinkTime, DisableCompression: true,
-		}}
+		}}}
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/forwarding/link_test.go
+++ b/internal/forwarding/link_test.go
@@ -23,6 +23,8 @@
 // linkServer is the peer's end of the links of a client, written by hand.
 type linkServer struct {
 	listener net.Listener
+	// closes is set to close each connection after an answer.
+	closes bool
 	// arrived counts the attempts that were read.
 	arrived atomic.Int32
 }
@@ -61,7 +63,7 @@
 			return
 		}
 		text := reply(int(s.arrived.Add(1)) - 1)
-		if _, err := io.WriteString(conn, text); err != nil || text == "" {
+		if _, err := io.WriteString(conn, text); err != nil || text == "" || s.closes {
 			return
 		}
 	}
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -33,6 +33,7 @@
 	"heatherrelay/internal/origin"
 	"heatherrelay/internal/placement"
 	"heatherrelay/internal/quota"
+	"heatherrelay/internal/responsehead"
 	"heatherrelay/internal/speed"
 	"heatherrelay/internal/throttle"
 )
@@ -165,12 +166,12 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		dialer := &connection.Dialer{ConnectTimeout: connectTimeout, AckTimeout: exchangeTimeout}
-		n.httpClient = &http.Client{Transport: &http.Transport{
+		n.httpClient = &http.Client{Transport: responsehead.Transport{RoundTripper: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: 4,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
-		}}
+		}}}
 		n.startedAt = n.Now()
 		n.trigger = make(chan struct{}, 1)
 		n.remotes = map[string]*remote{}
