Answers of the store and of engines to calls are none if their heads are none

What an instance did: a list, a watch, a report of an engine, and an order that counted as carried out, were taken from an answer with status 000 (as 200) or of another version, with a blank in a name, with both a length and chunks; a length with a blank before the colon cut a body to one byte.

Cause: connection.HTTPClient reads by the same library as upstream did.

What changed: the connections of connection.Dialer.Dial, which are those of the HTTP library's clients, await each head of a response and check it (responsehead.Await) before they pass it on. The library takes an error before the first byte for the end of the connection, so one byte is passed on before the error: the cause is in the error. Bytes that follow a response are not taken for the head of the next one.

--- a/internal/connection/dialer.go
+++ b/internal/connection/dialer.go
@@ -38,10 +38,16 @@
 	keepAliveProbes   = 2
 )
 
-// Dial connects to an address of the form "IP:port". All its errors are of class
+// Dial connects to an address of the form "IP:port", for a client that sends one HTTP request
+// at a time and reads its response after that. Reads fail with an error of class
+// responsehead.ErrMalformed at a head of a response that is none. All its errors are of class
 // ErrDial.
 func (d *Dialer) Dial(address string) (net.Conn, error) {
-	return d.DialContext(context.Background(), "tcp", address)
+	conn, err := d.DialContext(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &responseConn{Conn: conn}, nil
 }
 
 // DialContext is Dial with a context, with the signature that net/http expects.
--- a/internal/connection/peek.go
+++ b/internal/connection/peek.go
@@ -55,6 +55,8 @@
 		return c
 	case *readTimeoutConn:
 		return TCP(c.Conn)
+	case *responseConn:
+		return TCP(c.Conn)
 	}
 	return nil
 }
