The report on metrics takes no broken answer

release report burn dials by connection.Dialer too, so that the metrics of an instance are not read from an answer whose head is none. Before, 7 of 14 cases of TestBrokenMetricsAreAnError fail.

--- a/internal/burn/scrape.go
+++ b/internal/burn/scrape.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc/pool"
 	"github.com/valyala/fasthttp"
 
+	"heatherrelay/internal/connection"
 	"heatherrelay/pkg/release"
 )
 
@@ -98,7 +99,8 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + source.Address.String() + metricsPath)
 	request.SetConnectionClose()
-	client := fasthttp.Client{MaxResponseBodySize: maxMetricsBytes}
+	dialer := connection.Dialer{ConnectTimeout: s.Timeout}
+	client := fasthttp.Client{MaxResponseBodySize: maxMetricsBytes, Dial: dialer.Dial}
 	if err := client.DoTimeout(request, response, s.Timeout); err != nil {
 		return InstanceSample{}, ErrScrape.Wrap(err)
 	}
