--- a/cmd/heatherrelay/endless_answers_test.go
+++ b/cmd/heatherrelay/endless_answers_test.go
@@ -7,12 +7,12 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"heatherrelay/internal/loopback/loopbacktest"
 	"heatherrelay/platform/platformtest"
 )
 
@@ -32,21 +32,7 @@
 // platform.
 func (e *endlessTarget) start(t *testing.T, store *platformtest.Store, target *platformtest.Target) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go e.serve(conn)
-		}
-	}()
-	target.AdvertisedAddress = netip.MustParseAddrPort(listener.Addr().String())
+	target.AdvertisedAddress = loopbacktest.Serve(t, e.serve)
 	target.Register(store, "ready")
 }
 
--- a/internal/burn/broken_answer_test.go
+++ b/internal/burn/broken_answer_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"heatherrelay/internal/burn"
+	"heatherrelay/internal/loopback/loopbacktest"
 	"heatherrelay/internal/responsehead/headtest"
 )
 
@@ -20,23 +21,13 @@
 	answers["sound"] = headtest.Sound(metrics)
 	for name, text := range answers {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = listener.Close() }()
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = conn.Close() }()
+			address := loopbacktest.Serve(t, func(conn net.Conn) {
 				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
 					_, _ = io.WriteString(conn, text)
 				}
-			}()
+			})
 			scraper := burn.Scraper{Timeout: time.Second}
-			source := burn.Source{Instance: "a", Address: listener.Addr().(*net.TCPAddr).AddrPort()}
+			source := burn.Source{Instance: "a", Address: address}
 			if samples := scraper.Scrape(t.Context(), []burn.Source{source}); (samples[0].Error == "") != (name == "sound") {
 				t.Errorf("error %q", samples[0].Error)
 			}
--- a/internal/connection/broken_answer_test.go
+++ b/internal/connection/broken_answer_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"heatherrelay/internal/connection"
+	"heatherrelay/internal/loopback/loopbacktest"
 	"heatherrelay/internal/responsehead"
 	"heatherrelay/internal/responsehead/headtest"
 )
@@ -73,26 +74,9 @@
 func TestResetAnswerIsNoResponse(t *testing.T) {
 	for name, size := range map[string]int{"small request": 10, "large request": 16 << 20} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { _ = listener.Close() })
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					_, _ = conn.Read(make([]byte, 4096))
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
-					time.Sleep(20 * time.Millisecond)
-					_ = conn.(*net.TCPConn).SetLinger(0)
-					_ = conn.Close()
-				}
-			}()
+			address := loopbacktest.Serve(t, headtest.WriteAndReset)
 			client := &connection.HTTPClient{}
-			request := connection.Request{Method: http.MethodPost, URI: "http://" + listener.Addr().String() + "/", Body: make([]byte, size), Timeout: time.Second}
+			request := connection.Request{Method: http.MethodPost, URI: "http://" + address.String() + "/", Body: make([]byte, size), Timeout: time.Second}
 			if response, err := client.Do(t.Context(), request); err == nil {
 				t.Errorf("status %d, body %q", response.Status, response.Body)
 			}
--- a/internal/connection/http_client_test.go
+++ b/internal/connection/http_client_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"heatherrelay/internal/connection"
+	"heatherrelay/internal/loopback/loopbacktest"
 )
 
 // rawServer answers each request on its connections with what Answer writes.
@@ -27,21 +28,8 @@
 // start serves until the test ends and returns the server's URI.
 func (s *rawServer) start(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return "http://" + listener.Addr().String() + "/report"
+	address := loopbacktest.Serve(t, s.serve)
+	return "http://" + address.String() + "/report"
 }
 
 func (s *rawServer) serve(conn net.Conn) {
--- a/internal/connection/stale_test.go
+++ b/internal/connection/stale_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"heatherrelay/internal/connection"
+	"heatherrelay/internal/loopback/loopbacktest"
 )
 
 // numberServer answers each request with its path, and writes answers once more.
@@ -33,21 +34,8 @@
 
 func (s *numberServer) start(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	address := loopbacktest.Serve(t, s.serve)
+	return "http://" + address.String()
 }
 
 func (s *numberServer) serve(conn net.Conn) {
--- a/internal/dispatch/broken_answer_test.go
+++ b/internal/dispatch/broken_answer_test.go
@@ -6,11 +6,11 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"heatherrelay/internal/loopback/loopbacktest"
 	"heatherrelay/internal/refusal"
 	"heatherrelay/internal/responsehead/headtest"
 )
@@ -63,8 +63,7 @@
 func TestResetReplyIsNone(t *testing.T) {
 	for name, size := range map[string]int{"small call": 10, "large call": 16 << 20} {
 		t.Run(name, func(t *testing.T) {
-			address := startResettingService(t)
-			s, c := newSender(address), newPut("r1")
+			s, c := newSender(loopbacktest.Serve(t, headtest.WriteAndReset)), newPut("r1")
 			c.Body, c.Deadline = make([]byte, size), time.Now().Add(2*time.Second)
 			if reply, err := s.Send(context.Background(), c); err == nil || refusal.From(err).Code != refusal.CodeMayHaveRun {
 				t.Errorf("reply %d %q, error %v", reply.Status, reply.Body, err)
@@ -72,28 +71,3 @@
 		})
 	}
 }
-
-// startResettingService starts a service that answers with a part of a reply as soon as a call
-// arrives, and resets the connection.
-func startResettingService(t *testing.T) netip.AddrPort {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Read(make([]byte, 4096))
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
-			time.Sleep(20 * time.Millisecond)
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			_ = conn.Close()
-		}
-	}()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
-}
--- a/internal/dispatch/client_test.go
+++ b/internal/dispatch/client_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"heatherrelay/internal/dispatch"
+	"heatherrelay/internal/loopback/loopbacktest"
 	"heatherrelay/internal/objectstore"
 	"heatherrelay/internal/refusal"
 )
@@ -45,38 +46,24 @@
 // It counts the latter.
 func closingServer(t *testing.T) (netip.AddrPort, *atomic.Int64) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	var seen atomic.Int64
-	go func() {
-		for {
-			conn, err := listener.Accept()
+	address := loopbacktest.Serve(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for i := range 2 {
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for i := range 2 {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					if request.Method != http.MethodGet {
-						seen.Add(1)
-						return
-					}
-					if i == 0 {
-						_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
-					}
-				}
-			}()
+			if request.Method != http.MethodGet {
+				seen.Add(1)
+				return
+			}
+			if i == 0 {
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+			}
 		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String()), &seen
+	})
+	return address, &seen
 }
 
 // TestPutOnClosedConnectionReachesServiceOnce guards against a silent retry by
--- a/internal/dispatch/named_length_test.go
+++ b/internal/dispatch/named_length_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"runtime"
 	"strings"
 	"sync"
@@ -15,6 +14,7 @@
 	"time"
 
 	"heatherrelay/internal/dispatch"
+	"heatherrelay/internal/loopback/loopbacktest"
 	"heatherrelay/internal/refusal"
 )
 
@@ -22,33 +22,19 @@
 // answer writes, and keeps the connection open until the other end closes it.
 func startRawService(t *testing.T, answer func(conn net.Conn)) *dispatch.Sender {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				if _, err := io.Copy(io.Discard, request.Body); err != nil {
-					return
-				}
-				answer(conn)
-				_, _ = io.Copy(io.Discard, reader)
-			}()
+	address := loopbacktest.Serve(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
 		}
-	}()
-	return newSender(netip.MustParseAddrPort(listener.Addr().String()))
+		answer(conn)
+		_, _ = io.Copy(io.Discard, reader)
+	})
+	return newSender(address)
 }
 
 // TestLengthsThatServicesNameTakeNoMemory guards against a process that runs out of memory
--- a/internal/peer/broken_answer_test.go
+++ b/internal/peer/broken_answer_test.go
@@ -10,40 +10,26 @@
 	"testing"
 	"time"
 
+	"heatherrelay/internal/loopback/loopbacktest"
 	"heatherrelay/internal/peer"
 )
 
 // serveAnswers serves the protocol of an instance over HTTP written by hand: the status line
 // and the further lines of each head, and the part of the body that cut leaves.
-func serveAnswers(t *testing.T, m *member, statusLine, lines string, cut int) net.Listener {
+func serveAnswers(t *testing.T, m *member, statusLine, lines string, cut int) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				recorder := httptest.NewRecorder()
-				m.Handler().ServeHTTP(recorder, request)
-				body := recorder.Body.Bytes()
-				_, _ = fmt.Fprintf(conn, "%s\r\nContent-Type: %s\r\nConnection: close\r\n", statusLine, recorder.Header().Get("Content-Type"))
-				_, _ = fmt.Fprintf(conn, lines+"\r\n", len(body))
-				_, _ = conn.Write(body[:max(len(body)-cut, 0)])
-			}()
+	return loopbacktest.Serve(t, func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	return listener
+		recorder := httptest.NewRecorder()
+		m.Handler().ServeHTTP(recorder, request)
+		body := recorder.Body.Bytes()
+		_, _ = fmt.Fprintf(conn, "%s\r\nContent-Type: %s\r\nConnection: close\r\n", statusLine, recorder.Header().Get("Content-Type"))
+		_, _ = fmt.Fprintf(conn, lines+"\r\n", len(body))
+		_, _ = conn.Write(body[:max(len(body)-cut, 0)])
+	})
 }
 
 // TestBrokenAnswerOfAPeerChangesNothing guards against an instance that learns from a peer's
@@ -71,8 +57,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			sender := newMember(peer.Member{ID: "instance-00", Zone: "zone-0"}, netip.AddrPort{})
-			listener := serveAnswers(t, sender, c.statusLine, c.lines, c.cut)
-			sender.Self.Address = listener.Addr().(*net.TCPAddr).AddrPort()
+			sender.Self.Address = serveAnswers(t, sender, c.statusLine, c.lines, c.cut)
 			receiver := newMember(peer.Member{ID: "instance-01", Zone: "zone-1", Address: netip.MustParseAddrPort("127.0.0.1:1")}, sender.Self.Address)
 			go receiver.Run(t.Context())
 			for deadline := time.Now().Add(2 * time.Second); time.Now().Before(deadline) && receiver.MemberCount() < 2; {
--- a/internal/responsehead/headtest/broken.go
+++ b/internal/responsehead/headtest/broken.go
@@ -3,7 +3,10 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"strings"
+	"time"
 )
 
 const statusLine = "HTTP/1.1 200 OK"
@@ -53,3 +56,15 @@
 func answer(statusLine, lines, body string) string {
 	return statusLine + "\r\nContent-Type: application/json\r\n" + lines + "\r\n" + body
 }
+
+// resetPause is how long WriteAndReset waits so that what it wrote arrives before the reset.
+const resetPause = 20 * time.Millisecond
+
+// WriteAndReset answers with a part of an answer that has neither a length nor chunks as soon
+// as a request arrives, and has the connection reset once it is closed.
+func WriteAndReset(conn net.Conn) {
+	_, _ = conn.Read(make([]byte, 4<<10))
+	_, _ = io.WriteString(conn, statusLine+"\r\n\r\npart")
+	time.Sleep(resetPause)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+}
--- a/internal/target/named_length_test.go
+++ b/internal/target/named_length_test.go
@@ -6,12 +6,12 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"runtime"
 	"sync"
 	"testing"
 	"time"
 
+	"heatherrelay/internal/loopback/loopbacktest"
 	"heatherrelay/internal/target"
 )
 
@@ -19,29 +19,15 @@
 // the connection open until the other end closes it.
 func startRawEngine(t *testing.T, answer func(conn net.Conn)) *target.Engine {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				if _, err := http.ReadRequest(reader); err != nil {
-					return
-				}
-				answer(conn)
-				_, _ = io.Copy(io.Discard, reader)
-			}()
+	address := loopbacktest.Serve(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
 		}
-	}()
-	return &target.Engine{Address: netip.MustParseAddrPort(listener.Addr().String()), SilenceLimit: time.Second, OrderTimeout: time.Second}
+		answer(conn)
+		_, _ = io.Copy(io.Discard, reader)
+	})
+	return &target.Engine{Address: address, SilenceLimit: time.Second, OrderTimeout: time.Second}
 }
 
 // TestLengthsThatEnginesNameTakeNoMemory guards against a process that runs out of memory
--- a/internal/upstream/end_of_connection_test.go
+++ b/internal/upstream/end_of_connection_test.go
@@ -13,32 +13,18 @@
 	"time"
 
 	"heatherrelay/internal/connection"
+	"heatherrelay/internal/loopback/loopbacktest"
 	"heatherrelay/internal/upstream"
 )
 
 // serveEnds starts a server that reads a request on each connection and then hands it over.
 func serveEnds(t *testing.T, end func(conn *net.TCPConn)) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					end(conn.(*net.TCPConn))
-				}
-			}()
+	return loopbacktest.Serve(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			end(conn.(*net.TCPConn))
 		}
-	}()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	})
 }
 
 // endTimeout bounds the wait until the end of a connection arrives.
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"heatherrelay/internal/loopback/loopbacktest"
 	"heatherrelay/internal/upstream"
 )
 
@@ -20,32 +21,17 @@
 // text, with a pause, until the caller closes the connection.
 func serveEndless(t *testing.T, head, repeated string, pause time.Duration) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, err = fmt.Fprintf(conn, head, request.Header.Get(idField))
-				for err == nil {
-					time.Sleep(pause)
-					_, err = io.WriteString(conn, repeated)
-				}
-			}()
+	return loopbacktest.Serve(t, func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, err = fmt.Fprintf(conn, head, request.Header.Get(idField))
+		for err == nil {
+			time.Sleep(pause)
+			_, err = io.WriteString(conn, repeated)
 		}
-	}()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	})
 }
 
 // TestEndlessBytesEnd guards against requests that last until their deadline, or fill the
--- a/internal/upstream/repeated_answer_test.go
+++ b/internal/upstream/repeated_answer_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"heatherrelay/internal/loopback/loopbacktest"
 	"heatherrelay/internal/upstream"
 )
 
@@ -29,21 +30,7 @@
 // once more, in pieces of the given size, and then with the right answer.
 func serveRepeating(t *testing.T, refuse func(id string) string, piece int) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go repeatRefusal(conn, refuse, piece)
-		}
-	}()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
+	return loopbacktest.Serve(t, func(conn net.Conn) { repeatRefusal(conn, refuse, piece) })
 }
 
 // repeatRefusal serves one connection of serveRepeating.
