Tests of broken answers: the set-up asks for all that it asked for before, too; wording

startInstanceBehindPeer waits for both paths and, as before, for the services that are reached through peers.

--- a/internal/gatewayinstance/broken_answer_test.go
+++ b/internal/gatewayinstance/broken_answer_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// brokenFields are what a broken answer has of the worker's fields; they hold a request's id
+// brokenFields are what a broken answer has of the target's fields; they hold a request's id
 // in place of ID.
 const brokenFields = "Content-Type: text/event-stream\r\nRequest-Id: ID\r\nResponse-Seal: seal-ID\r\n"
 
--- a/internal/gatewayinstance/cut_head_test.go
+++ b/internal/gatewayinstance/cut_head_test.go
@@ -128,7 +128,8 @@
 				served++
 			}
 		}
-		return served == 10 && c.cutPaths() == scriptedTargets
+		reported := c.logs.FilterMessage("services reached through peers changed").Len() > 0
+		return served == 10 && reported && c.cutPaths() == scriptedTargets
 	})
 	return alone
 }
