--- a/internal/gatewayinstance/early_answer_test.go
+++ b/internal/gatewayinstance/early_answer_test.go
@@ -47,6 +47,14 @@
 	_, _ = io.CopyN(io.Discard, conn, uploadBytes/4)
 }
 
+// cuttingEnds returns the ends that cut an answer without a length short, by their names.
+func cuttingEnds() map[string]func(*net.TCPConn) {
+	return map[string]func(*net.TCPConn){
+		"reset at once": resetAtOnce, "reset later": resetLater, "closed unread": closeUnread,
+		"half closed, then reset": halfCloseThenReset, "closed while it reads": closeWhileReading,
+	}
+}
+
 func halfCloseAndRead(conn *net.TCPConn) {
 	_ = conn.CloseWrite()
 	_, _ = io.Copy(io.Discard, conn)
@@ -99,13 +107,19 @@
 		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		writeEvents(w, last+1, 3)
 	})
+	c.acceptUploads()
+	return c, a
+}
+
+// acceptUploads lets the routes take large requests.
+func (c *testCluster) acceptUploads() {
+	c.t.Helper()
 	c.config.Version++
 	c.config.MaxBodyBytes = uploadBytes
 	c.config.Publish(c.store)
 	c.waitFor("large requests are accepted", func() bool {
 		return c.sendBody(c.instances[0], http.MethodPost, "/read/", upload(), nil).status == http.StatusOK
 	})
-	return c, a
 }
 
 // upload returns the body of a large request.
@@ -129,10 +143,7 @@
 	t.Parallel()
 	var answers []earlyAnswer
 	var names []string
-	for end, f := range map[string]func(*net.TCPConn){
-		"reset at once": resetAtOnce, "reset later": resetLater, "closed unread": closeUnread,
-		"half closed, then reset": halfCloseThenReset, "closed while it reads": closeWhileReading,
-	} {
+	for end, f := range cuttingEnds() {
 		for framing, lines := range map[string]string{"neither": "", "length": "Content-Length: 1000\r\n", "chunks": "Transfer-Encoding: chunked\r\n"} {
 			for _, status := range []string{"200 OK", "500 Internal Server Error"} {
 				for _, part := range []string{"id: 1\ndata: pie", pieces(1, 1)} {
