--- a/internal/gatewayinstance/later_answer_test.go
+++ b/internal/gatewayinstance/later_answer_test.go
@@ -155,7 +155,8 @@
 	}
 }
 
-// checkUpload sends a large request whose second attempt gets a cut answer. It has to get a whole body.
+// checkUpload sends a large request whose second attempt gets a cut answer. The client has to
+// get a whole body.
 func (c *testCluster) checkUpload(t *testing.T, a *arrivals, through *instance, id, path string, deadline time.Duration, want string) {
 	t.Helper()
 	got := c.sendBody(through, http.MethodPost, path, upload(), func(h http.Header) {
