--- a/internal/loopback/loopbacktest/answer.go
+++ b/internal/loopback/loopbacktest/answer.go
@@ -9,8 +9,8 @@
 
 // Answer answers a request to an http.Server with bytes as they are, for heads that the server
 // does not write, and keeps the connection as sound servers do: the server's handler gets the
-// requests that follow until the client closes it. After HTTP/1.0 it ends. A connection that
-// ended without a word could meet the next request, which then may have run.
+// requests that follow until the client closes it. After HTTP/1.0 it ends. If it ended though
+// the head left it open, the next request could already be on its way, and may have run.
 func Answer(w http.ResponseWriter, r *http.Request, text string) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	conn, _, err := http.NewResponseController(w).Hijack()
